--- a/src/libs/core/time.h
+++ b/src/libs/core/time.h
@@ -14,7 +14,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<MonotonicClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): required name
 };
 
 /// A point on the monotonic clock of one process. Points of two processes can't be compared.
--- /dev/null
+++ b/src/libs/settings/tablereader.cpp
@@ -0,0 +1,191 @@
+#include "settings/tablereader.h"
+
+#include <toml++/toml.h>
+
+#include <limits>
+#include <set>
+
+namespace Pistachio::Settings
+{
+
+class TableReader::Private
+{
+public:
+    std::string file;
+    std::string prefix;
+    std::shared_ptr<toml::table> root; // keeps `table` alive
+    const toml::table *table = nullptr;
+    std::shared_ptr<std::vector<std::string>> errors;
+    std::set<std::string, std::less<>> readKeys;
+
+    const toml::node *node(std::string_view key)
+    {
+        readKeys.emplace(key);
+        return table->get(key);
+    }
+
+    std::unique_ptr<Private> child(std::string_view key, std::string_view suffix, const toml::table *childTable) const
+    {
+        auto result = std::make_unique<Private>();
+        result->file = file;
+        result->prefix = prefix + std::string(key) + std::string(suffix) + '.';
+        result->root = root;
+        result->table = childTable;
+        result->errors = errors;
+        return result;
+    }
+};
+
+TableReader::TableReader(std::unique_ptr<Private> state)
+    : d_(std::move(state))
+{
+}
+
+TableReader::TableReader(TableReader &&) noexcept = default;
+TableReader &TableReader::operator=(TableReader &&) noexcept = default;
+TableReader::~TableReader() = default;
+
+Result<TableReader> TableReader::open(const std::string &path)
+{
+    auto parsed = toml::parse_file(path);
+    if (!parsed) {
+        return failure(ErrorCode::InvalidArgument,
+                       path + ':' + std::to_string(parsed.error().source().begin.line) + ": "
+                           + std::string(parsed.error().description()));
+    }
+    auto state = std::make_unique<Private>();
+    state->file = path;
+    state->root = std::make_shared<toml::table>(std::move(parsed).table());
+    state->table = state->root.get();
+    state->errors = std::make_shared<std::vector<std::string>>();
+    return TableReader(std::move(state));
+}
+
+std::string TableReader::requiredString(std::string_view key)
+{
+    std::string value = optionalString(key, "");
+    if (value.empty())
+        addError(key, "is missing or empty");
+    return value;
+}
+
+std::string TableReader::optionalString(std::string_view key, std::string_view fallback)
+{
+    const toml::node *node = d_->node(key);
+    if (!node)
+        return std::string(fallback);
+    if (const auto value = node->value_exact<std::string>())
+        return *value;
+    addError(key, "must be a string");
+    return std::string(fallback);
+}
+
+Address TableReader::requiredAddress(std::string_view key)
+{
+    const std::string text = requiredString(key);
+    if (text.empty())
+        return {};
+    auto address = Address::parse(text);
+    if (address)
+        return address.assume_value();
+    addError(key, address.assume_error().message);
+    return {};
+}
+
+std::int64_t TableReader::optionalInteger(std::string_view key, std::int64_t fallback, std::int64_t lowest,
+                                          std::int64_t highest)
+{
+    const toml::node *node = d_->node(key);
+    if (!node)
+        return fallback;
+    const auto value = node->value_exact<std::int64_t>();
+    if (value && *value >= lowest && *value <= highest)
+        return *value;
+    addError(key, "must be a whole number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+    return fallback;
+}
+
+std::vector<std::string> TableReader::optionalStrings(std::string_view key)
+{
+    std::vector<std::string> values;
+    const toml::node *node = d_->node(key);
+    if (!node)
+        return values;
+    const toml::array *array = node->as_array();
+    if (!array) {
+        addError(key, "must be an array of strings");
+        return values;
+    }
+    for (const toml::node &element : *array) {
+        if (const auto value = element.value_exact<std::string>())
+            values.push_back(*value);
+        else
+            addError(key, "must hold strings only");
+    }
+    return values;
+}
+
+void TableReader::table(std::string_view key, const std::function<void(TableReader &)> &read)
+{
+    static const toml::table emptyTable;
+    const toml::node *node = d_->node(key);
+    if (node && !node->is_table()) {
+        addError(key, "must be a table");
+        return;
+    }
+    TableReader reader(d_->child(key, "", node ? node->as_table() : &emptyTable));
+    read(reader);
+    reader.checkUnknownKeys();
+}
+
+void TableReader::tables(std::string_view key, const std::function<void(TableReader &)> &read)
+{
+    const toml::node *node = d_->node(key);
+    if (!node)
+        return;
+    const toml::array *array = node->as_array();
+    if (!array) {
+        addError(key, "must be an array of tables");
+        return;
+    }
+    std::size_t index = 0;
+    for (const toml::node &element : *array) {
+        const std::string suffix = '[' + std::to_string(index++) + ']';
+        if (!element.is_table()) {
+            addError(std::string(key) + suffix, "must be a table");
+            continue;
+        }
+        TableReader reader(d_->child(key, suffix, element.as_table()));
+        read(reader);
+        reader.checkUnknownKeys();
+    }
+}
+
+void TableReader::addError(std::string_view key, std::string_view reason)
+{
+    const toml::node *node = d_->table->get(key);
+    const auto line = node ? node->source().begin.line : d_->table->source().begin.line;
+    d_->errors->push_back(d_->file + ':' + std::to_string(line) + ": " + d_->prefix + std::string(key) + ' '
+                          + std::string(reason));
+}
+
+void TableReader::checkUnknownKeys()
+{
+    for (const auto &[key, node] : *d_->table) {
+        if (!d_->readKeys.contains(key.str()))
+            addError(key.str(), "is not a known setting");
+    }
+}
+
+Result<void> TableReader::finish()
+{
+    checkUnknownKeys();
+    if (d_->errors->empty())
+        return success();
+    std::string message;
+    for (const std::string &error : *d_->errors)
+        message += (message.empty() ? "" : "\n") + error;
+    return failure(ErrorCode::InvalidArgument, message);
+}
+
+} // namespace Pistachio::Settings
--- /dev/null
+++ b/tests/auto/settings/tst_settings.cpp
@@ -0,0 +1,153 @@
+#include "settings/controlsettings.h"
+#include "settings/entrysettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include <unistd.h>
+
+using namespace Pistachio;
+using namespace Pistachio::Settings;
+
+namespace
+{
+
+const std::string controlText = R"(instance = "c1"
+zone = "north"
+data_folder = "data"
+operator_token_file = "token"
+[listen]
+internal = "127.0.0.1:0"
+operator = "127.0.0.1:0"
+worker = "[::1]:0"
+[[instance_address]]
+id = "c1"
+zone = "north"
+internal = "127.0.0.1:7101"
+operator = "127.0.0.1:7102"
+worker = "127.0.0.1:7103"
+[[group]]
+name = "cell"
+voters = ["c1"]
+)";
+
+const std::string entryText = R"(instance = "e1"
+zone = "north"
+[listen]
+callers = "127.0.0.1:0"
+minions = "127.0.0.1:0"
+internal = "127.0.0.1:0"
+[limits]
+drain_timeout_ms = 20000
+[[control]]
+id = "c1"
+zone = "north"
+internal = "127.0.0.1:7101"
+)";
+
+} // namespace
+
+class SettingsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SettingsTest);
+    CPPUNIT_TEST(completeFilesAreRead);
+    CPPUNIT_TEST(everyErrorIsReportedWithItsLine);
+    CPPUNIT_TEST(contradictionsAreRefused);
+    CPPUNIT_TEST(syntaxErrorNamesTheLine);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "tst_settings_XXXXXX").string();
+        CPPUNIT_ASSERT(mkdtemp(pattern.data()) != nullptr);
+        folder_ = pattern;
+    }
+
+    void tearDown() override { std::filesystem::remove_all(folder_); }
+
+    void completeFilesAreRead()
+    {
+        const auto control = ControlSettings::load(write(controlText));
+        CPPUNIT_ASSERT(control.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("::1"), control.value().listenWorker.ip);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7102}, control.value().instances.at(0).operators.port);
+        CPPUNIT_ASSERT_EQUAL(std::string("c1"), control.value().groups.at(0).voters.at(0).value());
+
+        const auto entry = EntrySettings::load(write(entryText));
+        CPPUNIT_ASSERT(entry.has_value());
+        CPPUNIT_ASSERT(entry.value().limits.drainTimeout == std::chrono::seconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1024}, entry.value().limits.maxQueuedRequests);
+    }
+
+    // Guards against a misspelt or mistyped key that is silently ignored, and against errors shown one at a time.
+    void everyErrorIsReportedWithItsLine()
+    {
+        std::string text = entryText;
+        replace(text, "drain_timeout_ms = 20000", "drain_timeout = 20000\nidle_timeout_ms = \"soon\"");
+        replace(text, "callers = \"127.0.0.1:0\"", "callers = \"localhost:80\"");
+        const std::string message = errorOf(EntrySettings::load(write(text)));
+        CPPUNIT_ASSERT(contains(message, ":8: limits.drain_timeout is not a known setting"));
+        CPPUNIT_ASSERT(contains(message, ":9: limits.idle_timeout_ms must be a whole number"));
+        CPPUNIT_ASSERT(contains(message, ":4: listen.callers 'localhost:80' is not an IP address"));
+    }
+
+    // Guards against groups that lose their quorum at the first loss, and entries that never find their zone's control.
+    void contradictionsAreRefused()
+    {
+        std::string text = controlText;
+        replace(text, "voters = [\"c1\"]", "voters = [\"c1\", \"c9\"]");
+        const std::string message = errorOf(ControlSettings::load(write(text)));
+        CPPUNIT_ASSERT(contains(message, ":17: group[0].voters must name an odd number"));
+        CPPUNIT_ASSERT(contains(message, "names 'c9', which has no [[instance_address]]"));
+
+        text = entryText;
+        replace(text, "zone = \"north\"\n[listen]", "zone = \"south\"\n[listen]");
+        CPPUNIT_ASSERT(contains(errorOf(EntrySettings::load(write(text))), "no control instance of zone 'south'"));
+        text = entryText;
+        replace(text, "drain_timeout_ms = 20000", "drain_timeout_ms = 200");
+        CPPUNIT_ASSERT(
+            contains(errorOf(EntrySettings::load(write(text))), "limits.drain_timeout_ms must not be below"));
+    }
+
+    void syntaxErrorNamesTheLine()
+    {
+        const std::string message = errorOf(EntrySettings::load(write("instance = \"e1\"\nzone = \n")));
+        CPPUNIT_ASSERT(contains(message, "settings.toml:2:"));
+    }
+
+private:
+    std::string write(const std::string &text)
+    {
+        const std::filesystem::path path = folder_ / "settings.toml";
+        std::ofstream(path) << text;
+        return path.string();
+    }
+
+    static void replace(std::string &text, const std::string &from, const std::string &to)
+    {
+        const auto position = text.find(from);
+        CPPUNIT_ASSERT(position != std::string::npos);
+        text.replace(position, from.size(), to);
+    }
+
+    template<class Settings> static std::string errorOf(const Result<Settings> &result)
+    {
+        CPPUNIT_ASSERT(result.has_error());
+        return result.error().message;
+    }
+
+    static bool contains(const std::string &text, const std::string &part)
+    {
+        if (text.find(part) == std::string::npos)
+            CPPUNIT_FAIL("'" + part + "' is not in: " + text);
+        return true;
+    }
+
+    std::filesystem::path folder_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
