--- /dev/null
+++ b/src/libs/replication/replica.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "core/random.h"
+#include "core/result.h"
+#include "core/time.h"
+#include "replication/election.h"
+#include "replication/message.h"
+#include "replication/progress.h"
+#include "replication/replicalog.h"
+#include "replication/types.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Pistachio::Replication
+{
+
+/// What a replica read from its files at start.
+struct RestoredState {
+    HardState hardState;
+    SnapshotPointer snapshot; ///< null: none
+    std::vector<Entry> entries; ///< may begin before the snapshot
+};
+
+/// Work that a replica hands to its owner. The order is: send `messages`, write `snapshot`, `hardState` and `entries`,
+/// sync when `mustSync`, call Replica::persisted(), send `messagesAfterPersist`; `committed` may be applied at any time.
+struct Ready {
+    std::uint64_t token = 0;
+    bool mustSync = false; ///< false: only the commit index changed, which may be lost
+    std::optional<HardState> hardState;
+    std::vector<Entry> entries; ///< replace what the store holds from the first one's index on
+    SnapshotPointer snapshot; ///< received from the leader, replaces the log; null: none
+    std::vector<Message> messages;
+    std::vector<Message> messagesAfterPersist;
+    std::vector<Entry> committed; ///< in log order, without gaps, after `snapshot` if that is set
+};
+
+/// One replica of a group: decides, and leaves files, messages and clocks to its owner.
+class Replica
+{
+public:
+    /// \param now the time of the start
+    /// \param self this instance
+    /// \param group the group of all messages
+    /// \param initialMembers the members until the log or a snapshot tells others
+    /// \param restored what was read from the files
+    /// \param random the source of election timeouts
+    Replica(TimePoint now, InstanceId self, GroupId group, Membership initialMembers, RestoredState restored,
+            RandomSource random);
+
+    /// Runs the timers: elections, heartbeats, retransmissions, the leader's own end of office.
+    void tick(TimePoint now);
+
+    /// \param now the time of arrival
+    /// \param message a message for this replica; others are ignored
+    void receive(TimePoint now, const Message &message);
+
+    /// \return the index of the new entry, NotLeader with the leader as message, or Unavailable when too much is
+    /// uncommitted already.
+    Result<LogIndex> propose(TimePoint now, std::string payload);
+
+    /// \return the index of the new entry; Unavailable while another change or the start of the term is uncommitted or
+    /// the learner to promote lags; InvalidArgument for a change that the members rule out.
+    Result<LogIndex> proposeMembership(TimePoint now, const MembershipChange &change);
+
+    /// \return whether takeReady() has something.
+    [[nodiscard]] bool hasReady() const;
+
+    /// \return what came up since the last call.
+    Ready takeReady();
+
+    /// \param now the time at which the write was complete
+    /// \param token the token of a Ready; those before it are complete too
+    void persisted(TimePoint now, std::uint64_t token);
+
+    /// Replaces the log up to the snapshot, once the store holds it.
+    /// \param index an applied index
+    /// \param data the state machine's state at \p index
+    /// \param keptEntries entries to keep before \p index
+    /// \return the snapshot.
+    SnapshotPointer compact(LogIndex index, std::string data, std::uint64_t keptEntries);
+
+    [[nodiscard]] bool isLeader() const { return election_.role() == Role::Leader; }
+
+    /// \return whether a majority acknowledged what this leader sent in the last 900 ms.
+    [[nodiscard]] bool hasAuthority(TimePoint now) const;
+
+    [[nodiscard]] Term term() const { return hardState_.term; }
+    [[nodiscard]] const InstanceId &leaderHint() const { return election_.leader(); }
+    [[nodiscard]] LogIndex commitIndex() const { return hardState_.commit; }
+    [[nodiscard]] LogIndex lastIndex() const { return log_.lastIndex(); }
+    [[nodiscard]] const Membership &membership() const { return log_.membership(); }
+
+    /// \return the first index of this leader's term; what earlier leaders committed lies before it.
+    [[nodiscard]] LogIndex termStart() const { return termStart_; }
+
+private:
+    // Term and elections, in replica.cpp
+    void becomeFollower(TimePoint now, Term term, const InstanceId &leader);
+    void startPreVote(TimePoint now);
+    void startElection(TimePoint now);
+    void becomeLeader(TimePoint now);
+    void requestVotes(MessageKind kind, Term term);
+    void receiveVoteRequest(TimePoint now, const Message &message);
+    void receiveVoteAnswer(TimePoint now, const Message &message);
+    void countVote(TimePoint now, const InstanceId &voter, bool granted);
+    bool isVoter() const;
+    bool adoptTerm(TimePoint now, const Message &message);
+
+    // The receiving side of the log, in follower.cpp
+    void receiveAppend(TimePoint now, const Message &message);
+    void receiveSnapshot(TimePoint now, const Message &message);
+    void installSnapshot(const SnapshotPointer &snapshot);
+    void answer(const Message &request, Message reply);
+    void advanceCommit(LogIndex index);
+
+    // The sending side of the log, in leader.cpp
+    void checkQuorum(TimePoint now);
+    TimePoint quorumStamp(TimePoint now) const;
+    void receiveAppendAnswer(TimePoint now, const Message &message);
+    void receiveSnapshotAnswer(TimePoint now, const Message &message);
+    LogIndex appendAsLeader(EntryKind kind, std::string payload);
+    void syncFollowers(TimePoint now);
+    void leaderTick(TimePoint now);
+    void sendEntries(TimePoint now, const InstanceId &to, Progress &progress);
+    void sendAppend(TimePoint now, const InstanceId &to, Progress &progress, std::vector<Entry> entries);
+    void sendSnapshotChunks(TimePoint now, const InstanceId &to, Progress &progress);
+    void sendSnapshotChunk(TimePoint now, const InstanceId &to, Progress &progress, std::uint64_t bytes);
+    void resume(TimePoint now, const InstanceId &to, Progress &progress);
+    void commitByQuorum();
+    Result<Membership> changedMembership(TimePoint now, const MembershipChange &change) const;
+
+    Message message(MessageKind kind, const InstanceId &to) const;
+    void markHardState(bool mustSync);
+
+    InstanceId self_;
+    GroupId group_;
+    HardState hardState_;
+    ReplicaLog log_;
+    Election election_;
+    std::map<InstanceId, Progress> followers_; ///< of a leader: all members but itself
+    LogIndex termStart_ = 0;
+    IncomingSnapshot incoming_; ///< of a follower
+
+    Ready next_; ///< filled until takeReady()
+    std::uint64_t nextToken_ = 1;
+    struct Write {
+        std::uint64_t token;
+        LogIndex lastIndex;
+    };
+    std::deque<Write> writes_; ///< handed out, not yet persisted
+    LogIndex persistedIndex_ = 0;
+    LogIndex handedOut_ = 0; ///< entries up to here went into a Ready
+    LogIndex committedOut_ = 0; ///< committed entries up to here went into a Ready
+    std::optional<std::uint64_t> selfVoteToken_; ///< the own vote counts once this write is durable
+};
+
+} // namespace Pistachio::Replication
--- /dev/null
+++ b/src/libs/replication/types.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/identifier.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Pistachio::Replication
+{
+
+/// The position of an entry in a group's log. The first entry has index 1; 0 stands for "before the log".
+using LogIndex = std::uint64_t;
+
+/// The number of an election. Each term has at most one leader.
+using Term = std::uint64_t;
+
+enum class EntryKind : std::uint8_t {
+    Noop, ///< starts a term; lets the leader commit entries of earlier terms
+    Command, ///< passed to the state machine
+    Membership, ///< holds the members from this entry on
+};
+
+/// One position of the replicated log.
+struct Entry {
+    LogIndex index = 0;
+    Term term = 0;
+    EntryKind kind = EntryKind::Command;
+    std::string payload;
+
+    bool operator==(const Entry &) const = default;
+};
+
+/// The voters and learners of a group, each list sorted.
+struct Membership {
+    std::vector<InstanceId> voters;
+    std::vector<InstanceId> learners; ///< receive the log without a vote
+
+    bool operator==(const Membership &) const = default;
+};
+
+/// What a replica must remember besides the log.
+struct HardState {
+    Term term = 0;
+    InstanceId votedFor; ///< empty: no vote in this term
+    LogIndex commit = 0; ///< may lag behind; it only saves a restarted replica from waiting for its leader
+
+    bool operator==(const HardState &) const = default;
+};
+
+/// The state of the state machine after an entry, in place of the log up to that entry.
+struct Snapshot {
+    LogIndex index = 0;
+    Term term = 0;
+    Membership membership;
+    std::string data;
+};
+
+/// Snapshots are shared between the log, the transfers to followers and the store, and never changed.
+using SnapshotPointer = std::shared_ptr<const Snapshot>;
+
+/// One change of the members; the log takes one at a time.
+struct MembershipChange {
+    enum class Kind : std::uint8_t { AddLearner, Promote, Remove };
+    Kind kind = Kind::AddLearner;
+    InstanceId instance;
+};
+
+} // namespace Pistachio::Replication
