--- /dev/null
+++ b/src/libs/replication/election.cpp
@@ -0,0 +1,64 @@
+#include "replication/election.h"
+
+#include <algorithm>
+
+namespace Pistachio::Replication
+{
+
+Election::Election(TimePoint now, const RandomSource &random)
+    : random_(random)
+    , refuseUntil_(now + voteRefusal)
+    , deadline_(now + between(minElectionTimeout, maxElectionTimeout))
+{
+}
+
+void Election::heardLeader(TimePoint now, const InstanceId &leader)
+{
+    role_ = Role::Follower;
+    leader_ = leader;
+    refuseUntil_ = now + voteRefusal;
+    deadline_ = now + between(minElectionTimeout, maxElectionTimeout);
+}
+
+void Election::follow(TimePoint now)
+{
+    if (role_ == Role::Leader)
+        deadline_ = now + between(minElectionTimeout, maxElectionTimeout);
+    role_ = Role::Follower;
+    leader_ = {};
+}
+
+void Election::yield(TimePoint now)
+{
+    role_ = Role::Follower;
+    deadline_ = now + between(minElectionTimeout, maxElectionTimeout);
+}
+
+void Election::startRound(TimePoint now, Role role)
+{
+    role_ = role;
+    leader_ = {};
+    votes_.clear();
+    deadline_ = now + between(minElectionRetry, maxElectionRetry);
+}
+
+void Election::lead(const InstanceId &self)
+{
+    role_ = Role::Leader;
+    leader_ = self;
+}
+
+bool Election::isWon(std::span<const InstanceId> voters) const
+{
+    const auto votes = std::count_if(voters.begin(), voters.end(),
+                                     [this](const InstanceId &voter) { return votes_.contains(voter); });
+    return static_cast<std::size_t>(votes) > voters.size() / 2;
+}
+
+Duration Election::between(Duration shortest, Duration longest)
+{
+    const auto steps = static_cast<std::uint64_t>((longest - shortest).count()) + 1;
+    return shortest + Duration(static_cast<Duration::rep>(random_.below(steps)));
+}
+
+} // namespace Pistachio::Replication
--- /dev/null
+++ b/src/libs/replication/leader.cpp
@@ -0,0 +1,288 @@
+// The sending side of Replica: replication, commitment, authority and changes of the members.
+
+#include "replication/replica.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace Pistachio::Replication
+{
+
+namespace
+{
+
+/// A learner within this many entries of the leader is fit to vote; it closes the rest in a few round trips.
+constexpr LogIndex promotionLagEntries = 100;
+
+/// Before any time of the clock, and far enough from its ends to subtract.
+constexpr TimePoint neverAnswered(Duration::min() / 2);
+
+bool contains(const std::vector<InstanceId> &sorted, const InstanceId &instance)
+{
+    return std::ranges::binary_search(sorted, instance);
+}
+
+void insert(std::vector<InstanceId> &sorted, const InstanceId &instance)
+{
+    sorted.insert(std::ranges::lower_bound(sorted, instance), instance);
+}
+
+/// \return the value that a majority of \p values reaches.
+template<class T> T quorumValue(std::vector<T> values)
+{
+    std::ranges::sort(values, std::greater<>());
+    return values[values.size() / 2];
+}
+
+} // namespace
+
+void Replica::checkQuorum(TimePoint now)
+{
+    if (isLeader() && now - std::max(quorumStamp(now), electedAt_) >= leaderStepDown)
+        becomeFollower(now, term());
+}
+
+TimePoint Replica::quorumStamp(TimePoint now) const
+{
+    std::vector<TimePoint> stamps;
+    for (const InstanceId &voter : membership().voters) {
+        const auto follower = followers_.find(voter);
+        if (voter == self_)
+            stamps.push_back(now);
+        else if (follower != followers_.end())
+            stamps.push_back(follower->second.ackedStamp().value_or(neverAnswered));
+    }
+    return quorumValue(std::move(stamps));
+}
+
+LogIndex Replica::appendAsLeader(TimePoint now, EntryKind kind, std::string payload)
+{
+    log_.append({lastIndex() + 1, term(), kind, std::move(payload)});
+    if (kind == EntryKind::Membership)
+        followMembers(now);
+    hasNewsForFollowers_ = true;
+    return lastIndex();
+}
+
+void Replica::followMembers(TimePoint now)
+{
+    const Membership &members = membership();
+    std::erase_if(followers_, [&](const auto &follower) {
+        return !contains(members.voters, follower.first) && !contains(members.learners, follower.first);
+    });
+    for (const auto *list : {&members.voters, &members.learners}) {
+        for (const InstanceId &member : *list) {
+            if (member != self_)
+                followers_.try_emplace(member, now, lastIndex() + 1);
+        }
+    }
+}
+
+void Replica::tickFollowers(TimePoint now)
+{
+    for (auto &[follower, progress] : followers_) {
+        const bool isLearner = !contains(membership().voters, follower);
+        if (now - progress.lastSent() >= (isLearner ? learnerHeartbeatInterval : heartbeatInterval))
+            sendHeartbeat(now, follower, progress);
+    }
+}
+
+void Replica::sendHeartbeat(TimePoint now, const InstanceId &to, Progress &progress)
+{
+    if (progress.state() == Progress::State::Snapshot) {
+        if (progress.isStalled(now))
+            progress.restartChunks(now, progress.snapshotAcked());
+        // Without room for a chunk an empty one asks how much has arrived.
+        sendChunk(now, to, progress, 0);
+        return sendChunks(now, to, progress);
+    }
+    if (progress.isStalled(now))
+        progress.probeFrom(progress.match() + 1);
+    sendAppend(now, to, progress, {});
+}
+
+void Replica::receiveFromFollower(TimePoint now, const Message &answer)
+{
+    if (answer.term > term())
+        return becomeFollower(now, answer.term);
+    const auto follower = followers_.find(answer.from);
+    if (!isLeader() || answer.term < term() || follower == followers_.end())
+        return;
+    Progress &progress = follower->second;
+    const bool isNewest = progress.acknowledgedStamp(TimePoint(Duration(answer.stamp)));
+    if (answer.kind == MessageKind::SnapshotAnswer)
+        return receiveSnapshotAnswer(now, answer, progress, isNewest);
+    receiveAppendAnswer(now, answer, progress);
+}
+
+void Replica::receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress)
+{
+    if (answer.accepted) {
+        progress.acknowledged(now, answer.logIndex);
+        const bool isInstalled
+            = progress.state() == Progress::State::Snapshot && progress.match() >= progress.snapshot()->index;
+        if (progress.state() == Progress::State::Probe || isInstalled)
+            catchUp(now, answer.from, progress);
+        commitByQuorum(now);
+        hasNewsForFollowers_ = hasNewsForFollowers_ || progress.next() <= lastIndex();
+        return;
+    }
+    // A refusal of anything else is older than an answer that came before it.
+    const bool isCurrent = progress.state() == Progress::State::Replicate
+        ? answer.logIndex > progress.match()
+        : progress.state() == Progress::State::Probe && answer.logIndex + 1 == progress.next();
+    if (!isCurrent)
+        return;
+    progress.probeFrom(log_.lastNotAbove(answer.hintIndex, answer.hintTerm) + 1);
+    sendAppend(now, answer.from, progress, {});
+}
+
+void Replica::receiveSnapshotAnswer(TimePoint now, const Message &answer, Progress &progress, bool isNewest)
+{
+    if (progress.state() != Progress::State::Snapshot || progress.snapshot()->index != answer.logIndex)
+        return;
+    if (answer.offset >= progress.snapshotAcked())
+        progress.acknowledgedChunks(now, answer.offset);
+    else if (isNewest)
+        progress.restartChunks(now, answer.offset); // the follower restarted
+    sendChunks(now, answer.from, progress);
+}
+
+void Replica::catchUp(TimePoint now, const InstanceId &to, Progress &progress)
+{
+    const SnapshotPointer &snapshot = log_.snapshot();
+    const bool isCompacted = progress.next() < log_.firstIndex();
+    const bool isSnapshotSmaller = snapshot && !isCompacted && progress.next() <= snapshot->index
+        && snapshot->data.size() < log_.bytes(progress.next(), snapshot->index);
+    if (isCompacted || isSnapshotSmaller)
+        return startSnapshot(now, to, progress);
+    progress.startReplicating(now);
+}
+
+void Replica::startSnapshot(TimePoint now, const InstanceId &to, Progress &progress)
+{
+    progress.startSnapshot(now, log_.snapshot());
+    sendChunks(now, to, progress);
+}
+
+void Replica::sendEntries(TimePoint now, const InstanceId &to, Progress &progress)
+{
+    while (progress.hasRoom() && progress.next() <= lastIndex()) {
+        if (progress.next() < log_.firstIndex())
+            return startSnapshot(now, to, progress);
+        sendAppend(now, to, progress, log_.entriesUpTo(progress.next(), maxMessageBytes));
+    }
+}
+
+void Replica::sendAppend(TimePoint now, const InstanceId &to, Progress &progress, std::vector<Entry> entries)
+{
+    const LogIndex previous = progress.next() - 1;
+    const auto previousTerm = log_.termAt(previous);
+    if (!previousTerm)
+        return startSnapshot(now, to, progress);
+    const LogIndex last = previous + entries.size();
+    progress.sentEntries(now, last, entries.empty() ? 0 : log_.bytes(previous + 1, last));
+    Message request = message(MessageKind::AppendRequest, to);
+    request.logIndex = previous;
+    request.logTerm = *previousTerm;
+    request.commit = commitIndex();
+    request.stamp = now.time_since_epoch().count();
+    request.entries = std::move(entries);
+    next_.messages.push_back(std::move(request));
+}
+
+void Replica::sendChunks(TimePoint now, const InstanceId &to, Progress &progress)
+{
+    const std::uint64_t total = progress.snapshot()->data.size();
+    if (total == 0 && progress.snapshotSent() == 0)
+        return sendChunk(now, to, progress, 0);
+    while (progress.snapshotSent() < total
+           && progress.snapshotSent() - progress.snapshotAcked() < maxSnapshotInFlightBytes)
+        sendChunk(now, to, progress, std::min(snapshotChunkBytes, total - progress.snapshotSent()));
+}
+
+void Replica::sendChunk(TimePoint now, const InstanceId &to, Progress &progress, std::uint64_t bytes)
+{
+    const Snapshot &snapshot = *progress.snapshot();
+    Message request = message(MessageKind::SnapshotRequest, to);
+    request.logIndex = snapshot.index;
+    request.logTerm = snapshot.term;
+    request.stamp = now.time_since_epoch().count();
+    request.offset = bytes == 0 ? progress.snapshotAcked() : progress.snapshotSent();
+    request.totalBytes = snapshot.data.size();
+    request.data = snapshot.data.substr(request.offset, bytes);
+    if (request.offset == 0)
+        request.membership = snapshot.membership;
+    progress.sentChunk(now, request.offset + bytes);
+    next_.messages.push_back(std::move(request));
+}
+
+void Replica::commitByQuorum(TimePoint now)
+{
+    std::vector<LogIndex> matches;
+    for (const InstanceId &voter : membership().voters) {
+        const auto follower = followers_.find(voter);
+        if (voter == self_)
+            matches.push_back(persistedIndex_);
+        else if (follower != followers_.end())
+            matches.push_back(follower->second.match());
+    }
+    const LogIndex index = quorumValue(std::move(matches));
+    // An entry of an earlier term on a majority can still be replaced; a committed one of this term covers it.
+    if (index <= commitIndex() || log_.termAt(index) != term())
+        return;
+    advanceCommit(index);
+    if (!isVoter() && log_.membershipIndex() <= index)
+        becomeFollower(now, term());
+}
+
+Result<LogIndex> Replica::proposeMembership(TimePoint now, const MembershipChange &change)
+{
+    now_ = now;
+    checkQuorum(now);
+    if (!isLeader())
+        return failure(ErrorCode::NotLeader, leaderHint().value());
+    // Two changes at a time, or one before an entry of the own term is committed, could form two disjoint majorities.
+    if (log_.membershipIndex() > commitIndex() || termStart_ > commitIndex())
+        return failure(ErrorCode::Unavailable, "group " + group_.value() + ": an earlier change is not yet committed");
+    BOOST_OUTCOME_TRY(const auto members, changedMembers(now, change));
+    return appendAsLeader(now, EntryKind::Membership, encodeMembership(members));
+}
+
+Result<Membership> Replica::changedMembers(TimePoint now, const MembershipChange &change) const
+{
+    Membership members = membership();
+    const std::string name = "group " + group_.value() + ": instance " + change.instance.value();
+    const bool isVoter = contains(members.voters, change.instance);
+    const bool isLearner = contains(members.learners, change.instance);
+    switch (change.kind) {
+    case MembershipChange::Kind::AddLearner:
+        if (isVoter || isLearner || change.instance.isEmpty())
+            return failure(ErrorCode::InvalidArgument, name + " is a member already or has no name");
+        insert(members.learners, change.instance);
+        return members;
+    case MembershipChange::Kind::Promote: {
+        if (!isLearner)
+            return failure(ErrorCode::InvalidArgument, name + " is not a learner");
+        const Progress &progress = followers_.at(change.instance);
+        const bool isAlive = progress.ackedStamp() && now - *progress.ackedStamp() < leaderStepDown;
+        if (!isAlive || progress.match() + promotionLagEntries < lastIndex())
+            return failure(ErrorCode::Unavailable, name + " has not caught up");
+        std::erase(members.learners, change.instance);
+        insert(members.voters, change.instance);
+        return members;
+    }
+    case MembershipChange::Kind::Remove:
+        if (!isVoter && !isLearner)
+            return failure(ErrorCode::InvalidArgument, name + " is not a member");
+        if (isVoter && members.voters.size() == 1)
+            return failure(ErrorCode::InvalidArgument, name + " is the last voter");
+        std::erase(members.voters, change.instance);
+        std::erase(members.learners, change.instance);
+        return members;
+    }
+    return failure(ErrorCode::InvalidArgument, name + ": unknown kind of change");
+}
+
+} // namespace Pistachio::Replication
--- /dev/null
+++ b/src/libs/replication/progress.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/time.h"
+#include "replication/types.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+
+namespace Pistachio::Replication
+{
+
+/// The most a leader sends to one follower before it hears back. 1 MiB covers 100 MB/s on the longest link (8 ms).
+constexpr std::uint64_t maxInFlightBytes = 1U << 20;
+constexpr std::size_t maxInFlightMessages = 16;
+
+/// The most entry bytes in one message, so that a heartbeat never waits long behind one.
+constexpr std::uint64_t maxMessageBytes = 256U << 10;
+
+/// The size of one part of a snapshot, and the most that is under way.
+constexpr std::uint64_t snapshotChunkBytes = 64U << 10;
+constexpr std::uint64_t maxSnapshotInFlightBytes = 4 * snapshotChunkBytes;
+
+/// Without progress for this long a follower is asked where it stands; two heartbeats cover one lost message.
+constexpr Duration retransmitAfter = 600ms;
+
+/// What a leader knows of one follower's log, and what is under way to it.
+class Progress
+{
+public:
+    enum class State : std::uint8_t {
+        Probe, ///< where the logs agree is unknown: heartbeats without entries until an answer tells
+        Replicate, ///< entries are sent ahead of the answers
+        Snapshot, ///< chunks of `snapshot()` are under way
+    };
+
+    /// \param next the first entry to send
+    Progress(TimePoint now, LogIndex next);
+
+    [[nodiscard]] State state() const { return state_; }
+    [[nodiscard]] LogIndex match() const { return match_; }
+    [[nodiscard]] LogIndex next() const { return next_; }
+    [[nodiscard]] TimePoint lastSent() const { return lastSent_; }
+    [[nodiscard]] const std::optional<TimePoint> &ackedStamp() const { return ackedStamp_; }
+    [[nodiscard]] const SnapshotPointer &snapshot() const { return snapshot_; }
+    [[nodiscard]] std::uint64_t snapshotSent() const { return snapshotSent_; }
+    [[nodiscard]] std::uint64_t snapshotAcked() const { return snapshotAcked_; }
+
+    /// \return whether more entries may be sent.
+    [[nodiscard]] bool hasRoom() const;
+
+    /// \return whether something is under way and nothing was heard of it for retransmitAfter.
+    [[nodiscard]] bool isStalled(TimePoint now) const;
+
+    /// \param now the leader's time, which the message carries as stamp
+    /// \param last the last entry in the message
+    /// \param bytes the size of its entries, 0 for a heartbeat
+    void sentEntries(TimePoint now, LogIndex last, std::uint64_t bytes);
+
+    /// \param stamp the stamp of an answered message
+    /// \return whether no newer stamp was answered before.
+    bool acknowledgedStamp(TimePoint stamp);
+
+    /// \param index the last entry known to be equal to the leader's and durable
+    void acknowledged(TimePoint now, LogIndex index);
+
+    /// Forgets what is under way and asks again from \p next on.
+    void probeFrom(LogIndex next);
+    void startReplicating(TimePoint now);
+
+    void startSnapshot(TimePoint now, SnapshotPointer snapshot);
+    void sentChunk(TimePoint now, std::uint64_t end);
+    void acknowledgedChunks(TimePoint now, std::uint64_t received);
+    void restartChunks(TimePoint now, std::uint64_t offset);
+
+private:
+    struct InFlight {
+        LogIndex last;
+        std::uint64_t bytes;
+    };
+
+    State state_ = State::Replicate;
+    LogIndex match_ = 0;
+    LogIndex next_;
+    std::deque<InFlight> inFlight_;
+    std::uint64_t inFlightBytes_ = 0;
+    TimePoint lastSent_;
+    TimePoint lastProgress_; ///< when something under way was last answered, or the first of it sent
+    std::optional<TimePoint> ackedStamp_;
+    SnapshotPointer snapshot_;
+    std::uint64_t snapshotSent_ = 0;
+    std::uint64_t snapshotAcked_ = 0;
+};
+
+} // namespace Pistachio::Replication
--- /dev/null
+++ b/src/libs/replication/replica.cpp
@@ -0,0 +1,267 @@
+#include "replication/replica.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Pistachio::Replication
+{
+
+namespace
+{
+/// Bounds the leader's memory while no quorum answers; larger than any sheet.
+constexpr std::uint64_t maxUncommittedBytes = 16U << 20;
+} // namespace
+
+Replica::Replica(TimePoint now, InstanceId self, GroupId group, Membership initialMembers, RestoredState restored,
+                 const RandomSource &random)
+    : self_(std::move(self))
+    , group_(std::move(group))
+    , hardState_(std::move(restored.hardState))
+    , log_(std::move(initialMembers), restored.snapshot, std::move(restored.entries))
+    , election_(now, random)
+    , now_(now)
+    , persistedIndex_(log_.lastIndex())
+    , handedOut_(log_.lastIndex())
+    , committedOut_(restored.snapshot ? restored.snapshot->index : 0)
+{
+    hardState_.commit = std::clamp(hardState_.commit, committedOut_, log_.lastIndex());
+}
+
+void Replica::tick(TimePoint now)
+{
+    now_ = now;
+    checkQuorum(now);
+    if (isLeader())
+        tickFollowers(now);
+    else if (election_.isDue(now))
+        startPreVote(now);
+}
+
+void Replica::receive(TimePoint now, const Message &message)
+{
+    if (message.group != group_ || message.to != self_ || message.from == self_)
+        return;
+    now_ = now;
+    checkQuorum(now);
+    switch (message.kind) {
+    case MessageKind::PreVoteRequest:
+    case MessageKind::VoteRequest:
+        return receiveVoteRequest(now, message);
+    case MessageKind::PreVoteAnswer:
+    case MessageKind::VoteAnswer:
+        return receiveVoteAnswer(now, message);
+    case MessageKind::AppendRequest:
+    case MessageKind::SnapshotRequest:
+        return receiveFromLeader(now, message);
+    case MessageKind::AppendAnswer:
+    case MessageKind::SnapshotAnswer:
+        return receiveFromFollower(now, message);
+    }
+}
+
+Result<LogIndex> Replica::propose(TimePoint now, std::string payload)
+{
+    now_ = now;
+    checkQuorum(now);
+    if (!isLeader())
+        return failure(ErrorCode::NotLeader, leaderHint().value());
+    if (log_.bytes(std::max(commitIndex() + 1, log_.firstIndex()), lastIndex()) >= maxUncommittedBytes)
+        return failure(ErrorCode::Unavailable, "group " + group_.value() + " has too many uncommitted changes");
+    return appendAsLeader(now, EntryKind::Command, std::move(payload));
+}
+
+bool Replica::hasReady() const
+{
+    return hasNewsForFollowers_ || next_.hardState || next_.snapshot || !next_.messages.empty()
+        || !next_.messagesAfterPersist.empty() || lastIndex() > handedOut_ || commitIndex() > committedOut_;
+}
+
+Ready Replica::takeReady()
+{
+    if (isLeader() && hasNewsForFollowers_) {
+        for (auto &[follower, progress] : followers_)
+            sendEntries(now_, follower, progress);
+    }
+    hasNewsForFollowers_ = false;
+    Ready ready = std::exchange(next_, {});
+    ready.token = nextToken_++;
+    ready.entries = log_.entries(handedOut_ + 1, lastIndex());
+    ready.mustSync = ready.mustSync || !ready.entries.empty();
+    ready.committed = log_.entries(committedOut_ + 1, commitIndex());
+    handedOut_ = lastIndex();
+    committedOut_ = commitIndex();
+    writes_.push_back({ready.token, lastIndex()});
+    return ready;
+}
+
+void Replica::persisted(TimePoint now, std::uint64_t token)
+{
+    now_ = now;
+    while (!writes_.empty() && writes_.front().token <= token) {
+        persistedIndex_ = std::max(persistedIndex_, writes_.front().lastIndex);
+        writes_.pop_front();
+    }
+    if (selfVoteToken_ && *selfVoteToken_ <= token) {
+        selfVoteToken_.reset();
+        countVote(now, self_);
+    }
+    if (isLeader())
+        commitByQuorum(now);
+}
+
+SnapshotPointer Replica::makeSnapshot(LogIndex index, std::string data) const
+{
+    return std::make_shared<const Snapshot>(
+        Snapshot{index, *log_.termAt(index), log_.membershipAt(index), std::move(data)});
+}
+
+LogIndex Replica::compact(SnapshotPointer snapshot, std::uint64_t keptEntries)
+{
+    log_.compact(std::move(snapshot), keptEntries);
+    return log_.firstIndex();
+}
+
+bool Replica::hasAuthority(TimePoint now) const
+{
+    return isLeader() && now - quorumStamp(now) < authorityDuration;
+}
+
+void Replica::becomeFollower(TimePoint now, Term term)
+{
+    if (term > hardState_.term) {
+        hardState_.term = term;
+        hardState_.votedFor = {};
+        markHardState(true);
+    }
+    election_.follow(now);
+    followers_.clear();
+    selfVoteToken_.reset();
+}
+
+void Replica::startPreVote(TimePoint now)
+{
+    if (!isVoter())
+        return election_.yield(now);
+    election_.startRound(now, Role::PreCandidate);
+    requestVotes(MessageKind::PreVoteRequest, term() + 1, next_.messages);
+    countVote(now, self_);
+}
+
+void Replica::startElection(TimePoint now)
+{
+    ++hardState_.term;
+    hardState_.votedFor = self_;
+    markHardState(true);
+    election_.startRound(now, Role::Candidate);
+    requestVotes(MessageKind::VoteRequest, term(), next_.messagesAfterPersist);
+    selfVoteToken_ = nextToken_;
+}
+
+void Replica::requestVotes(MessageKind kind, Term term, std::vector<Message> &out)
+{
+    for (const InstanceId &voter : membership().voters) {
+        if (voter == self_)
+            continue;
+        Message request = message(kind, voter);
+        request.term = term;
+        request.logIndex = lastIndex();
+        request.logTerm = log_.lastTerm();
+        out.push_back(std::move(request));
+    }
+}
+
+void Replica::becomeLeader(TimePoint now)
+{
+    election_.lead(self_);
+    electedAt_ = now;
+    followers_.clear();
+    followMembers(now);
+    termStart_ = appendAsLeader(now, EntryKind::Noop, {});
+}
+
+void Replica::receiveVoteRequest(TimePoint now, const Message &request)
+{
+    if (!election_.mayVote(now))
+        return;
+    const bool isPreVote = request.kind == MessageKind::PreVoteRequest;
+    if (!isPreVote && request.term > term())
+        becomeFollower(now, request.term);
+    const bool isUpToDate = std::tuple(request.logTerm, request.logIndex) >= std::tuple(log_.lastTerm(), lastIndex());
+    const bool isFree = hardState_.votedFor.isEmpty() || hardState_.votedFor == request.from;
+    const bool isCurrent = isPreVote ? request.term > term() : request.term == term() && isFree;
+    Message reply = message(isPreVote ? MessageKind::PreVoteAnswer : MessageKind::VoteAnswer, request.from);
+    reply.accepted = isUpToDate && isCurrent;
+    if (reply.accepted && isPreVote)
+        reply.term = request.term;
+    if (reply.accepted && !isPreVote && hardState_.votedFor.isEmpty()) {
+        hardState_.votedFor = request.from;
+        markHardState(true);
+        election_.yield(now);
+    }
+    answer(request, std::move(reply));
+}
+
+void Replica::receiveVoteAnswer(TimePoint now, const Message &answer)
+{
+    const bool isPreVote = answer.kind == MessageKind::PreVoteAnswer;
+    if (!answer.accepted) {
+        // A voter with a higher term never answers this replica's elections until this replica has caught up with it.
+        if (answer.term > term())
+            becomeFollower(now, answer.term);
+        return;
+    }
+    const Role role = isPreVote ? Role::PreCandidate : Role::Candidate;
+    const Term expected = isPreVote ? term() + 1 : term();
+    if (election_.role() == role && answer.term == expected)
+        countVote(now, answer.from);
+}
+
+void Replica::countVote(TimePoint now, const InstanceId &voter)
+{
+    election_.countVote(voter);
+    if (!election_.isWon(membership().voters))
+        return;
+    if (election_.role() == Role::PreCandidate)
+        startElection(now);
+    else if (election_.role() == Role::Candidate)
+        becomeLeader(now);
+}
+
+bool Replica::isVoter() const
+{
+    return std::ranges::binary_search(membership().voters, self_);
+}
+
+Message Replica::message(MessageKind kind, const InstanceId &to) const
+{
+    Message result;
+    result.kind = kind;
+    result.group = group_;
+    result.from = self_;
+    result.to = to;
+    result.term = term();
+    return result;
+}
+
+void Replica::answer(const Message &request, Message reply)
+{
+    reply.stamp = request.stamp;
+    next_.messagesAfterPersist.push_back(std::move(reply));
+}
+
+void Replica::markHardState(bool mustSync)
+{
+    next_.hardState = hardState_;
+    next_.mustSync = next_.mustSync || mustSync;
+}
+
+void Replica::advanceCommit(LogIndex index)
+{
+    if (index <= commitIndex())
+        return;
+    hardState_.commit = index;
+    markHardState(false);
+}
+
+} // namespace Pistachio::Replication
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -15,7 +15,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace Pistachio::Replication
@@ -29,7 +28,8 @@
 };
 
 /// Work that a replica hands to its owner. The order is: send `messages`, write `snapshot`, `hardState` and `entries`,
-/// sync when `mustSync`, call Replica::persisted(), send `messagesAfterPersist`; `committed` may be applied at any time.
+/// sync when `mustSync`, call Replica::persisted(), send `messagesAfterPersist`; `committed` may be applied at any
+/// time.
 struct Ready {
     std::uint64_t token = 0;
     bool mustSync = false; ///< false: only the commit index changed, which may be lost
@@ -52,7 +52,7 @@
     /// \param restored what was read from the files
     /// \param random the source of election timeouts
     Replica(TimePoint now, InstanceId self, GroupId group, Membership initialMembers, RestoredState restored,
-            RandomSource random);
+            const RandomSource &random);
 
     /// Runs the timers: elections, heartbeats, retransmissions, the leader's own end of office.
     void tick(TimePoint now);
@@ -79,12 +79,16 @@
     /// \param token the token of a Ready; those before it are complete too
     void persisted(TimePoint now, std::uint64_t token);
 
-    /// Replaces the log up to the snapshot, once the store holds it.
-    /// \param index an applied index
+    /// \param index an applied index that is not compacted
     /// \param data the state machine's state at \p index
-    /// \param keptEntries entries to keep before \p index
-    /// \return the snapshot.
-    SnapshotPointer compact(LogIndex index, std::string data, std::uint64_t keptEntries);
+    /// \return the snapshot for the store and for compact().
+    [[nodiscard]] SnapshotPointer makeSnapshot(LogIndex index, std::string data) const;
+
+    /// Replaces the log up to the snapshot, once the store holds it.
+    /// \param snapshot from makeSnapshot()
+    /// \param keptEntries the most entries to keep before it, for followers that are a little behind
+    /// \return the first entry kept.
+    LogIndex compact(SnapshotPointer snapshot, std::uint64_t keptEntries);
 
     [[nodiscard]] bool isLeader() const { return election_.role() == Role::Leader; }
 
@@ -101,60 +105,79 @@
     [[nodiscard]] LogIndex termStart() const { return termStart_; }
 
 private:
-    // Term and elections, in replica.cpp
-    void becomeFollower(TimePoint now, Term term, const InstanceId &leader);
+    // Terms and elections, in replica.cpp
+    void becomeFollower(TimePoint now, Term term);
     void startPreVote(TimePoint now);
     void startElection(TimePoint now);
     void becomeLeader(TimePoint now);
-    void requestVotes(MessageKind kind, Term term);
-    void receiveVoteRequest(TimePoint now, const Message &message);
-    void receiveVoteAnswer(TimePoint now, const Message &message);
-    void countVote(TimePoint now, const InstanceId &voter, bool granted);
-    bool isVoter() const;
-    bool adoptTerm(TimePoint now, const Message &message);
-
-    // The receiving side of the log, in follower.cpp
-    void receiveAppend(TimePoint now, const Message &message);
-    void receiveSnapshot(TimePoint now, const Message &message);
-    void installSnapshot(const SnapshotPointer &snapshot);
+    void requestVotes(MessageKind kind, Term term, std::vector<Message> &out);
+    void receiveVoteRequest(TimePoint now, const Message &request);
+    void receiveVoteAnswer(TimePoint now, const Message &answer);
+    void countVote(TimePoint now, const InstanceId &voter);
+    [[nodiscard]] bool isVoter() const;
+    [[nodiscard]] Message message(MessageKind kind, const InstanceId &to) const;
     void answer(const Message &request, Message reply);
+    void markHardState(bool mustSync);
     void advanceCommit(LogIndex index);
 
+    // The receiving side of the log, in follower.cpp
+    void receiveFromLeader(TimePoint now, const Message &request);
+    void receiveAppend(const Message &request);
+    void takeEntries(const Message &request, std::size_t skipped);
+    void truncateFrom(LogIndex index);
+    void receiveSnapshot(const Message &request);
+    void finishSnapshot(const Message &request);
+    void answerMatch(const Message &request, LogIndex index);
+
     // The sending side of the log, in leader.cpp
     void checkQuorum(TimePoint now);
-    TimePoint quorumStamp(TimePoint now) const;
-    void receiveAppendAnswer(TimePoint now, const Message &message);
-    void receiveSnapshotAnswer(TimePoint now, const Message &message);
-    LogIndex appendAsLeader(EntryKind kind, std::string payload);
-    void syncFollowers(TimePoint now);
-    void leaderTick(TimePoint now);
+    [[nodiscard]] TimePoint quorumStamp(TimePoint now) const;
+    void receiveFromFollower(TimePoint now, const Message &answer);
+    void receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress);
+    void receiveSnapshotAnswer(TimePoint now, const Message &answer, Progress &progress, bool isNewest);
+    LogIndex appendAsLeader(TimePoint now, EntryKind kind, std::string payload);
+    void followMembers(TimePoint now);
+    void tickFollowers(TimePoint now);
+    void sendHeartbeat(TimePoint now, const InstanceId &to, Progress &progress);
     void sendEntries(TimePoint now, const InstanceId &to, Progress &progress);
     void sendAppend(TimePoint now, const InstanceId &to, Progress &progress, std::vector<Entry> entries);
-    void sendSnapshotChunks(TimePoint now, const InstanceId &to, Progress &progress);
-    void sendSnapshotChunk(TimePoint now, const InstanceId &to, Progress &progress, std::uint64_t bytes);
-    void resume(TimePoint now, const InstanceId &to, Progress &progress);
-    void commitByQuorum();
-    Result<Membership> changedMembership(TimePoint now, const MembershipChange &change) const;
+    void sendChunks(TimePoint now, const InstanceId &to, Progress &progress);
+    void sendChunk(TimePoint now, const InstanceId &to, Progress &progress, std::uint64_t bytes);
+    void catchUp(TimePoint now, const InstanceId &to, Progress &progress);
+    void startSnapshot(TimePoint now, const InstanceId &to, Progress &progress);
+    void commitByQuorum(TimePoint now);
+    [[nodiscard]] Result<Membership> changedMembers(TimePoint now, const MembershipChange &change) const;
 
-    Message message(MessageKind kind, const InstanceId &to) const;
-    void markHardState(bool mustSync);
+    struct Write {
+        std::uint64_t token;
+        LogIndex lastIndex; ///< what the store holds once the write is durable
+    };
+
+    /// The chunks of a snapshot as they come from the leader.
+    struct IncomingSnapshot {
+        InstanceId from;
+        LogIndex index = 0;
+        Term term = 0;
+        Membership membership;
+        std::string data;
+    };
 
     InstanceId self_;
     GroupId group_;
     HardState hardState_;
     ReplicaLog log_;
     Election election_;
+    TimePoint now_; ///< of the last event; the stamp of messages that takeReady() adds
+
     std::map<InstanceId, Progress> followers_; ///< of a leader: all members but itself
     LogIndex termStart_ = 0;
-    IncomingSnapshot incoming_; ///< of a follower
+    TimePoint electedAt_;
+    bool hasNewsForFollowers_ = false;
+    std::optional<IncomingSnapshot> incoming_;
 
     Ready next_; ///< filled until takeReady()
     std::uint64_t nextToken_ = 1;
-    struct Write {
-        std::uint64_t token;
-        LogIndex lastIndex;
-    };
-    std::deque<Write> writes_; ///< handed out, not yet persisted
+    std::deque<Write> writes_; ///< handed out, not yet durable
     LogIndex persistedIndex_ = 0;
     LogIndex handedOut_ = 0; ///< entries up to here went into a Ready
     LogIndex committedOut_ = 0; ///< committed entries up to here went into a Ready
--- /dev/null
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -0,0 +1,282 @@
+#include "storage/replicatedgroup.h"
+
+#include "replication/replica.h"
+#include "replication/statemachine.h"
+#include "storage/logstore.h"
+#include "storage/openedlog.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Pistachio::Storage
+{
+
+using namespace Replication;
+
+namespace
+{
+
+/// How long a full disk is left alone between two attempts.
+constexpr Duration diskFullRetry = 500ms;
+
+void moveAll(std::vector<Message> &from, std::vector<Message> &to)
+{
+    std::move(from.begin(), from.end(), std::back_inserter(to));
+    from.clear();
+}
+
+} // namespace
+
+ReplicatedGroup::ReplicatedGroup(GroupOptions options, StateMachine &machine)
+    : options_(std::move(options))
+    , machine_(machine)
+{
+    std::ranges::sort(options_.initialMembers.voters);
+    std::ranges::sort(options_.initialMembers.learners);
+}
+
+ReplicatedGroup::~ReplicatedGroup() = default;
+
+Result<std::unique_ptr<ReplicatedGroup>> ReplicatedGroup::open(TimePoint now, GroupOptions options,
+                                                               FileSystem &fileSystem, StateMachine &machine,
+                                                               const RandomSource &random)
+{
+    if (options.initialMembers.voters.empty())
+        return Pistachio::failure(ErrorCode::InvalidArgument, "group " + options.group.value() + " has no voters");
+    std::unique_ptr<ReplicatedGroup> group(new ReplicatedGroup(std::move(options), machine));
+    BOOST_OUTCOME_TRYV(group->start(now, fileSystem, random));
+    return group;
+}
+
+Result<void> ReplicatedGroup::start(TimePoint now, FileSystem &fileSystem, const RandomSource &random)
+{
+    const std::string identity = "group " + options_.group.value() + " instance " + options_.self.value();
+    BOOST_OUTCOME_TRY(auto opened, LogStore::open(fileSystem, options_.folder, identity));
+    store_ = std::move(opened.store);
+    if (opened.state.snapshot) {
+        BOOST_OUTCOME_TRYV(restore(*opened.state.snapshot));
+    }
+    replica_ = std::make_unique<Replica>(now, options_.self, options_.group, options_.initialMembers,
+                                         std::move(opened.state), random);
+    return success();
+}
+
+void ReplicatedGroup::tick(TimePoint now)
+{
+    if (!isStopped())
+        replica_->tick(now);
+}
+
+void ReplicatedGroup::receive(TimePoint now, const Message &message)
+{
+    if (!isStopped())
+        replica_->receive(now, message);
+}
+
+Result<LogIndex> ReplicatedGroup::propose(TimePoint now, std::string command)
+{
+    if (isStopped())
+        return Pistachio::failure(ErrorCode::Unavailable, failure_ ? failure_->message : "the disk is full");
+    return track(replica_->propose(now, std::move(command)));
+}
+
+Result<LogIndex> ReplicatedGroup::proposeMembership(TimePoint now, const MembershipChange &change)
+{
+    if (isStopped())
+        return Pistachio::failure(ErrorCode::Unavailable, failure_ ? failure_->message : "the disk is full");
+    return track(replica_->proposeMembership(now, change));
+}
+
+Result<LogIndex> ReplicatedGroup::track(Result<LogIndex> index)
+{
+    if (index)
+        proposals_[index.value()] = replica_->term();
+    return index;
+}
+
+void ReplicatedGroup::flush(TimePoint now)
+{
+    if (failure_ || (retryAt_ && now < *retryAt_))
+        return;
+    auto result = Result<void>(success());
+    while (result && fetchReady())
+        result = finishReady(now);
+    if (result) {
+        retryAt_.reset();
+        result = takeSnapshotIfDue();
+    }
+    if (!result)
+        handleError(now, result.error());
+    endLostProposals();
+}
+
+bool ReplicatedGroup::fetchReady()
+{
+    if (pending_)
+        return true;
+    if (!replica_->hasReady())
+        return false;
+    pending_ = std::make_unique<Ready>(replica_->takeReady());
+    moveAll(pending_->messages, outgoing_);
+    return true;
+}
+
+Result<void> ReplicatedGroup::finishReady(TimePoint now)
+{
+    BOOST_OUTCOME_TRYV(write(*pending_));
+    const std::unique_ptr<Ready> ready = std::exchange(pending_, nullptr);
+    replica_->persisted(now, ready->token);
+    moveAll(ready->messagesAfterPersist, outgoing_);
+    if (ready->snapshot) {
+        BOOST_OUTCOME_TRYV(restore(*ready->snapshot));
+    }
+    for (const Entry &entry : ready->committed)
+        apply(entry);
+    return success();
+}
+
+Result<void> ReplicatedGroup::write(const Ready &ready)
+{
+    if (ready.snapshot) {
+        BOOST_OUTCOME_TRYV(store_->installSnapshot(*ready.snapshot, *ready.hardState));
+    }
+    if (ready.hardState || !ready.entries.empty()) {
+        BOOST_OUTCOME_TRYV(store_->append(ready.hardState, ready.entries));
+    }
+    if (ready.mustSync) {
+        BOOST_OUTCOME_TRYV(store_->sync());
+    }
+    return success();
+}
+
+Result<void> ReplicatedGroup::restore(const Snapshot &snapshot)
+{
+    BOOST_OUTCOME_TRYV(machine_.restore(snapshot.data));
+    applied_ = snapshot.index;
+    snapshotIndex_ = snapshot.index;
+    snapshotBytes_ = snapshot.data.size();
+    bytesSinceSnapshot_ = 0;
+    return success();
+}
+
+void ReplicatedGroup::apply(const Entry &entry)
+{
+    std::string answer;
+    if (entry.kind == EntryKind::Command)
+        answer = machine_.apply(entry.index, entry.payload);
+    applied_ = entry.index;
+    bytesSinceSnapshot_ += entry.payload.size();
+    const auto proposal = proposals_.find(entry.index);
+    if (proposal == proposals_.end() || proposal->second != entry.term)
+        return;
+    completions_.push_back({entry.index, entry.term, std::move(answer)});
+    proposals_.erase(proposal);
+}
+
+Result<void> ReplicatedGroup::takeSnapshotIfDue()
+{
+    // Twice the last snapshot's size keeps the cost of snapshots below half of that of the log.
+    const std::uint64_t dueBytes = std::max(options_.snapshotAfterBytes, 2 * snapshotBytes_);
+    if (applied_ - snapshotIndex_ < options_.snapshotAfterEntries && bytesSinceSnapshot_ < dueBytes)
+        return success();
+    const SnapshotPointer snapshot = replica_->makeSnapshot(applied_, machine_.snapshot());
+    // The store keeps whole segments, so it may keep a little more than the replica.
+    const LogIndex firstKept = applied_ > options_.keptEntries ? applied_ - options_.keptEntries : 0;
+    const auto stored = store_->compact(*snapshot, firstKept);
+    if (!stored && stored.error().code != ErrorCode::Capacity)
+        return stored;
+    // With a full disk the log stays as it is until as much again was applied.
+    snapshotIndex_ = applied_;
+    snapshotBytes_ = snapshot->data.size();
+    bytesSinceSnapshot_ = 0;
+    if (stored)
+        replica_->compact(snapshot, options_.keptEntries);
+    return success();
+}
+
+void ReplicatedGroup::handleError(TimePoint now, const Error &error)
+{
+    if (error.code == ErrorCode::Capacity)
+        retryAt_ = now + diskFullRetry;
+    else
+        failure_ = error;
+}
+
+void ReplicatedGroup::endLostProposals()
+{
+    const bool isLost = isStopped() || !replica_->isLeader();
+    for (auto proposal = proposals_.begin(); proposal != proposals_.end();) {
+        if (!isLost && proposal->second == replica_->term()) {
+            ++proposal;
+            continue;
+        }
+        auto answer = Pistachio::failure(ErrorCode::Unknown, "leadership of " + options_.group.value() + " was lost");
+        completions_.push_back({proposal->first, proposal->second, std::move(answer)});
+        proposal = proposals_.erase(proposal);
+    }
+}
+
+std::vector<Message> ReplicatedGroup::takeMessages()
+{
+    if (!isStopped())
+        fetchReady();
+    return std::exchange(outgoing_, {});
+}
+
+std::vector<Completion> ReplicatedGroup::takeCompletions()
+{
+    return std::exchange(completions_, {});
+}
+
+bool ReplicatedGroup::isLeader() const
+{
+    return !isStopped() && replica_->isLeader();
+}
+
+bool ReplicatedGroup::isLeaderWithState() const
+{
+    return isLeader() && applied_ >= replica_->termStart();
+}
+
+bool ReplicatedGroup::hasAuthority(TimePoint now) const
+{
+    return !isStopped() && replica_->hasAuthority(now);
+}
+
+Term ReplicatedGroup::term() const
+{
+    return replica_->term();
+}
+
+InstanceId ReplicatedGroup::leaderHint() const
+{
+    return replica_->leaderHint();
+}
+
+LogIndex ReplicatedGroup::appliedIndex() const
+{
+    return applied_;
+}
+
+LogIndex ReplicatedGroup::commitIndex() const
+{
+    return replica_->commitIndex();
+}
+
+const Membership &ReplicatedGroup::membership() const
+{
+    return replica_->membership();
+}
+
+const std::optional<Error> &ReplicatedGroup::failure() const
+{
+    return failure_;
+}
+
+bool ReplicatedGroup::isDiskFull() const
+{
+    return retryAt_.has_value();
+}
+
+} // namespace Pistachio::Storage
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -62,7 +62,7 @@
     /// \param random the source of election timeouts
     /// \return Corrupt with the repair step when the files are damaged or belong to another instance.
     static Result<std::unique_ptr<ReplicatedGroup>> open(TimePoint now, GroupOptions options, FileSystem &fileSystem,
-                                                         Replication::StateMachine &machine, RandomSource random);
+                                                         Replication::StateMachine &machine, const RandomSource &random);
     ~ReplicatedGroup();
     ReplicatedGroup(const ReplicatedGroup &) = delete;
     ReplicatedGroup &operator=(const ReplicatedGroup &) = delete;
@@ -111,34 +111,35 @@
     /// \return the failure that stopped this replica for good; the state machine stays readable.
     [[nodiscard]] const std::optional<Error> &failure() const;
 
-    /// \return whether the disk is full: nothing is acknowledged until a later flush() succeeds.
+    /// \return whether the disk is full: until a later flush() succeeds the replica takes part in nothing, as if paused,
+    /// and the state machine stays readable.
     [[nodiscard]] bool isDiskFull() const;
 
 private:
     ReplicatedGroup(GroupOptions options, Replication::StateMachine &machine);
-    Result<void> start(TimePoint now, FileSystem &fileSystem, RandomSource random);
-    Result<void> persist(TimePoint now);
+    Result<void> start(TimePoint now, FileSystem &fileSystem, const RandomSource &random);
+    Result<Replication::LogIndex> track(Result<Replication::LogIndex> index);
+    bool fetchReady();
+    Result<void> finishReady(TimePoint now);
     Result<void> write(const Replication::Ready &ready);
-    Result<void> applyReady(const Replication::Ready &ready);
+    Result<void> restore(const Replication::Snapshot &snapshot);
+    void apply(const Replication::Entry &entry);
     Result<void> takeSnapshotIfDue();
-    bool fetchReady();
-    void handleError(TimePoint now, Error error);
-    void endProposals();
-
-    struct Proposal {
-        Replication::Term term = 0;
-    };
+    void handleError(TimePoint now, const Error &error);
+    void endLostProposals();
+    [[nodiscard]] bool isStopped() const { return failure_ || retryAt_; }
 
     GroupOptions options_;
     Replication::StateMachine &machine_;
     std::unique_ptr<LogStore> store_;
     std::unique_ptr<Replication::Replica> replica_;
     std::unique_ptr<Replication::Ready> pending_; ///< taken from the replica, not yet persisted
-    std::map<Replication::LogIndex, Proposal> proposals_;
+    std::map<Replication::LogIndex, Replication::Term> proposals_; ///< that have not ended
     std::vector<Replication::Message> outgoing_;
     std::vector<Completion> completions_;
     Replication::LogIndex applied_ = 0;
     std::uint64_t bytesSinceSnapshot_ = 0;
+    Replication::LogIndex snapshotIndex_ = 0;
     std::uint64_t snapshotBytes_ = 0;
     std::optional<Error> failure_;
     std::optional<TimePoint> retryAt_; ///< set while the disk is full
