Test replicas under random schedules of faults in virtual time

Replicas on files that lose what was not synced are crashed alone, together and twice, paused, cut off both ways and one way, and have their members changed, while messages are lost, doubled and reordered on links of 1, 1.5 and 8 ms. The checker compares leaders, authority, applied sequences and accepted changes.

--- a/src/libs/storage/logstore.cpp
+++ b/src/libs/storage/logstore.cpp
@@ -26,8 +26,8 @@
 {
 
 constexpr std::string_view identityName = "identity";
-constexpr std::string_view repairStep =
-    "; remove this instance from the group, empty the folder and add the instance anew";
+constexpr std::string_view repairStep
+    = "; remove this instance from the group, empty the folder and add the instance anew";
 
 /// \return the numbers in the names with \p prefix, ascending.
 std::vector<std::uint64_t> numbered(std::span<const std::string> names, std::string_view prefix)
--- a/src/libs/storage/logstore.h
+++ b/src/libs/storage/logstore.h
@@ -45,8 +45,8 @@
     /// \param fileSystem holds the files; outlives the store
     /// \param folder the folder of this replica
     /// \param identity names the group and instance; data of another identity is refused
-    /// \return the store and what it holds. Corrupt, with the repair step, for damage that no crash explains; a torn end
-    /// of the log is cut off instead.
+    /// \return the store and what it holds. Corrupt, with the repair step, for damage that no crash explains; a torn
+    /// end of the log is cut off instead.
     static Result<Opened> open(FileSystem &fileSystem, std::string folder, std::string_view identity,
                                std::uint64_t segmentBytes = defaultSegmentBytes);
     ~LogStore();
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -62,7 +62,8 @@
     /// \param random the source of election timeouts
     /// \return Corrupt with the repair step when the files are damaged or belong to another instance.
     static Result<std::unique_ptr<ReplicatedGroup>> open(TimePoint now, GroupOptions options, FileSystem &fileSystem,
-                                                         Replication::StateMachine &machine, const RandomSource &random);
+                                                         Replication::StateMachine &machine,
+                                                         const RandomSource &random);
     ~ReplicatedGroup();
     ReplicatedGroup(const ReplicatedGroup &) = delete;
     ReplicatedGroup &operator=(const ReplicatedGroup &) = delete;
@@ -111,8 +112,8 @@
     /// \return the failure that stopped this replica for good; the state machine stays readable.
     [[nodiscard]] const std::optional<Error> &failure() const;
 
-    /// \return whether the disk is full: until a later flush() succeeds the replica takes part in nothing, as if paused,
-    /// and the state machine stays readable.
+    /// \return whether the disk is full: until a later flush() succeeds the replica takes part in nothing, as if
+    /// paused, and the state machine stays readable.
     [[nodiscard]] bool isDiskFull() const;
 
 private:
--- a/src/libs/storage/segment.cpp
+++ b/src/libs/storage/segment.cpp
@@ -52,8 +52,8 @@
     const Replication::LogIndex next = first + entries.size();
     const bool isStart = entries.empty() && resetIndex == 0;
     if (!isStart && (entry.index > next || entry.index < first))
-        return failure(ErrorCode::Corrupt, "entry " + std::to_string(entry.index) + " follows entry "
-                           + std::to_string(next - 1));
+        return failure(ErrorCode::Corrupt,
+                       "entry " + std::to_string(entry.index) + " follows entry " + std::to_string(next - 1));
     if (!isStart)
         entries.resize(entry.index - first);
     entries.push_back(std::move(entry));
--- /dev/null
+++ b/tests/auto/replication/cluster.cpp
@@ -0,0 +1,340 @@
+#include "replication/cluster.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <sstream>
+
+namespace Pistachio::Replication
+{
+
+namespace
+{
+constexpr Duration tickInterval = 50ms;
+constexpr Duration syncDuration = 1ms;
+} // namespace
+
+void Checker::noteLeader(Term term, const InstanceId &leader)
+{
+    const auto [known, isNew] = leaders_.emplace(term, leader);
+    if (known->second != leader)
+        report("two leaders in term " + std::to_string(term));
+}
+
+void Checker::noteAuthority(const InstanceId &holder, Term term, const InstanceId &otherLeader, Term otherTerm)
+{
+    if (holder != otherLeader && otherTerm > term)
+        report("authority of " + holder.value() + " overlaps with leader " + otherLeader.value());
+}
+
+void Checker::noteApplied(const InstanceId &instance, std::size_t position, LogIndex index, const std::string &command)
+{
+    if (position == sequence.size())
+        sequence.emplace_back(index, command);
+    else if (position > sequence.size() || sequence[position] != std::pair(index, command))
+        report("sequence of " + instance.value() + " differs at index " + std::to_string(index));
+}
+
+void Checker::checkAccepted(const std::map<LogIndex, std::string> &applied)
+{
+    for (const auto &[index, command] : accepted_) {
+        const auto found = applied.find(index);
+        if (found == applied.end() || found->second != command)
+            report("accepted command lost at index " + std::to_string(index));
+    }
+}
+
+bool Checker::hasBreach(const std::string &part) const
+{
+    return std::ranges::any_of(breaches, [&](const auto &breach) { return breach.find(part) != std::string::npos; });
+}
+
+std::string Checker::text() const
+{
+    std::string all;
+    for (const auto &breach : breaches)
+        all += breach + "; ";
+    return all;
+}
+
+std::string ListMachine::apply(LogIndex index, std::string_view command)
+{
+    checker_.noteApplied(instance_, commands.size(), index, std::string(command));
+    commands.emplace(index, command);
+    return "applied " + std::string(command);
+}
+
+std::string ListMachine::snapshot() const
+{
+    std::ostringstream out;
+    for (const auto &[index, command] : commands)
+        out << index << ' ' << command << '\n';
+    return out.str();
+}
+
+Result<void> ListMachine::restore(std::string_view state)
+{
+    std::istringstream in{std::string(state)};
+    commands.clear();
+    LogIndex index = 0;
+    std::string command;
+    while (in >> index >> command) {
+        checker_.noteApplied(instance_, commands.size(), index, command);
+        commands.emplace(index, command);
+    }
+    return success();
+}
+
+Cluster::Cluster(std::uint64_t seed, std::size_t voters, std::size_t learners, std::size_t spares)
+    : random(seed)
+{
+    for (std::size_t i = 0; i < voters + learners + spares; ++i) {
+        nodes.push_back(std::make_unique<Node>());
+        nodes.back()->id = InstanceId("control-" + std::to_string(i + 1));
+        nodes.back()->clockOffset = Duration(static_cast<Duration::rep>(random.below(1'000'000'000)));
+        // Rates of two clocks may differ by 2%.
+        nodes.back()->clockRate = 0.99 + 0.02 * random.fraction();
+        if (i < voters)
+            initial_.voters.push_back(nodes.back()->id);
+        else if (i < voters + learners)
+            initial_.learners.push_back(nodes.back()->id);
+    }
+    for (auto &node : nodes)
+        start(*node);
+}
+
+TimePoint Cluster::local(const Node &node) const
+{
+    const auto elapsed = static_cast<double>(now.time_since_epoch().count()) * node.clockRate;
+    return TimePoint(Duration(static_cast<Duration::rep>(elapsed)) + node.clockOffset);
+}
+
+void Cluster::schedule(Duration delay, std::function<void()> action)
+{
+    events_.push({now + delay, order_++, std::move(action)});
+}
+
+void Cluster::run(Duration duration)
+{
+    runUntil([] { return false; }, duration);
+}
+
+bool Cluster::runUntil(const std::function<bool()> &condition, Duration limit)
+{
+    const TimePoint end = now + limit;
+    while (!condition()) {
+        if (events_.empty() || events_.top().at > end) {
+            now = end;
+            return condition();
+        }
+        const auto action = events_.top().action;
+        now = events_.top().at;
+        events_.pop();
+        action();
+        check();
+    }
+    return true;
+}
+
+void Cluster::start(Node &node)
+{
+    ++node.life;
+    node.isPaused = false;
+    node.isFlushScheduled = false;
+    node.heldBack.clear();
+    node.machine = std::make_unique<ListMachine>(checker, node.id);
+    Storage::GroupOptions options{GroupId("zone:svealand"), node.id, initial_, "data/zone"};
+    options.snapshotAfterEntries = snapshotAfterEntries;
+    options.keptEntries = 20;
+    node.files.forgetSyncs = false;
+    auto opened = Storage::ReplicatedGroup::open(local(node), options, node.files, *node.machine,
+                                                 RandomSource(random.below(1ULL << 32)));
+    if (!opened)
+        return checker.report("start of " + node.id.value() + ": " + opened.error().message);
+    node.group = std::move(opened).value();
+    node.files.forgetSyncs = hasLyingDisks;
+    scheduleTick(node);
+}
+
+void Cluster::crash(Node &node)
+{
+    node.group.reset();
+    node.files.crash(random);
+    ++node.life;
+}
+
+void Cluster::pause(Node &node, bool isPaused)
+{
+    node.isPaused = isPaused;
+    for (const Message &message : std::exchange(node.heldBack, {}))
+        deliver(message);
+}
+
+void Cluster::isolate(const Node &node)
+{
+    for (const auto &other : nodes) {
+        network.cuts.emplace(node.id, other->id);
+        network.cuts.emplace(other->id, node.id);
+    }
+}
+
+void Cluster::healAll()
+{
+    const Duration delay = network.delay;
+    network = {};
+    network.delay = delay;
+    for (auto &node : nodes) {
+        if (!node->group)
+            start(*node);
+        pause(*node, false);
+    }
+}
+
+void Cluster::scheduleTick(Node &node)
+{
+    schedule(tickInterval, [this, &node, life = node.life] {
+        if (node.life != life)
+            return;
+        if (!node.isPaused) {
+            node.group->tick(local(node));
+            afterEvent(node);
+        }
+        scheduleTick(node);
+    });
+}
+
+void Cluster::afterEvent(Node &node)
+{
+    send(node.group->takeMessages());
+    if (std::exchange(node.isFlushScheduled, true))
+        return;
+    // The write takes a moment, in which a crash may come and further events join the same sync.
+    schedule(syncDuration, [this, &node, life = node.life] {
+        if (node.life == life)
+            flush(node);
+    });
+}
+
+void Cluster::flush(Node &node)
+{
+    node.isFlushScheduled = false;
+    if (node.isPaused)
+        return;
+    node.group->flush(local(node));
+    send(node.group->takeMessages());
+    for (const auto &completion : node.group->takeCompletions()) {
+        const auto command = proposed_.find({completion.term, completion.index});
+        if (command == proposed_.end() || !completion.answer)
+            continue;
+        if (completion.answer.value() != "applied " + command->second)
+            checker.report("wrong answer for " + command->second);
+        checker.noteAccepted(completion.index, command->second);
+        acceptedCommands.insert(command->second);
+    }
+}
+
+void Cluster::send(std::vector<Message> sent)
+{
+    for (Message &message : sent) {
+        ++messages;
+        if (countBytes)
+            bytes += encodedSize(message);
+        if (network.cuts.contains({message.from, message.to}) || random.below(100) < network.lossPercent)
+            continue;
+        const int copies = random.below(100) < network.duplicatePercent ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            const auto jitter = random.below(static_cast<std::uint64_t>(network.jitter.count()) + 1);
+            schedule(network.delay + Duration(static_cast<Duration::rep>(jitter)), [this, message] {
+                if (!network.cuts.contains({message.from, message.to}))
+                    deliver(message);
+            });
+        }
+    }
+}
+
+void Cluster::deliver(const Message &message)
+{
+    const auto node = std::ranges::find(nodes, message.to, [](const auto &candidate) { return candidate->id; });
+    if (node == nodes.end() || !(*node)->group)
+        return;
+    if ((*node)->isPaused)
+        return (*node)->heldBack.push_back(message);
+    (*node)->group->receive(local(**node), message);
+    afterEvent(**node);
+}
+
+void Cluster::check()
+{
+    for (const auto &node : nodes) {
+        if (!node->group || !node->group->isLeader())
+            continue;
+        checker.noteLeader(node->group->term(), node->id);
+        for (const auto &other : nodes) {
+            // A paused replica counts too: it could wake up now and be asked.
+            if (other != node && other->group && other->group->isLeader() && other->group->hasAuthority(local(*other)))
+                checker.noteAuthority(other->id, other->group->term(), node->id, node->group->term());
+        }
+    }
+}
+
+Cluster::Node *Cluster::leader()
+{
+    Node *found = nullptr;
+    for (const auto &node : nodes) {
+        if (node->group && !node->isPaused && node->group->isLeader()
+            && (!found || node->group->term() > found->group->term()))
+            found = node.get();
+    }
+    return found;
+}
+
+Cluster::Node &Cluster::awaitLeader()
+{
+    const auto isReady = [this] { return leader() && leader()->group->isLeaderWithState(); };
+    if (!runUntil(isReady, 20s)) {
+        checker.report("no leader within 20 s");
+        return *nodes.front();
+    }
+    return *leader();
+}
+
+bool Cluster::propose(const std::string &command)
+{
+    Node *node = leader();
+    if (!node)
+        return false;
+    const auto index = node->group->propose(local(*node), command);
+    if (!index)
+        return false;
+    proposed_[{node->group->term(), index.value()}] = command;
+    afterEvent(*node);
+    return true;
+}
+
+bool Cluster::proposeAndWait(const std::string &command, Duration limit)
+{
+    std::optional<TimePoint> proposedAt;
+    return runUntil(
+        [&] {
+            constexpr Duration repeat = 100ms;
+            if (!acceptedCommands.contains(command) && (!proposedAt || now - *proposedAt >= repeat) && propose(command))
+                proposedAt = now;
+            return acceptedCommands.contains(command);
+        },
+        limit);
+}
+
+bool Cluster::isConverged() const
+{
+    const Node *first = nullptr;
+    for (const auto &node : nodes) {
+        if (!node->group || node->group->appliedIndex() == 0)
+            continue;
+        if (!first)
+            first = node.get();
+        if (node->group->appliedIndex() != first->group->appliedIndex())
+            return false;
+    }
+    return first != nullptr;
+}
+
+} // namespace Pistachio::Replication
--- /dev/null
+++ b/tests/auto/replication/cluster.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "core/random.h"
+#include "core/time.h"
+#include "replication/statemachine.h"
+#include "storage/memoryfilesystem.h"
+#include "storage/replicatedgroup.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Pistachio::Replication
+{
+
+/// What holds for all replicas of a group at any time. A breach is kept as text.
+class Checker
+{
+public:
+    void noteLeader(Term term, const InstanceId &leader);
+    void noteAuthority(const InstanceId &holder, Term term, const InstanceId &otherLeader, Term otherTerm);
+
+    /// Each applied sequence must be a prefix of one sequence.
+    void noteApplied(const InstanceId &instance, std::size_t position, LogIndex index, const std::string &command);
+
+    /// An accepted command must be in the sequence for good.
+    void noteAccepted(LogIndex index, const std::string &command) { accepted_[index] = command; }
+    void checkAccepted(const std::map<LogIndex, std::string> &applied);
+
+    void report(const std::string &breach) { breaches.insert(breach); }
+    [[nodiscard]] bool hasBreach(const std::string &part) const;
+    [[nodiscard]] std::string text() const;
+
+    std::set<std::string> breaches;
+    std::vector<std::pair<LogIndex, std::string>> sequence;
+
+private:
+    std::map<Term, InstanceId> leaders_;
+    std::map<LogIndex, std::string> accepted_;
+};
+
+/// Remembers the commands it was given, and lets the checker compare them.
+class ListMachine : public StateMachine
+{
+public:
+    ListMachine(Checker &checker, InstanceId instance)
+        : checker_(checker)
+        , instance_(std::move(instance))
+    {
+    }
+
+    std::string apply(LogIndex index, std::string_view command) override;
+    [[nodiscard]] std::string snapshot() const override;
+    Result<void> restore(std::string_view state) override;
+
+    std::map<LogIndex, std::string> commands;
+
+private:
+    Checker &checker_;
+    InstanceId instance_;
+};
+
+/// The links between the replicas, and how a link mistreats messages.
+struct Network {
+    Duration delay = 1ms;
+    Duration jitter = 0ms;
+    std::uint64_t lossPercent = 0;
+    std::uint64_t duplicatePercent = 0;
+    std::set<std::pair<InstanceId, InstanceId>> cuts; ///< from, to
+};
+
+/// A group of replicas in virtual time, on files that lose what was not synced.
+class Cluster
+{
+public:
+    struct Node {
+        InstanceId id;
+        Storage::MemoryFileSystem files;
+        std::unique_ptr<ListMachine> machine;
+        std::unique_ptr<Storage::ReplicatedGroup> group; ///< null: crashed
+        double clockRate = 1;
+        Duration clockOffset = 0ms;
+        bool isPaused = false;
+        bool isFlushScheduled = false;
+        std::uint64_t life = 0; ///< events of an earlier life are dropped
+        std::vector<Message> heldBack; ///< arrived during a pause
+    };
+
+    /// \param voters the number of initial voters
+    /// \param learners the number of initial learners
+    /// \param spares instances that know the group but are no members
+    Cluster(std::uint64_t seed, std::size_t voters, std::size_t learners = 0, std::size_t spares = 0);
+
+    void run(Duration duration);
+    /// \return whether the condition came true in time.
+    bool runUntil(const std::function<bool()> &condition, Duration limit);
+
+    void crash(Node &node);
+    void start(Node &node);
+    void pause(Node &node, bool isPaused);
+    void isolate(const Node &node);
+    void healAll(); ///< restarts, resumes and connects everything
+
+    /// \return the leader of the greatest term among those running, or null.
+    Node *leader();
+    Node &node(std::size_t index) { return *nodes[index]; }
+
+    /// Waits for a leader that has applied the start of its term.
+    Node &awaitLeader();
+
+    /// Proposes at the current leader.
+    /// \return whether it was proposed.
+    bool propose(const std::string &command);
+
+    /// Proposes until the command is accepted.
+    /// \return false when that took longer than \p limit.
+    bool proposeAndWait(const std::string &command, Duration limit = 10s);
+
+    /// \return whether all running members applied the same.
+    [[nodiscard]] bool isConverged() const;
+
+    /// Hands a node's outgoing messages to the network and has it flushed.
+    void afterEvent(Node &node);
+
+    [[nodiscard]] TimePoint local(const Node &node) const;
+
+    RandomSource random;
+    Checker checker;
+    Network network;
+    std::vector<std::unique_ptr<Node>> nodes;
+    TimePoint now{1h};
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    bool countBytes = false;
+    std::set<std::string> acceptedCommands;
+    std::uint64_t snapshotAfterEntries = 60;
+    bool hasLyingDisks = false; ///< what running replicas sync is lost at a crash
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator>(const Event &other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    void schedule(Duration delay, std::function<void()> action);
+    void scheduleTick(Node &node);
+    void deliver(const Message &message);
+    void flush(Node &node);
+    void send(std::vector<Message> sent);
+    void check();
+
+    Membership initial_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::uint64_t order_ = 0;
+    std::map<std::pair<Term, LogIndex>, std::string> proposed_;
+};
+
+} // namespace Pistachio::Replication
--- /dev/null
+++ b/tests/auto/replication/schedule.cpp
@@ -0,0 +1,137 @@
+#include "replication/schedule.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Pistachio::Replication
+{
+
+namespace
+{
+constexpr std::array<Duration, 3> linkDelays{1000us, 1500us, 8000us};
+} // namespace
+
+Schedule::Schedule(std::uint64_t seed)
+    : cluster(seed, seed % 4 == 3 ? 5 : 3, seed % 2, 1)
+{
+    cluster.network.delay = linkDelays[seed % linkDelays.size()];
+}
+
+void Schedule::runFaults(Duration duration)
+{
+    const TimePoint end = cluster.now + duration;
+    while (cluster.now < end) {
+        if (cluster.random.below(4) == 0)
+            disturb();
+        for (std::uint64_t i = cluster.random.below(4); i > 0; --i)
+            cluster.propose("c" + std::to_string(++proposals_));
+        cluster.run(Duration(static_cast<Duration::rep>(cluster.random.below(400'000))));
+    }
+}
+
+void Schedule::disturb()
+{
+    Network &network = cluster.network;
+    RandomSource &random = cluster.random;
+    switch (random.below(12)) {
+    case 0:
+        network.lossPercent = random.below(40);
+        network.duplicatePercent = random.below(30);
+        network.jitter = Duration(static_cast<Duration::rep>(random.below(30'000)));
+        break;
+    case 1:
+        crashSome(1);
+        break;
+    case 2:
+        crashSome(cluster.nodes.size());
+        break;
+    case 3:
+        crashSome(2);
+        break;
+    case 4:
+        cluster.pause(anyNode(), true);
+        break;
+    case 5:
+        for (auto &node : cluster.nodes)
+            cluster.pause(*node, false);
+        break;
+    case 6:
+        if (Cluster::Node *leader = cluster.leader())
+            cluster.isolate(*leader);
+        break;
+    case 7:
+        cluster.isolate(anyNode());
+        break;
+    case 8:
+        for (int i = 0; i < 3; ++i) {
+            const InstanceId from = anyNode().id;
+            network.cuts.emplace(from, anyNode().id); // one way
+        }
+        break;
+    case 9:
+        changeMembers();
+        break;
+    default:
+        cluster.healAll();
+        break;
+    }
+}
+
+void Schedule::crashSome(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        Cluster::Node &node = count == cluster.nodes.size() ? cluster.node(i) : anyNode();
+        if (!node.group)
+            continue;
+        cluster.crash(node);
+        if (cluster.random.below(3) == 0)
+            continue;
+        cluster.start(node);
+        if (cluster.random.below(3) > 0)
+            continue;
+        // A second crash right after the start.
+        cluster.run(Duration(static_cast<Duration::rep>(cluster.random.below(100'000))));
+        if (node.group)
+            cluster.crash(node);
+    }
+}
+
+void Schedule::changeMembers()
+{
+    Cluster::Node *leader = cluster.leader();
+    if (!leader)
+        return;
+    const InstanceId instance = anyNode().id;
+    const Membership &members = leader->group->membership();
+    auto kind = MembershipChange::Kind::AddLearner;
+    if (std::ranges::binary_search(members.learners, instance))
+        kind = MembershipChange::Kind::Promote;
+    else if (std::ranges::binary_search(members.voters, instance) && members.voters.size() > 2)
+        kind = MembershipChange::Kind::Remove;
+    if (leader->group->proposeMembership(cluster.local(*leader), {kind, instance}))
+        cluster.afterEvent(*leader);
+}
+
+void Schedule::settle()
+{
+    cluster.healAll();
+    if (!cluster.proposeAndWait("last"))
+        cluster.checker.report("no change accepted within 10 s after the faults");
+    const auto isSettled = [this] {
+        const Cluster::Node *leader = cluster.leader();
+        if (!leader || !leader->group->isLeaderWithState())
+            return false;
+        const Membership &members = leader->group->membership();
+        return std::ranges::all_of(cluster.nodes, [&](const auto &node) {
+            const bool isMember = std::ranges::binary_search(members.voters, node->id)
+                || std::ranges::binary_search(members.learners, node->id);
+            return !isMember || (node->group && node->group->appliedIndex() == leader->group->appliedIndex());
+        });
+    };
+    if (!cluster.runUntil(isSettled, 10s))
+        cluster.checker.report("members differ 10 s after the faults");
+    if (const Cluster::Node *leader = cluster.leader())
+        cluster.checker.checkAccepted(leader->machine->commands);
+}
+
+} // namespace Pistachio::Replication
--- /dev/null
+++ b/tests/auto/replication/schedule.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "replication/cluster.h"
+
+namespace Pistachio::Replication
+{
+
+/// A random sequence of faults on a cluster under load, fixed by a seed.
+class Schedule
+{
+public:
+    explicit Schedule(std::uint64_t seed);
+
+    /// Runs the faults under load.
+    void runFaults(Duration duration);
+
+    /// Ends all faults; afterwards the group must have a leader, accept a change and converge.
+    void settle();
+
+    [[nodiscard]] std::string breaches() const { return cluster.checker.text(); }
+
+    Cluster cluster;
+
+private:
+    void disturb();
+    void crashSome(std::size_t count);
+    void changeMembers();
+    Cluster::Node &anyNode() { return cluster.node(cluster.random.below(cluster.nodes.size())); }
+
+    std::uint64_t proposals_ = 0;
+};
+
+} // namespace Pistachio::Replication
