--- a/src/libs/cellstate/cellstate.h
+++ b/src/libs/cellstate/cellstate.h
@@ -18,7 +18,7 @@
 class CellCommand;
 class CellResult;
 class Configuration;
-}
+} // namespace Pistachio::Wire
 
 /// The replicated state of the cell: sheets, bookings, quotas, configuration, instances and operators' request ids.
 namespace Pistachio::Cellstate
--- a/src/libs/operatorapi/operatorapi.h
+++ b/src/libs/operatorapi/operatorapi.h
@@ -15,7 +15,7 @@
 class CellResult;
 class ZoneCommand;
 class ZoneResult;
-}
+} // namespace Pistachio::Wire
 
 namespace Pistachio::Cellstate
 {
@@ -45,8 +45,8 @@
 
 using Handling = std::variant<Answer, CellProposal, ZoneProposal>;
 
-/// Handles the requests of the operator port, except /v1/metrics, /healthz and /readyz. It does not check the token; see
-/// isAuthorized().
+/// Handles the requests of the operator port, except /v1/metrics, /healthz and /readyz. It does not check the token;
+/// see isAuthorized().
 class OperatorApi
 {
 public:
--- a/src/libs/sheet/wirebooking.h
+++ b/src/libs/sheet/wirebooking.h
@@ -7,7 +7,7 @@
 {
 class Booking;
 class Resources;
-}
+} // namespace Pistachio::Wire
 
 namespace Pistachio::Sheet
 {
