--- a/src/libs/cellstate/bookingrecord.h
+++ b/src/libs/cellstate/bookingrecord.h
@@ -23,6 +23,8 @@
     Sheet::Booking booking; ///< with its home zone
     BookingState state = BookingState::Active;
     std::uint64_t sheetVersion = 0; ///< the sheet that last changed it
+    std::uint64_t revision = 0; ///< CellState::bookingsRevision() of the last change
+    bool isReleased = false; ///< cancelled, and its home zone has no task of it left
     std::int64_t changedUnixMs = 0;
     std::string changedBy;
 
--- a/src/libs/sheet/columns.h
+++ b/src/libs/sheet/columns.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace Pistachio::Sheet::Internal
 {
@@ -24,8 +25,4 @@
 /// \return the column and the reason of a contradiction between cells; both empty when there is none.
 std::pair<std::string_view, std::string> contradiction(const Booking &booking);
 
-/// \param text a team, booking or zone
-/// \return the reason why it can't be an identifier, or an empty string.
-std::string identifierFault(std::string_view text);
-
 } // namespace Pistachio::Sheet::Internal
--- a/src/libs/sheet/wirebooking.cpp
+++ b/src/libs/sheet/wirebooking.cpp
@@ -3,6 +3,7 @@
 #include "common.pb.h"
 #include "sheet/bookinglimits.h"
 #include "sheet/columns.h"
+#include "sheet/identifierfault.h"
 
 namespace Pistachio::Sheet
 {
@@ -68,11 +69,11 @@
 // The first field that no cell of a sheet could give, or an empty view.
 std::string_view fieldOutOfRange(const Booking &booking)
 {
-    if (!Internal::identifierFault(booking.id.value()).empty())
+    if (!identifierFault(booking.id.value()).empty())
         return "booking";
-    if (!Internal::identifierFault(booking.team.value()).empty())
+    if (!identifierFault(booking.team.value()).empty())
         return "team";
-    if (!booking.zone.isEmpty() && !Internal::identifierFault(booking.zone.value()).empty())
+    if (!booking.zone.isEmpty() && !identifierFault(booking.zone.value()).empty())
         return "zone";
     if (!isWithin(booking.tasks, 1, maximumTasks))
         return "tasks";
