--- a/src/libs/cellstate/bookingbook.cpp
+++ b/src/libs/cellstate/bookingbook.cpp
@@ -23,27 +23,24 @@
 {
 
 std::vector<std::string> BookingBook::assignZones(Rows &rows, std::span<const ZoneId> zones,
-                                                  const ZoneCapacities &capacities) const
+                                                  const ZoneCapacities &capacities,
+                                                  const std::set<BookingId> &reinstate) const
 {
     std::vector<std::string> faults;
     HomeZones homes(zones, capacities);
     std::vector<Sheet::Booking *> homeless;
     for (auto &[id, row] : rows) {
-        const auto found = records_.find(id);
-        const bool isBound = found != records_.end() && !found->second.isReleased;
-        if (row.zone.isEmpty() && isBound)
-            row.zone = found->second.booking.zone;
-        if (row.zone.isEmpty()) {
+        const ZoneId *bound = boundZone(id);
+        if (row.zone.isEmpty() && bound != nullptr)
+            row.zone = *bound;
+        if (row.zone.isEmpty())
             homeless.push_back(&row);
-            continue;
-        }
-        if (std::ranges::find(zones, row.zone) == zones.end())
+        else if (std::ranges::find(zones, row.zone) == zones.end())
             faults.push_back("booking '" + id.value() + "': zone '" + row.zone.value() + "' is not configured");
-        else if (isBound && row.zone != found->second.booking.zone)
-            faults.push_back("booking '" + id.value() + "': zone can't change from '"
-                             + found->second.booking.zone.value() + "' to '" + row.zone.value()
-                             + "' before its home zone has released it; use a new booking");
-        else
+        else if (bound != nullptr && row.zone != *bound)
+            faults.push_back("booking '" + id.value() + "': zone can't change from '" + bound->value() + "' to '"
+                             + row.zone.value() + "' before its home zone has released it; use a new booking");
+        else if (!staysCancelled(id, reinstate))
             homes.count(row);
     }
     if (faults.empty()) {
@@ -53,14 +50,24 @@
     return faults;
 }
 
+const ZoneId *BookingBook::boundZone(const BookingId &id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() || found->second.isReleased ? nullptr : &found->second.booking.zone;
+}
+
+bool BookingBook::staysCancelled(const BookingId &id, const std::set<BookingId> &reinstate) const
+{
+    const auto found = records_.find(id);
+    return found != records_.end() && found->second.state == BookingState::Cancelled && !reinstate.contains(id);
+}
+
 std::vector<const Sheet::Booking *> BookingBook::activeRows(const Rows &rows,
                                                             const std::set<BookingId> &reinstate) const
 {
     std::vector<const Sheet::Booking *> active;
     for (const auto &[id, row] : rows) {
-        const auto found = records_.find(id);
-        const bool isCancelled = found != records_.end() && found->second.state == BookingState::Cancelled;
-        if (!isCancelled || reinstate.contains(id))
+        if (!staysCancelled(id, reinstate))
             active.push_back(&row);
     }
     return active;
--- a/src/libs/cellstate/bookingbook.h
+++ b/src/libs/cellstate/bookingbook.h
@@ -34,9 +34,14 @@
     /// \param rows the rows of a new sheet; receive their home zones
     /// \param zones the configured zones, not empty
     /// \param capacities the known workers
+    /// \param reinstate the cancelled bookings that the sheet brings back
     /// \return one line for each row that names an unknown zone or moves a booking.
-    std::vector<std::string> assignZones(Rows &rows, std::span<const ZoneId> zones,
-                                         const ZoneCapacities &capacities) const;
+    std::vector<std::string> assignZones(Rows &rows, std::span<const ZoneId> zones, const ZoneCapacities &capacities,
+                                         const std::set<BookingId> &reinstate) const;
+
+    /// \param id a booking
+    /// \return its home zone while that binds it, or nullptr.
+    [[nodiscard]] const ZoneId *boundZone(const BookingId &id) const;
 
     /// \param rows the rows of a new sheet
     /// \param reinstate the cancelled bookings that the sheet brings back
@@ -68,6 +73,7 @@
     void restore(std::map<BookingId, BookingRecord> records, std::uint64_t revision);
 
 private:
+    [[nodiscard]] bool staysCancelled(const BookingId &id, const std::set<BookingId> &reinstate) const;
     void follow(const Sheet::Booking &row, bool isReinstated, const ChangeOrigin &origin);
     void touch(BookingRecord &record, BookingState state, const ChangeOrigin &origin);
     void dropOldEnded(std::int64_t nowUnixMs);
--- a/src/libs/cellstate/cellstate.cpp
+++ b/src/libs/cellstate/cellstate.cpp
@@ -133,14 +133,14 @@
             faults.push_back("booking '" + id + "' is to be reinstated but is not in the sheet");
     }
     if (faults.empty())
-        faults = bookings.assignZones(rows, zones, capacitiesOf(sheet));
+        faults = bookings.assignZones(rows, zones, capacitiesOf(sheet), reinstate);
     if (!faults.empty())
         return refusal(Wire::CELL_RESULT_INVALID, "the sheet is refused as a whole: " + faults.front(), faults);
 
     const auto active = bookings.activeRows(rows, reinstate);
     if (faults = quotaFaults(quotasOf(configurations.current()), active, latestUnixMs / msPerSecond); !faults.empty())
         return refusal(Wire::CELL_RESULT_QUOTA_EXCEEDED, "the sheet is refused as a whole: " + faults.front(), faults);
-    if (faults = capacityFaults(active, sheet); !faults.empty())
+    if (faults = capacityFaults(active, zones, sheet); !faults.empty())
         return refusal(Wire::CELL_RESULT_CAPACITY, "the sheet is refused as a whole: " + faults.front(), faults);
 
     const ChangeOrigin origin{command.author(), command.proposed_unix_ms(), sheets.version() + 1};
@@ -157,16 +157,23 @@
 }
 
 std::vector<std::string> CellState::Data::capacityFaults(std::span<const Sheet::Booking *const> rows,
+                                                         std::span<const ZoneId> zones,
                                                          const Wire::ApplySheet &sheet) const
 {
     std::vector<std::string> faults;
+    std::set<std::string_view> named;
+    for (const auto &message : sheet.bookings()) {
+        if (!message.zone().empty())
+            named.insert(message.id());
+    }
     const ZoneCapacities capacities = capacitiesOf(sheet);
     for (const Sheet::Booking *row : rows) {
         // A booking that was accepted before must not block a sheet because its large workers are away today.
         const auto accepted = sheets.rows().find(row->id);
         if (accepted != sheets.rows().end() && row->resources.fitsIn(accepted->second.resources))
             continue;
-        if (auto fault = capacityFault(*row, std::span(&row->zone, 1), capacities))
+        const bool hasOneZone = named.contains(row->id.value()) || bookings.boundZone(row->id) != nullptr;
+        if (auto fault = capacityFault(*row, hasOneZone ? std::span(&row->zone, 1) : zones, capacities))
             faults.push_back(std::move(*fault));
     }
     return faults;
--- a/src/libs/cellstate/data.h
+++ b/src/libs/cellstate/data.h
@@ -31,6 +31,7 @@
     [[nodiscard]] Wire::CellResult sheetConflict(std::uint64_t expected) const;
     [[nodiscard]] Wire::CellResult configurationConflict(std::uint64_t expected) const;
     [[nodiscard]] std::vector<std::string> capacityFaults(std::span<const Sheet::Booking *const> rows,
+                                                          std::span<const ZoneId> zones,
                                                           const Wire::ApplySheet &sheet) const;
 };
 
