--- a/src/libs/cellstate/configurationhistory.cpp
+++ b/src/libs/cellstate/configurationhistory.cpp
@@ -100,16 +100,19 @@
     std::vector<std::string> lines;
     const auto old = valuesOf(before);
     const auto current = valuesOf(after);
+    const auto add = [&lines](const char *verb, const std::string &name, const std::string &value) {
+        lines.emplace_back(verb).append(name).append(": ").append(value);
+    };
     for (const auto &[name, value] : current) {
         const auto found = old.find(name);
         if (found == old.end())
-            lines.push_back("added " + name + ": " + value);
+            add("added ", name, value);
         else if (found->second != value)
-            lines.push_back("changed " + name + ": from " + found->second + " to " + value);
+            add("changed ", name, "from " + found->second + " to " + value);
     }
     for (const auto &[name, value] : old) {
         if (!current.contains(name))
-            lines.push_back("removed " + name + ": " + value);
+            add("removed ", name, value);
     }
     return lines;
 }
