--- a/src/libs/sheet/columns.cpp
+++ b/src/libs/sheet/columns.cpp
@@ -2,12 +2,12 @@
 
 #include "sheet/bookinglimits.h"
 #include "sheet/identifierfault.h"
+#include "sheet/utctext.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
-#include <cstdio>
 #include <utility>
 
 namespace Pistachio::Sheet::Internal
@@ -217,21 +217,6 @@
     return readTime(cell, booking.endUnixS);
 }
 
-std::string writeTime(std::int64_t unixS)
-{
-    if (unixS == 0)
-        return {};
-    const std::chrono::sys_seconds time{std::chrono::seconds(unixS)};
-    const auto midnight = std::chrono::floor<std::chrono::days>(time);
-    const std::chrono::year_month_day day(midnight);
-    const std::chrono::hh_mm_ss clock(time - midnight);
-    std::array<char, 64> text{};
-    const int size = std::snprintf(text.data(), text.size(), "%04d-%02u-%02uT%02d:%02d:%02dZ", int(day.year()),
-                                   unsigned(day.month()), unsigned(day.day()), int(clock.hours().count()),
-                                   int(clock.minutes().count()), int(clock.seconds().count()));
-    return {text.data(), static_cast<std::size_t>(size)};
-}
-
 std::string writeCores(const Booking &booking)
 {
     std::string text = std::to_string(booking.resources.milliCores / 1000);
@@ -258,8 +243,8 @@
      [](const Booking &b) { return std::to_string(b.resources.memoryBytes / bytesPerMebibyte); }},
     {"accelerators", true, readAccelerators,
      [](const Booking &b) { return writeUnlessZero(b.resources.accelerators); }},
-    {"start", true, readStart, [](const Booking &b) { return writeTime(b.startUnixS); }},
-    {"end", true, readEnd, [](const Booking &b) { return writeTime(b.endUnixS); }},
+    {"start", true, readStart, [](const Booking &b) { return utcText(b.startUnixS); }},
+    {"end", true, readEnd, [](const Booking &b) { return utcText(b.endUnixS); }},
     {"standing", true, readStanding, [](const Booking &b) { return std::string(toString(b.standing)); }},
     {"zone", true, readZone, [](const Booking &b) { return b.zone.value(); }},
     {"run_seconds", true, readRunSeconds, [](const Booking &b) { return writeUnlessZero(b.runSeconds); }},
