Add the public headers of the transport library

Entry, control and operator code build against these headers while the implementation follows. They hold plain types only, so that Asio, Beast and nghttp2 don't reach the code that includes them.

--- /dev/null
+++ b/src/libs/transport/httpclient.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/time.h"
+#include "transport/message.h"
+
+#include <cstddef>
+#include <memory>
+
+namespace Pistachio::Transport
+{
+
+class EventLoop;
+
+struct HttpClientLimits {
+    std::size_t headerBytes = 16U << 10;
+    std::size_t bodyBytes = 8U << 20;
+    std::size_t connectionsPerEndpoint = 64;
+    std::size_t queuedPerEndpoint = 1024; ///< calls that wait for a connection
+    Duration connectTimeout = 1s;
+    Duration idleTimeout = 20s; ///< below the server's, so that a reused connection is rarely one that is being closed
+};
+
+/// An HTTP/1.1 client with a pool of connections for each endpoint. It never sends a request twice.
+class HttpClient
+{
+public:
+    /// \param loop outlives the client
+    /// \param limits bounds of the pool and of responses
+    HttpClient(EventLoop &loop, const HttpClientLimits &limits);
+    /// Fails the calls that are under way.
+    ~HttpClient();
+
+    /// To be called on the loop's thread.
+    /// \param endpoint the server
+    /// \param request what to send
+    /// \param timeout from this call to the last byte of the response
+    /// \param completion gets the response or the failure
+    void call(const Endpoint &endpoint, Request request, Duration timeout, CallCompletion completion);
+
+    /// Closes the idle connections to \p endpoint, so that a later call opens a new one.
+    void forget(const Endpoint &endpoint);
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> implementation_;
+};
+
+} // namespace Pistachio::Transport
--- /dev/null
+++ b/src/libs/transport/httpserver.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/time.h"
+#include "transport/message.h"
+
+#include <cstddef>
+#include <memory>
+
+namespace Pistachio::Transport
+{
+
+class EventLoop;
+
+struct HttpServerLimits {
+    std::size_t headerBytes = 16U << 10;
+    std::size_t bodyBytes = 8U << 20;
+    std::size_t connections = 4096;
+    Duration idleTimeout = 30s; ///< for a connection between two requests
+    Duration receiveTimeout = 10s; ///< from the first byte of a request to its last
+    Duration sendTimeout = 30s; ///< for sending one response
+};
+
+/// An HTTP/1.1 server with keep-alive. Requests on one connection are handled one after the other.
+///
+/// It answers by itself: 400 for what is not HTTP, 408 for a slow sender, 413 and 431 for a body or header above the
+/// limit, 503 above the limit of connections.
+class HttpServer
+{
+public:
+    /// \param loop outlives the server
+    /// \param limits bounds of one connection
+    /// \param handler answers each complete request
+    HttpServer(EventLoop &loop, const HttpServerLimits &limits, RequestHandler handler);
+    ~HttpServer();
+
+    /// \param endpoint where to listen; port 0 lets the system choose
+    /// \return the port, or why the endpoint can't be used.
+    Result<std::uint16_t> listen(const Endpoint &endpoint);
+
+    /// Stops accepting, closes idle connections, and lets requests in flight finish, each with "Connection: close".
+    /// \param limit after which the remaining connections are closed
+    /// \param finished called on the loop's thread once no connection is left
+    void stop(Duration limit, std::function<void()> finished);
+
+    /// \return the number of open connections.
+    [[nodiscard]] std::size_t connections() const;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> implementation_;
+};
+
+} // namespace Pistachio::Transport
