--- /dev/null
+++ b/src/libs/transport/httpserver.cpp
@@ -0,0 +1,380 @@
+#include "transport/httpserver.h"
+
+#include "transport/eventloopcontext.h"
+#include "transport/httpconversion.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace Pistachio::Transport
+{
+
+namespace
+{
+
+using namespace Internal;
+using boost::system::error_code;
+
+constexpr int closeAfterResponse = 0;
+
+/// \return the status that tells the client why its request could not be read, or 0 when none can be sent.
+int statusOf(const error_code &error)
+{
+    if (error == Http::error::header_limit)
+        return 431;
+    if (error == Http::error::body_limit)
+        return 413;
+    if (error == Http::error::end_of_stream || error == Http::error::partial_message)
+        return closeAfterResponse;
+    return error.category() == Http::make_error_code(Http::error::bad_method).category() ? 400 : closeAfterResponse;
+}
+
+/// One connection: reads a request, has it answered, sends the response, and begins again.
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+    using Closed = std::function<void(const std::shared_ptr<HttpSession> &)>;
+
+    HttpSession(EventLoop::Context &context, Tcp::socket socket, const HttpServerLimits &limits, RequestHandler handler,
+                Closed closed)
+        : context_(context)
+        , socket_(std::move(socket))
+        , timer_(context.io)
+        , limits_(limits)
+        , handler_(std::move(handler))
+        , onClosed_(std::move(closed))
+    {
+    }
+
+    void start() { awaitRequest(); }
+
+    void refuse()
+    {
+        stopping_ = true;
+        answer(Response{503, {{"Retry-After", "1"}}, "too many connections\n"});
+    }
+
+    void stop()
+    {
+        stopping_ = true;
+        error_code error;
+        // A request that has already arrived counts as in flight.
+        if (idle_ && socket_.available(error) == 0)
+            close();
+    }
+
+    void close()
+    {
+        if (std::exchange(closed_, true))
+            return;
+        timer_.cancel();
+        closeSocket(socket_);
+        if (const auto closed = std::exchange(onClosed_, nullptr))
+            closed(shared_from_this());
+    }
+
+private:
+    void arm(Duration limit)
+    {
+        timedOut_ = false;
+        timer_.expires_after(limit);
+        timer_.async_wait([weak = weak_from_this()](const error_code &error) {
+            const auto self = weak.lock();
+            if (error || !self || self->closed_)
+                return;
+            self->timedOut_ = true;
+            error_code ignored;
+            self->socket_.cancel(ignored);
+        });
+    }
+
+    void awaitRequest()
+    {
+        if (buffer_.size() > 0) {
+            readRequest();
+            return;
+        }
+        idle_ = true;
+        arm(limits_.idleTimeout);
+        socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            self->idle_ = false;
+            if (error || self->closed_) {
+                self->close();
+                return;
+            }
+            self->readRequest();
+        });
+    }
+
+    void readRequest()
+    {
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(limits_.headerBytes));
+        parser_->body_limit(limits_.bodyBytes);
+        arm(limits_.receiveTimeout);
+        Http::async_read_header(socket_, buffer_, *parser_,
+                                [self = shared_from_this()](const error_code &error, std::size_t size) {
+                                    self->context_.bytesReceived.fetch_add(size, std::memory_order_relaxed);
+                                    if (error)
+                                        self->readFailed(error);
+                                    else
+                                        self->headerRead();
+                                });
+    }
+
+    void headerRead()
+    {
+        const auto &fields = parser_->get();
+        if (toView(fields[Http::field::expect]) != "100-continue" || parser_->is_done()) {
+            readBody();
+            return;
+        }
+        auto proceed = std::make_shared<Http::response<Http::empty_body>>(Http::status::continue_, 11);
+        Http::async_write(socket_, *proceed,
+                          [self = shared_from_this(), proceed](const error_code &error, std::size_t) {
+                              if (error)
+                                  self->close();
+                              else
+                                  self->readBody();
+                          });
+    }
+
+    void readBody()
+    {
+        Http::async_read(socket_, buffer_, *parser_,
+                         [self = shared_from_this()](const error_code &error, std::size_t size) {
+                             self->context_.bytesReceived.fetch_add(size, std::memory_order_relaxed);
+                             if (error)
+                                 self->readFailed(error);
+                             else
+                                 self->handle();
+                         });
+    }
+
+    void readFailed(const error_code &error)
+    {
+        const int status = timedOut_ ? 408 : statusOf(error);
+        if (closed_ || status == closeAfterResponse) {
+            close();
+            return;
+        }
+        keepAlive_ = false;
+        headOnly_ = false;
+        answer(Response{
+            status, {{"Content-Type", "text/plain"}}, "the request was not accepted: " + error.message() + '\n'});
+    }
+
+    void handle()
+    {
+        timer_.cancel();
+        auto message = parser_->release();
+        keepAlive_ = message.keep_alive();
+        headOnly_ = message.method() == Http::verb::head;
+        Request request{std::string(toView(message.method_string())), std::string(toView(message.target())),
+                        toHeaders(message), std::move(message.body())};
+        handler_(std::move(request), Responder([weak = weak_from_this(), &context = context_](Response response) {
+                     if (weak.expired())
+                         return;
+                     boost::asio::dispatch(context.io, [weak, response = std::move(response)]() mutable {
+                         if (const auto self = weak.lock())
+                             self->answer(std::move(response));
+                     });
+                 }));
+    }
+
+    void answer(Response response)
+    {
+        if (closed_)
+            return;
+        const bool asksToClose = headerValue(response.headers, "Connection") == "close";
+        keepAlive_ = keepAlive_ && !stopping_ && !asksToClose;
+        auto message = std::make_shared<Http::response<Http::string_body>>();
+        message->version(11);
+        message->result(static_cast<unsigned>(response.status));
+        addHeaders(*message, response.headers);
+        message->keep_alive(keepAlive_);
+        const bool sendsBody = !headOnly_ && !isBodyless(response.status);
+        if (!isBodyless(response.status))
+            message->content_length(response.body.size());
+        if (sendsBody)
+            message->body() = std::move(response.body);
+        arm(limits_.sendTimeout);
+        Http::async_write(socket_, *message,
+                          [self = shared_from_this(), message](const error_code &error, std::size_t size) {
+                              self->context_.bytesSent.fetch_add(size, std::memory_order_relaxed);
+                              self->answered(error);
+                          });
+    }
+
+    void answered(const error_code &error)
+    {
+        timer_.cancel();
+        if (closed_ || error) {
+            close();
+        } else if (keepAlive_ && !stopping_) {
+            awaitRequest();
+        } else {
+            linger();
+        }
+    }
+
+    // Closing a socket with unread data resets the connection, and the client could lose the response.
+    void linger()
+    {
+        error_code ignored;
+        socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+        arm(lingerTimeout);
+        discard();
+    }
+
+    void discard()
+    {
+        buffer_.consume(buffer_.size());
+        socket_.async_read_some(buffer_.prepare(discardBytes),
+                                [self = shared_from_this()](const error_code &error, std::size_t) {
+                                    if (error || self->closed_)
+                                        self->close();
+                                    else
+                                        self->discard();
+                                });
+    }
+
+    static constexpr Duration lingerTimeout = 1s;
+    static constexpr std::size_t discardBytes = 4096;
+
+    EventLoop::Context &context_;
+    Tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    const HttpServerLimits &limits_;
+    RequestHandler handler_;
+    Closed onClosed_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Http::request_parser<Http::string_body>> parser_;
+    bool keepAlive_ = false;
+    bool headOnly_ = false;
+    bool timedOut_ = false;
+    bool idle_ = false;
+    bool stopping_ = false;
+    bool closed_ = false;
+};
+
+} // namespace
+
+class HttpServer::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(EventLoop &loop, const HttpServerLimits &limits, RequestHandler handler)
+        : loop_(loop)
+        , limits_(limits)
+        , handler_(std::move(handler))
+    {
+    }
+
+    Result<std::uint16_t> listen(const Endpoint &endpoint)
+    {
+        listener_ = std::make_shared<Listener>(loop_.context(), [weak = weak_from_this()](auto socket) {
+            if (const auto self = weak.lock())
+                self->accepted(std::move(socket));
+        });
+        return listener_->open(endpoint);
+    }
+
+    void stop(Duration limit, std::function<void()> finished)
+    {
+        if (listener_)
+            listener_->close();
+        stopping_ = true;
+        finished_ = std::move(finished);
+        const auto open = sessions_;
+        for (const auto &session : open)
+            session->stop();
+        stopTimer_ = loop_.callAfter(limit, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->closeAll();
+        });
+        reportWhenEmpty();
+    }
+
+    void closeAll()
+    {
+        if (listener_)
+            listener_->close();
+        const auto open = sessions_;
+        for (const auto &session : open)
+            session->close();
+    }
+
+    [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
+
+private:
+    void accepted(Tcp::socket socket)
+    {
+        if (stopping_)
+            return;
+        // The session refers to the limits, so it keeps this object alive.
+        const auto session
+            = std::make_shared<HttpSession>(loop_.context(), std::move(socket), limits_, handler_,
+                                            [self = shared_from_this()](const std::shared_ptr<HttpSession> &closed) {
+                                                self->sessions_.erase(closed);
+                                                self->reportWhenEmpty();
+                                            });
+        sessions_.insert(session);
+        if (sessions_.size() > limits_.connections)
+            session->refuse();
+        else
+            session->start();
+    }
+
+    void reportWhenEmpty()
+    {
+        if (!stopping_ || !sessions_.empty() || !finished_)
+            return;
+        stopTimer_.cancel();
+        loop_.post(std::exchange(finished_, nullptr));
+    }
+
+    EventLoop &loop_;
+    const HttpServerLimits limits_;
+    RequestHandler handler_;
+    std::shared_ptr<Listener> listener_;
+    std::set<std::shared_ptr<HttpSession>> sessions_;
+    std::function<void()> finished_;
+    Timer stopTimer_;
+    bool stopping_ = false;
+};
+
+HttpServer::HttpServer(EventLoop &loop, const HttpServerLimits &limits, RequestHandler handler)
+    : implementation_(std::make_shared<Implementation>(loop, limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    implementation_->closeAll();
+}
+
+Result<std::uint16_t> HttpServer::listen(const Endpoint &endpoint)
+{
+    return implementation_->listen(endpoint);
+}
+
+void HttpServer::stop(Duration limit, std::function<void()> finished)
+{
+    implementation_->stop(limit, std::move(finished));
+}
+
+std::size_t HttpServer::connections() const
+{
+    return implementation_->connections();
+}
+
+} // namespace Pistachio::Transport
--- a/src/libs/transport/message.h
+++ b/src/libs/transport/message.h
@@ -2,7 +2,6 @@
 
 #include "core/result.h"
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -45,7 +44,9 @@
 /// A failed call.
 struct CallError {
     Error error;
-    bool written = true; ///< false only when no byte of the request was handed to the peer's connection
+    /// False only when no byte of the request was handed to the connection, or the peer stated that it did not process
+    /// it.
+    bool written = true;
 };
 
 /// The complete response, or why there is none. A truncated response is an error.
@@ -81,7 +82,8 @@
     std::string address;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint &) const = default;
+    bool operator==(const Endpoint &) const = default;
+    bool operator<(const Endpoint &other) const;
 
     /// \param text "<ip>:<port>", IPv6 addresses in brackets
     /// \return the endpoint, or InvalidArgument.
