--- a/src/libs/controlnode/grouphost.cpp
+++ b/src/libs/controlnode/grouphost.cpp
@@ -9,8 +9,8 @@
                                                    Replication::StateMachine &machine, std::uint64_t seed)
 {
     const TimePoint now(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-    BOOST_OUTCOME_TRY(auto group, Storage::ReplicatedGroup::open(now, std::move(options), fileSystem, machine,
-                                                                 RandomSource(seed)));
+    BOOST_OUTCOME_TRY(auto group,
+                      Storage::ReplicatedGroup::open(now, std::move(options), fileSystem, machine, RandomSource(seed)));
     return std::unique_ptr<GroupHost>(new GroupHost(std::move(group)));
 }
 
--- a/src/libs/controlnode/grouphost.h
+++ b/src/libs/controlnode/grouphost.h
@@ -19,8 +19,8 @@
 class GroupHost
 {
 public:
-    /// Gets the state machine's answer; NotLeader or Unavailable when nothing was proposed; Unknown when the proposal may
-    /// or may not take effect.
+    /// Gets the state machine's answer; NotLeader or Unavailable when nothing was proposed; Unknown when the proposal
+    /// may or may not take effect.
     using Done = std::function<void(Result<std::string>)>;
 
     /// \param options the group
--- a/src/libs/controlnode/network.cpp
+++ b/src/libs/controlnode/network.cpp
@@ -56,12 +56,13 @@
     , events_(events)
     , metrics_(metrics)
     , calls_(callCapacity)
-    , operatorServer_(loop_, {}, [this](Request request, const Responder &responder) {
-        handleOperator(std::move(request), responder);
-    })
-    , internalServer_(loop_, internalLimits(), [this](Request request, const Responder &responder) {
-        handleInternal(std::move(request), responder);
-    })
+    , operatorServer_(loop_, {},
+                      [this](Request request, const Responder &responder) {
+                          handleOperator(std::move(request), responder, Port::Operator);
+                      })
+    , internalServer_(
+          loop_, internalLimits(),
+          [this](Request request, const Responder &responder) { handleInternal(std::move(request), responder); })
     , workerServer_(loop_, {}, [this](Request request, const Responder &responder) {
         hand(Port::Worker, std::move(request), responder);
     })
@@ -138,6 +139,10 @@
 
 void Network::handleInternal(Request request, const Responder &responder)
 {
+    if (request.target.starts_with("/operator/")) {
+        handleOperator(std::move(request), responder, Port::Internal);
+        return;
+    }
     if (request.target != "/replication") {
         hand(Port::Internal, std::move(request), responder);
         return;
@@ -149,7 +154,7 @@
         responder.respond({503, {}, {}});
 }
 
-void Network::handleOperator(Request request, const Responder &responder)
+void Network::handleOperator(Request request, const Responder &responder, Port port)
 {
     if (request.target == "/healthz") {
         responder.respond(health());
@@ -164,7 +169,7 @@
     } else if (request.target == "/v1/metrics") {
         responder.respond(plain(200, metrics_.exposition()));
     } else {
-        hand(Port::Operator, std::move(request), responder);
+        hand(port, std::move(request), responder);
     }
 }
 
--- a/src/libs/controlnode/network.h
+++ b/src/libs/controlnode/network.h
@@ -2,17 +2,16 @@
 
 #include "controlnode/controlnode.h"
 #include "controlnode/events.h"
+#include "transport/eventloop.h"
+#include "transport/http2client.h"
+#include "transport/http2server.h"
+#include "transport/httpserver.h"
 
 #include <atomic>
 #include <map>
 #include <memory>
 #include <string>
 
-#include "transport/eventloop.h"
-#include "transport/http2client.h"
-#include "transport/http2server.h"
-#include "transport/httpserver.h"
-
 namespace Pistachio::Metrics
 {
 class Registry;
@@ -60,7 +59,7 @@
 private:
     void scheduleTick();
     void handleInternal(Transport::Request request, const Transport::Responder &responder);
-    void handleOperator(Transport::Request request, const Transport::Responder &responder);
+    void handleOperator(Transport::Request request, const Transport::Responder &responder, Port port);
     void hand(Port port, Transport::Request request, const Transport::Responder &responder);
     void makeCalls();
     void makeCall(PeerCall peerCall);
--- a/src/libs/controlnode/statemachines.cpp
+++ b/src/libs/controlnode/statemachines.cpp
@@ -8,7 +8,7 @@
 namespace Pistachio::Controlnode
 {
 
-std::string CellMachine::apply(Replication::LogIndex index, std::string_view command)
+std::string CellMachine::apply(Replication::LogIndex /*index*/, std::string_view command)
 {
     Wire::CellCommand parsed;
     Wire::CellResult result;
@@ -18,7 +18,6 @@
         result.set_code(Wire::CELL_RESULT_INVALID);
         result.set_message("the log entry is no cell command");
     }
-    result.set_log_index(index);
     return result.SerializeAsString();
 }
 
--- a/src/libs/transport/eventloop.cpp
+++ b/src/libs/transport/eventloop.cpp
@@ -45,7 +45,6 @@
 
 void EventLoop::run()
 {
-    context_->io.restart();
     context_->io.run();
 }
 
--- a/src/libs/transport/eventloop.h
+++ b/src/libs/transport/eventloop.h
@@ -37,7 +37,7 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Runs handlers on the calling thread until stop().
+    /// Runs handlers on the calling thread until stop(), or not at all after it.
     void run();
 
     /// Runs handlers until stop() or until \p span has passed.
