Add the placement and scheduler libraries

Waiting work is held by shape, so that work that can't run costs nothing until a worker with room for it appears. A process of a worker is accepted only after it has shown that it received an answer of this leader, so a delayed sync of an earlier process can't pass for a restart and make its successor's tasks run twice.

--- /dev/null
+++ b/src/libs/placement/reservations.cpp
@@ -0,0 +1,182 @@
+#include "placement/reservations.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Pistachio::Placement
+{
+
+namespace
+{
+
+// Estimates are often wrong; they are made again this often.
+constexpr Duration refreshInterval = 10s;
+// Workers compared for one task of a job; more would find only slightly earlier starts.
+constexpr std::size_t comparedWorkers = 64;
+
+std::int64_t countThatFits(const Resources &need, const Resources &room)
+{
+    std::int64_t count = std::numeric_limits<std::int32_t>::max();
+    if (need.milliCores > 0)
+        count = std::min(count, room.milliCores / need.milliCores);
+    if (need.memoryBytes > 0)
+        count = std::min(count, room.memoryBytes / need.memoryBytes);
+    if (need.accelerators > 0)
+        count = std::min(count, room.accelerators / need.accelerators);
+    return std::max<std::int64_t>(count, 0);
+}
+
+struct Opening {
+    TimePoint at;
+    WorkerSlot worker = 0;
+    std::int64_t tasks = 0; // more tasks of the unit than before
+};
+
+/// Adds when the worker is expected to have room for one more task, two more, and so on.
+void addOpenings(TimePoint now, const Resources &need, std::int64_t wanted, const WorkerEntry &worker, WorkerSlot slot,
+                 std::vector<Opening> &openings)
+{
+    Resources room = worker.capacity - worker.allocated;
+    std::int64_t count = std::min(countThatFits(need, room), wanted);
+    if (count > 0)
+        openings.push_back({now, slot, count});
+    std::vector<const PlacedTask *> ending;
+    for (const PlacedTask &task : worker.tasks) {
+        if (task.kind != WorkKind::Service || task.stopping)
+            ending.push_back(&task);
+    }
+    std::sort(ending.begin(), ending.end(), [now](const PlacedTask *left, const PlacedTask *right) {
+        return left->estimatedEnd(now) < right->estimatedEnd(now);
+    });
+    for (const PlacedTask *task : ending) {
+        if (count >= wanted)
+            return;
+        room += task->resources;
+        const std::int64_t next = std::min(countThatFits(need, room), wanted);
+        if (next > count)
+            openings.push_back({task->estimatedEnd(now), slot, next - count});
+        count = std::max(count, next);
+    }
+}
+
+std::optional<TimePoint> estimateStart(std::vector<Opening> &openings, std::int64_t wanted,
+                                       std::vector<WorkerSlot> *workers)
+{
+    std::stable_sort(openings.begin(), openings.end(),
+                     [](const Opening &left, const Opening &right) { return left.at < right.at; });
+    for (const Opening &opening : openings) {
+        if (workers != nullptr && std::find(workers->begin(), workers->end(), opening.worker) == workers->end())
+            workers->push_back(opening.worker);
+        wanted -= opening.tasks;
+        if (wanted <= 0)
+            return opening.at;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool Reservations::reserve(TimePoint now, const Unit &unit, const Priority &priority, WorkerIndex &index)
+{
+    const AcceleratorClass acceleratorClass = acceleratorClassOf(unit.work->resources);
+    const auto wanted = static_cast<std::int64_t>(unit.tasks.size());
+    const Resources &need = unit.work->resources;
+    std::vector<Opening> openings;
+    std::int64_t found = 0;
+    std::size_t compared = 0;
+    index.visitWithoutBatch(need, [&](WorkerSlot slot) {
+        const WorkerEntry &worker = index.at(slot);
+        if (worker.reservedFor && worker.reservedFor != acceleratorClass)
+            return false;
+        addOpenings(now, need, wanted, worker, slot, openings);
+        found += countThatFits(need, worker.capacity - worker.pinned);
+        return found >= wanted && ++compared >= comparedWorkers;
+    });
+    Reservation reservation;
+    const std::optional<TimePoint> start = estimateStart(openings, wanted, &reservation.workers);
+    if (!start)
+        return false;
+    reservation.holder = unit.id();
+    reservation.priority = priority;
+    reservation.start = *start;
+    reservation.refreshAt = now + refreshInterval;
+    reservation.since = now;
+    auto &slot = reservations_[static_cast<std::size_t>(acceleratorClass)];
+    drop(slot, index);
+    for (const WorkerSlot worker : reservation.workers)
+        index.setReserved(worker, acceleratorClass);
+    slot = std::move(reservation);
+    return true;
+}
+
+bool Reservations::refresh(TimePoint now, WorkerIndex &index)
+{
+    bool dropped = false;
+    for (std::optional<Reservation> &reservation : reservations_) {
+        if (!reservation)
+            continue;
+        const bool whole = std::all_of(reservation->workers.begin(), reservation->workers.end(),
+                                       [&](WorkerSlot slot) { return index.at(slot).accepting; });
+        // After a refresh the holder reserves anew, possibly elsewhere, with estimates of that time.
+        if (whole && now < reservation->refreshAt)
+            continue;
+        if (whole && now < reservation->start) {
+            reservation->refreshAt = now + refreshInterval;
+            continue;
+        }
+        if (whole) {
+            // The work there outlived its estimate. The same workers stay reserved, or the wait would start again.
+            reservation->start = now + std::max<Duration>((now - reservation->since) / 2, refreshInterval);
+            reservation->refreshAt = reservation->start;
+            // Work that is expected to end before the later start may use the workers again.
+            for (const WorkerSlot slot : reservation->workers)
+                index.markGrown(slot);
+            continue;
+        }
+        drop(reservation, index);
+        dropped = true;
+    }
+    return dropped;
+}
+
+bool Reservations::release(const TaskId &holder, WorkerIndex &index)
+{
+    for (std::optional<Reservation> &reservation : reservations_) {
+        if (reservation && reservation->holder == holder) {
+            drop(reservation, index);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool Reservations::isHolder(const Unit &unit, const WorkerEntry &worker) const
+{
+    if (!worker.reservedFor)
+        return false;
+    const std::optional<Reservation> &reservation = of(*worker.reservedFor);
+    return reservation && reservation->holder == unit.id();
+}
+
+bool Reservations::allows(TimePoint now, const Unit &unit, const Priority &priority, const WorkerEntry &worker) const
+{
+    if (!worker.reservedFor)
+        return true;
+    const std::optional<Reservation> &reservation = of(*worker.reservedFor);
+    if (!reservation || priority <= reservation->priority)
+        return true;
+    if (unit.work->kind == WorkKind::Service)
+        return false;
+    return now + unit.work->estimatedRun <= reservation->start;
+}
+
+void Reservations::drop(std::optional<Reservation> &reservation, WorkerIndex &index)
+{
+    if (!reservation)
+        return;
+    for (const WorkerSlot worker : reservation->workers)
+        index.setReserved(worker, std::nullopt);
+    reservation.reset();
+}
+
+} // namespace Pistachio::Placement
--- /dev/null
+++ b/src/libs/placement/waitqueue.cpp
@@ -0,0 +1,207 @@
+#include "placement/waitqueue.h"
+
+#include "placement/displacement.h"
+
+#include <algorithm>
+
+namespace Pistachio::Placement
+{
+
+namespace
+{
+// Upper ends of the run classes: work that ends within the usual distances of a reserved start.
+constexpr std::array<Duration, 4> runClassEnds = {1min, 5min, 20min, 2h};
+} // namespace
+
+WaitQueue::ShapeKey WaitQueue::keyOf(const Unit &unit)
+{
+    const Work &work = *unit.work;
+    const auto runClass = work.kind == WorkKind::Service
+        ? runClassEnds.end()
+        : std::lower_bound(runClassEnds.begin(), runClassEnds.end(), work.estimatedRun);
+    return {work.kind,
+            work.standing,
+            static_cast<std::uint8_t>(runClass - runClassEnds.begin()),
+            static_cast<std::uint32_t>(unit.tasks.size()),
+            work.resources.milliCores,
+            work.resources.memoryBytes,
+            work.resources.accelerators};
+}
+
+void WaitQueue::add(Unit unit, unsigned packingPercent)
+{
+    const Priority priority = priorityOf(unit, packingPercent, ++sequence_);
+    insert(priority, std::move(unit));
+}
+
+void WaitQueue::insert(const Priority &priority, Unit unit)
+{
+    const ShapeKey key = keyOf(unit);
+    auto &slot = shapes_[key];
+    if (!slot) {
+        slot = std::make_unique<Shape>();
+        slot->key = key;
+        slot->resources = unit.work->resources;
+    }
+    places_[unit.id()] = {slot.get(), {}, priority};
+    slot->units.emplace(priority, std::move(unit));
+    updateReady(*slot);
+}
+
+std::optional<Unit> WaitQueue::remove(const TaskId &id)
+{
+    const auto place = places_.find(id);
+    if (place == places_.end())
+        return std::nullopt;
+    const Place found = place->second;
+    places_.erase(place);
+    if (found.shape == nullptr) {
+        auto &units = parked_[found.team];
+        const auto unit = units.find(found.priority);
+        Unit removed = std::move(unit->second);
+        units.erase(unit);
+        return removed;
+    }
+    const auto unit = found.shape->units.find(found.priority);
+    Unit removed = std::move(unit->second);
+    found.shape->units.erase(unit);
+    updateReady(*found.shape);
+    dropIfEmpty(*found.shape);
+    return removed;
+}
+
+std::optional<WaitReason> WaitQueue::reasonFor(const TaskId &id) const
+{
+    const auto place = places_.find(id);
+    if (place == places_.end())
+        return std::nullopt;
+    if (place->second.shape == nullptr)
+        return WaitReason::Quota;
+    return place->second.shape->blocked ? WaitReason::Capacity : WaitReason::Queued;
+}
+
+WaitQueue::Shape *WaitQueue::first() const
+{
+    return ready_.empty() ? nullptr : ready_.begin()->second;
+}
+
+void WaitQueue::updateReady(Shape &shape)
+{
+    const auto listed = ready_.find(shape.headWhenReady);
+    if (listed != ready_.end() && listed->second == &shape)
+        ready_.erase(listed);
+    if (shape.blocked || shape.units.empty())
+        return;
+    shape.headWhenReady = shape.units.begin()->first;
+    ready_.emplace(shape.headWhenReady, &shape);
+}
+
+void WaitQueue::dropIfEmpty(Shape &shape)
+{
+    if (shape.units.empty())
+        shapes_.erase(shapes_.find(shape.key));
+}
+
+void WaitQueue::block(Shape &shape)
+{
+    shape.blocked = true;
+    updateReady(shape);
+}
+
+void WaitQueue::wakeFitting(const std::vector<WorkerSlot> &slots, const WorkerIndex &workers)
+{
+    for (auto &[key, shape] : shapes_) {
+        // A gang needs room on several workers and is tried by time instead, see Planner.
+        if (!shape->blocked || key.kind == WorkKind::Gang)
+            continue;
+        const auto displacing = waitBeforeDisplacing(*shape->units.begin()->second.work);
+        const bool fits = std::any_of(slots.begin(), slots.end(), [&](WorkerSlot slot) {
+            const WorkerEntry &worker = workers.at(slot);
+            if (!worker.accepting)
+                return false;
+            Resources room = worker.free();
+            if (displacing)
+                room += worker.displaceable[key.standing == Standing::Normal ? 0 : 1];
+            return shape->resources.fitsIn(room);
+        });
+        if (fits) {
+            shape->blocked = false;
+            updateReady(*shape);
+        }
+    }
+}
+
+void WaitQueue::wake(const ShapeKey &key)
+{
+    const auto found = shapes_.find(key);
+    if (found == shapes_.end() || !found->second->blocked)
+        return;
+    found->second->blocked = false;
+    updateReady(*found->second);
+}
+
+void WaitQueue::wakeAll()
+{
+    for (auto &[key, shape] : shapes_) {
+        shape->blocked = false;
+        updateReady(*shape);
+    }
+}
+
+void WaitQueue::parkForQuota(Shape &shape)
+{
+    const auto head = shape.units.begin();
+    const Priority priority = head->first;
+    Unit unit = std::move(head->second);
+    shape.units.erase(head);
+    updateReady(shape);
+    dropIfEmpty(shape);
+    const TeamId team = unit.work->team;
+    places_[unit.id()] = {nullptr, team, priority};
+    parked_[team].emplace(priority, std::move(unit));
+}
+
+void WaitQueue::teamUsesLess(const TeamId &team, const QuotaLedger &quotas)
+{
+    const auto found = parked_.find(team);
+    if (found == parked_.end())
+        return;
+    // Returns the first ones that fit together. Looking further than the first that does not fit would let small units
+    // overtake a large one for ever.
+    Resources sum;
+    auto &units = found->second;
+    while (!units.empty()) {
+        const auto unit = units.begin();
+        sum += unit->second.total();
+        if (!quotas.allows(team, sum))
+            break;
+        const Priority priority = unit->first;
+        Unit returned = std::move(unit->second);
+        units.erase(unit);
+        insert(priority, std::move(returned));
+    }
+    if (units.empty())
+        parked_.erase(found);
+}
+
+void WaitQueue::quotasChanged(const QuotaLedger &quotas)
+{
+    std::vector<TeamId> teams;
+    for (const auto &[team, units] : parked_)
+        teams.push_back(team);
+    std::sort(teams.begin(), teams.end());
+    for (const TeamId &team : teams)
+        teamUsesLess(team, quotas);
+}
+
+std::vector<const WaitQueue::Shape *> WaitQueue::blockedShapes() const
+{
+    std::vector<const Shape *> blocked;
+    for (const auto &[key, shape] : shapes_) {
+        if (shape->blocked)
+            blocked.push_back(shape.get());
+    }
+    return blocked;
+}
+
+} // namespace Pistachio::Placement
--- /dev/null
+++ b/src/libs/placement/work.cpp
@@ -0,0 +1,31 @@
+#include "placement/work.h"
+
+#include <algorithm>
+
+namespace Pistachio::Placement
+{
+
+namespace
+{
+// How much later work of each standing is treated as having arrived. Spare work passes promised work of the same age
+// only after four hours, which is about half a night.
+constexpr std::array<Duration, 4> standingOffset = {0s, 0s, 30min, 4h};
+// Limits how far long work falls behind short work when waiting time has the greater weight.
+constexpr Duration longestRunOffset = 30min;
+} // namespace
+
+Priority priorityOf(const Unit &unit, unsigned packingPercent, std::uint64_t sequence)
+{
+    const Work &work = *unit.work;
+    const Duration run = std::min(work.estimatedRun, longestRunOffset) * (100 - std::min(packingPercent, 100U)) / 100;
+    const Duration key
+        = unit.readyAt.time_since_epoch() + standingOffset.at(static_cast<std::size_t>(work.standing)) + run;
+    return {static_cast<std::uint8_t>(work.standing == Standing::Urgent ? 0 : 1), key.count(), sequence};
+}
+
+AcceleratorClass acceleratorClassOf(const Resources &resources)
+{
+    return resources.accelerators > 0 ? AcceleratorClass::With : AcceleratorClass::Without;
+}
+
+} // namespace Pistachio::Placement
--- /dev/null
+++ b/src/libs/scheduler/answers.cpp
@@ -0,0 +1,122 @@
+#include "scheduler/zoneschedulerprivate.h"
+#include "wire/convert.h"
+#include "zonestate/zonestate.h"
+
+namespace Pistachio::Scheduler
+{
+
+namespace
+{
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+} // namespace
+
+void ZoneScheduler::Private::answerDue(const Moment &now)
+{
+    for (const Slot slot : leases_.takeDue(now.time))
+        answer(now, slot);
+}
+
+void ZoneScheduler::Private::answer(const Moment &now, Slot slot)
+{
+    Worker &known = worker(slot);
+    const bool confirmed = leases_.isConfirmed(slot);
+    WorkerAnswer &reply = commands_.answers.emplace_back();
+    reply.worker = planner_->workers().at(slot).id;
+    Wire::WorkerOrders &orders = reply.orders;
+    orders.set_epoch(term_);
+    orders.set_answered_sequence(leases_.outstandingSequence(slot));
+    orders.set_boot_id(leases_.outstandingBoot(slot));
+    orders.set_lease_ms(toMilliseconds(leaseDuration));
+    orders.set_send_full(known.sendFull);
+    known.sendFull = false;
+    if (confirmed && !orders.send_full()) {
+        for (Wire::EndRecorded &recorded : known.recorded)
+            *orders.add_recorded() = std::move(recorded);
+        known.recorded.clear();
+        for (Wire::StopTask &fenced : known.fenced)
+            *orders.add_stop() = std::move(fenced);
+        known.fenced.clear();
+        for (const TaskId &id : known.tasks) {
+            if (TaskEntry *entry = find(id))
+                addTaskOrders(id, *entry, orders);
+        }
+    }
+    leases_.answered(now.time, slot);
+}
+
+void ZoneScheduler::Private::addTaskOrders(const TaskId &id, TaskEntry &entry, Wire::WorkerOrders &orders)
+{
+    if (entry.phase != TaskPhase::Assigned || entry.endProposed)
+        return;
+    const ZoneState::TaskAssignment *assignment = state_.tasks().assignment(id);
+    if (assignment == nullptr || assignment->incarnation != entry.incarnation)
+        return;
+    if (entry.cause != StopCause::None) {
+        if (entry.delivery == Delivery::NotSent || entry.stopSent)
+            return;
+        Wire::StopTask &stop = *orders.add_stop();
+        Wire::fill(*stop.mutable_task(), id);
+        stop.set_incarnation(entry.incarnation);
+        stop.set_grace_ms(toMilliseconds(entry.grace));
+        stop.set_checkpoint(entry.work->checkpoint);
+        entry.stopSent = true;
+        return;
+    }
+    if (entry.delivery == Delivery::NotSent) {
+        Wire::RunTask &run = *orders.add_run();
+        Wire::fill(*run.mutable_task(), id);
+        run.set_incarnation(entry.incarnation);
+        Wire::fill(*run.mutable_resources(), entry.work->resources);
+        run.set_command(bookings_.at(id.booking).spec.command);
+        run.set_prepare_only(assignment->gang);
+        entry.delivery = Delivery::Sent;
+    }
+    if (assignment->gang && assignment->started && entry.prepared && !entry.running && !entry.startSent) {
+        Wire::fill(*orders.add_start(), id);
+        entry.startSent = true;
+    }
+    if (entry.throttlePercent < 100 && !entry.throttleSent) {
+        Wire::ThrottleTask &throttle = *orders.add_throttle();
+        Wire::fill(*throttle.mutable_task(), id);
+        throttle.set_incarnation(entry.incarnation);
+        throttle.set_percent(entry.throttlePercent);
+        entry.throttleSent = true;
+    }
+}
+
+void ZoneScheduler::Private::loseExpired(const Moment &now)
+{
+    for (const Slot slot : leases_.takeExpired(now.time)) {
+        Worker &lost = worker(slot);
+        for (const TaskId &id : lost.tasks) {
+            TaskEntry *entry = find(id);
+            if (entry == nullptr)
+                continue;
+            if (!entry->endProposed)
+                decide("lost", id, entry, "the lease of the worker expired");
+            proposeEnd(now, id, *entry, Wire::TASK_END_LOST, "the lease of the worker expired");
+        }
+        const std::set<TaskId> tasks = std::move(lost.tasks);
+        lost = Worker();
+        lost.tasks = tasks;
+        updateAccepting(now, slot);
+        planner_->workerUnavailable(slot);
+        removeIfGone(slot);
+    }
+}
+
+void ZoneScheduler::Private::removeIfGone(Slot slot)
+{
+    const Placement::WorkerEntry &entry = planner_->workers().at(slot);
+    if (leases_.isTracked(slot) || !entry.tasks.empty() || !planner_->workers().find(entry.id))
+        return;
+    health_.forget(entry.id);
+    unhealthy_.erase(slot);
+    worker(slot) = Worker();
+    planner_->workers().remove(slot);
+}
+
+} // namespace Pistachio::Scheduler
--- /dev/null
+++ b/src/libs/scheduler/bookingtable.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "core/resources.h"
+#include "core/taskid.h"
+#include "core/time.h"
+#include "placement/runestimates.h"
+#include "placement/work.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Pistachio::Scheduler
+{
+
+/// A booking of this zone, as the cell state holds it.
+struct BookingSpec {
+    BookingId id;
+    TeamId team;
+    Placement::WorkKind kind = Placement::WorkKind::Batch;
+    Placement::Standing standing = Placement::Standing::Normal;
+    std::uint32_t tasks = 0;
+    Resources resources;
+    std::int64_t startUnixMs = 0; ///< 0: at once
+    std::int64_t endUnixMs = 0; ///< 0: no end
+    Duration declaredRun{};
+    Duration grace{};
+    bool checkpoint = false;
+    std::string command;
+
+    bool operator==(const BookingSpec &) const = default;
+};
+
+enum class TaskPhase : std::uint8_t {
+    Idle, ///< completed, held, not yet due or past the end
+    Delayed, ///< waits before it is tried again
+    Waiting, ///< in the planner's queue
+    Proposed, ///< its assignment is in the log, not committed
+    Assigned,
+};
+
+/// Why a task is told to stop.
+enum class StopCause : std::uint8_t { None, Ended, Displaced, Moved, GangBroken, AboveMemory };
+
+/// Whether the worker has heard of an assignment.
+enum class Delivery : std::uint8_t {
+    Unknown, ///< decided under an earlier leader, no full report yet
+    NotSent,
+    Sent,
+};
+
+/// A task as the leader drives it.
+struct TaskEntry {
+    TaskPhase phase = TaskPhase::Idle;
+    StopCause cause = StopCause::None;
+    Delivery delivery = Delivery::NotSent;
+    bool prepared = false;
+    bool running = false;
+    bool startSent = false;
+    bool stopSent = false;
+    bool endProposed = false;
+    bool throttleSent = false;
+    bool proven = false; ///< ran longer than on a faulty worker
+    std::uint32_t throttlePercent = 100;
+    std::uint32_t slot = 0;
+    std::uint64_t incarnation = 0;
+    TimePoint readyAt{};
+    TimePoint assignedAt{};
+    std::optional<TimePoint> runningSince;
+    std::optional<TimePoint> aboveMemorySince;
+    TimePoint stopDeadline{};
+    Duration grace{};
+    std::shared_ptr<const Placement::Work> work; ///< as charged when it was placed
+    Placement::UsagePeak usage;
+
+    [[nodiscard]] bool isPlaced() const { return phase == TaskPhase::Proposed || phase == TaskPhase::Assigned; }
+};
+
+/// A booking with its tasks.
+struct BookingEntry {
+    BookingSpec spec;
+    bool active = false; ///< started and not ended
+    bool gone = false; ///< no longer in the sheet; dropped when no task is left
+    bool startProposed = false; ///< StartJob of a gang
+    bool held = false; ///< failing everywhere
+    std::string heldReason;
+    std::vector<TaskEntry> tasks;
+};
+
+} // namespace Pistachio::Scheduler
--- /dev/null
+++ b/src/libs/scheduler/workeragent.cpp
@@ -0,0 +1,266 @@
+#include "scheduler/workeragent.h"
+
+#include "wire/convert.h"
+
+#include <worker.pb.h>
+
+namespace Pistachio::Scheduler
+{
+
+namespace
+{
+
+Wire::TaskState toWire(AgentTaskState state)
+{
+    switch (state) {
+    case AgentTaskState::Preparing:
+        return Wire::TASK_STATE_UNSPECIFIED;
+    case AgentTaskState::Prepared:
+        return Wire::TASK_STATE_PREPARED;
+    case AgentTaskState::Running:
+        return Wire::TASK_STATE_RUNNING;
+    case AgentTaskState::Ended:
+        return Wire::TASK_STATE_ENDED;
+    }
+    return Wire::TASK_STATE_UNSPECIFIED;
+}
+
+Wire::TaskEndReason toWire(AgentEnd end)
+{
+    switch (end) {
+    case AgentEnd::Completed:
+        return Wire::TASK_END_COMPLETED;
+    case AgentEnd::Failed:
+        return Wire::TASK_END_FAILED;
+    case AgentEnd::Stopped:
+        return Wire::TASK_END_STOPPED;
+    case AgentEnd::Lost:
+        return Wire::TASK_END_LOST;
+    case AgentEnd::NotStarted:
+        return Wire::TASK_END_NOT_STARTED;
+    }
+    return Wire::TASK_END_LOST;
+}
+
+void end(AgentTask &task, AgentEnd reason, std::string_view detail)
+{
+    task.state = AgentTaskState::Ended;
+    task.end = reason;
+    task.detail = detail;
+    task.usage = {};
+    task.changed = true;
+}
+
+} // namespace
+
+WorkerAgent::WorkerAgent(WorkerId worker, std::string bootId, std::string rack, Resources capacity)
+    : worker_(std::move(worker))
+    , bootId_(std::move(bootId))
+    , rack_(std::move(rack))
+    , capacity_(capacity)
+{
+}
+
+Wire::WorkerSync WorkerAgent::makeSync(TimePoint now)
+{
+    // An answer that did not come may have been sent, so the leader has to compare everything.
+    if (outstanding_)
+        full_ = true;
+    Wire::WorkerSync sync;
+    sync.set_worker(worker_.value());
+    sync.set_boot_id(bootId_);
+    sync.set_sequence(++sequence_);
+    sync.set_epoch_seen(epoch_);
+    sync.set_full(full_);
+    sync.set_leaving(leaving_);
+    if (full_) {
+        Wire::fill(*sync.mutable_capacity(), capacity_);
+        sync.set_rack(rack_);
+    }
+    for (auto &[id, task] : tasks_) {
+        if (!full_ && !task.changed && !task.usageChanged)
+            continue;
+        Wire::TaskStatus &status = *sync.add_tasks();
+        Wire::fill(*status.mutable_task(), id);
+        status.set_incarnation(task.incarnation);
+        status.set_state(toWire(task.state));
+        if (task.state == AgentTaskState::Ended)
+            status.set_end_reason(toWire(task.end));
+        status.set_detail(task.detail);
+        if (task.usage != Resources{})
+            Wire::fill(*status.mutable_usage(), task.usage);
+        task.changed = false;
+        task.usageChanged = false;
+    }
+    full_ = false;
+    announced_ = true;
+    outstanding_ = true;
+    syncMade_ = now;
+    return sync;
+}
+
+std::vector<WorkerAction> WorkerAgent::ordersReceived(TimePoint now, const Wire::WorkerOrders &orders)
+{
+    std::vector<WorkerAction> actions = tick(now);
+    const TimePoint expiry = syncMade_ + std::chrono::milliseconds(orders.lease_ms());
+    if (!outstanding_ || orders.boot_id() != bootId_ || orders.answered_sequence() != sequence_
+        || orders.epoch() < epoch_ || now >= expiry)
+        return actions;
+    outstanding_ = false;
+    epoch_ = orders.epoch();
+    if (!leaseExpiry_ || *leaseExpiry_ < expiry)
+        leaseExpiry_ = expiry;
+    full_ = full_ || orders.send_full();
+
+    for (const Wire::EndRecorded &recorded : orders.recorded()) {
+        const auto found = tasks_.find(Wire::toCore(recorded.task()));
+        if (found != tasks_.end() && found->second.incarnation == recorded.incarnation()
+            && found->second.state == AgentTaskState::Ended)
+            tasks_.erase(found);
+    }
+    for (const Wire::StopTask &stop : orders.stop()) {
+        const TaskId id = Wire::toCore(stop.task());
+        AgentTask *task = live(id, stop.incarnation());
+        if (task == nullptr)
+            continue;
+        WorkerAction action{
+            WorkerAction::Kind::Stop, id, stop.incarnation(), {}, std::chrono::milliseconds(stop.grace_ms()),
+            stop.checkpoint()};
+        if (stop.grace_ms() == 0) {
+            action.kind = WorkerAction::Kind::Kill;
+            end(*task, AgentEnd::Stopped, {});
+        }
+        actions.push_back(std::move(action));
+    }
+    for (const Wire::RunTask &order : orders.run()) {
+        if (auto action = run(order))
+            actions.push_back(std::move(*action));
+    }
+    for (const Wire::TaskId &started : orders.start()) {
+        const TaskId id = Wire::toCore(started);
+        const auto found = tasks_.find(id);
+        if (found == tasks_.end() || found->second.state != AgentTaskState::Prepared)
+            continue;
+        found->second.state = AgentTaskState::Running;
+        found->second.changed = true;
+        actions.push_back({WorkerAction::Kind::Start, id, found->second.incarnation, {}, {}});
+    }
+    for (const Wire::ThrottleTask &throttle : orders.throttle()) {
+        const TaskId id = Wire::toCore(throttle.task());
+        if (live(id, throttle.incarnation()) != nullptr)
+            actions.push_back(
+                {WorkerAction::Kind::Throttle, id, throttle.incarnation(), {}, {}, false, throttle.percent()});
+    }
+    return actions;
+}
+
+std::optional<WorkerAction> WorkerAgent::run(const Wire::RunTask &order)
+{
+    const TaskId id = Wire::toCore(order.task());
+    const Resources resources = Wire::toCore(order.resources());
+    const auto found = tasks_.find(id);
+    // Known tasks are not run again. An earlier incarnation that still runs is stopped by the leader first.
+    if (found != tasks_.end()
+        && (found->second.incarnation >= order.incarnation() || found->second.state != AgentTaskState::Ended))
+        return std::nullopt;
+    AgentTask task;
+    task.incarnation = order.incarnation();
+    task.resources = resources;
+    if (!(allocated() + resources).fitsIn(capacity_)) {
+        end(task, AgentEnd::NotStarted, "exceeds the worker's capacity");
+        tasks_.insert_or_assign(id, std::move(task));
+        return std::nullopt;
+    }
+    if (!order.prepare_only())
+        task.state = AgentTaskState::Running;
+    tasks_.insert_or_assign(id, std::move(task));
+    return WorkerAction{order.prepare_only() ? WorkerAction::Kind::Prepare : WorkerAction::Kind::Run,
+                        id,
+                        order.incarnation(),
+                        order.command(),
+                        {}};
+}
+
+std::vector<WorkerAction> WorkerAgent::tick(TimePoint now)
+{
+    std::vector<WorkerAction> actions;
+    if (!leaseExpiry_ || now < *leaseExpiry_)
+        return actions;
+    leaseExpiry_.reset();
+    for (auto &[id, task] : tasks_) {
+        if (task.state == AgentTaskState::Ended)
+            continue;
+        end(task, AgentEnd::Lost, "the lease expired");
+        actions.push_back({WorkerAction::Kind::Kill, id, task.incarnation, {}, {}});
+    }
+    return actions;
+}
+
+AgentTask *WorkerAgent::live(const TaskId &task, std::uint64_t incarnation)
+{
+    const auto found = tasks_.find(task);
+    const bool isLive = found != tasks_.end() && found->second.incarnation == incarnation
+        && found->second.state != AgentTaskState::Ended;
+    return isLive ? &found->second : nullptr;
+}
+
+void WorkerAgent::taskPrepared(const TaskId &task, std::uint64_t incarnation)
+{
+    AgentTask *found = live(task, incarnation);
+    if (found == nullptr || found->state != AgentTaskState::Preparing)
+        return;
+    found->state = AgentTaskState::Prepared;
+    found->changed = true;
+}
+
+void WorkerAgent::taskEnded(const TaskId &task, std::uint64_t incarnation, AgentEnd reason, std::string_view detail)
+{
+    if (AgentTask *found = live(task, incarnation))
+        end(*found, reason, detail);
+}
+
+void WorkerAgent::usageMeasured(const TaskId &task, std::uint64_t incarnation, const Resources &usage)
+{
+    AgentTask *found = live(task, incarnation);
+    if (found == nullptr || found->usage == usage)
+        return;
+    found->usage = usage;
+    found->usageChanged = true;
+}
+
+void WorkerAgent::setLeaving(bool leaving)
+{
+    announced_ = announced_ && leaving_ == leaving;
+    leaving_ = leaving;
+}
+
+void WorkerAgent::setCapacity(const Resources &capacity)
+{
+    if (capacity_ == capacity)
+        return;
+    capacity_ = capacity;
+    full_ = true;
+}
+
+bool WorkerAgent::hasNews() const
+{
+    if (full_ || !announced_)
+        return true;
+    for (const auto &[id, task] : tasks_) {
+        if (task.changed)
+            return true;
+    }
+    return false;
+}
+
+Resources WorkerAgent::allocated() const
+{
+    Resources sum;
+    for (const auto &[id, task] : tasks_) {
+        if (task.state != AgentTaskState::Ended)
+            sum += task.resources;
+    }
+    return sum;
+}
+
+} // namespace Pistachio::Scheduler
--- a/src/libs/scheduler/workeragent.h
+++ b/src/libs/scheduler/workeragent.h
@@ -51,7 +51,8 @@
     AgentTaskState state = AgentTaskState::Preparing;
     AgentEnd end = AgentEnd::Completed;
     std::string detail;
-    bool changed = true; ///< not yet reported in an answered sync
+    bool changed = true; ///< its state is not yet reported
+    bool usageChanged = false; ///< reported with the next sync, which is not sent early for it
 };
 
 /// The worker's side of the lease protocol. Only one sync is outstanding at a time. The lease counts from when the
--- /dev/null
+++ b/src/libs/scheduler/workersyncs.cpp
@@ -0,0 +1,277 @@
+#include "scheduler/zoneschedulerprivate.h"
+#include "wire/convert.h"
+#include "zonestate/zonestate.h"
+
+#include <algorithm>
+
+namespace Pistachio::Scheduler
+{
+
+namespace
+{
+// Usage reports lag; a task is stopped only when it is above its declared memory for this long in spite of throttling.
+constexpr Duration aboveMemoryLimit = 10s;
+constexpr std::uint32_t throttledPercent = 50;
+// Measured memory counts pages that are shared or about to be freed.
+constexpr double memoryTolerance = 1.05;
+} // namespace
+
+void ZoneScheduler::Private::workerSync(const Moment &now, const Wire::WorkerSync &sync)
+{
+    if (sync.worker().empty() || sync.boot_id().empty())
+        return;
+    const Slot slot = planner_->workers().slotOf(WorkerId(sync.worker()));
+    const LeaseTable::Verdict verdict
+        = leases_.sync(now.time, slot, sync.boot_id(), sync.sequence(), sync.epoch_seen(), sync.full());
+    switch (verdict) {
+    case LeaseTable::Verdict::Ignored:
+        return;
+    case LeaseTable::Verdict::Introduced:
+        worker(slot).sendFull = true;
+        return;
+    case LeaseTable::Verdict::Restarted:
+        for (const TaskId &id : worker(slot).tasks) {
+            TaskEntry *entry = find(id);
+            if (entry != nullptr && entry->delivery != Delivery::NotSent)
+                proposeEnd(now, id, *entry, Wire::TASK_END_LOST, "the worker restarted");
+        }
+        acceptReport(now, slot, sync);
+        return;
+    case LeaseTable::Verdict::Accepted:
+        acceptReport(now, slot, sync);
+        return;
+    }
+}
+
+void ZoneScheduler::Private::acceptReport(const Moment &now, Slot slot, const Wire::WorkerSync &sync)
+{
+    Placement::WorkerIndex &index = planner_->workers();
+    worker(slot).leaving = sync.leaving();
+    if (sync.full()) {
+        index.setRack(slot, sync.rack());
+        index.setCapacity(slot, Wire::toCore(sync.capacity()));
+    }
+    updateAccepting(now, slot);
+    std::set<TaskId> reported;
+    bool usage = false;
+    for (const Wire::TaskStatus &status : sync.tasks()) {
+        if (sync.full())
+            reported.insert(Wire::toCore(status.task()));
+        usage = usage || status.has_usage();
+        taskReported(now, slot, status, sync.full());
+    }
+    if (usage)
+        updatePressure(slot);
+    if (sync.full()) {
+        missingFromReport(now, slot, reported);
+        shedExcess(now, slot);
+    }
+    moveTasksAway(now, slot);
+    const Worker &reporter = worker(slot);
+    const bool orders = !reporter.recorded.empty() || !reporter.fenced.empty()
+        || std::any_of(reporter.tasks.begin(), reporter.tasks.end(), [this](const TaskId &id) {
+               const TaskEntry *entry = find(id);
+               return entry != nullptr && !entry->endProposed && entry->delivery == Delivery::NotSent;
+           });
+    if (orders)
+        leases_.answerSoon(now.time, slot);
+}
+
+void ZoneScheduler::Private::taskReported(const Moment &now, Slot slot, const Wire::TaskStatus &status, bool full)
+{
+    const TaskId id = Wire::toCore(status.task());
+    Worker &reporter = worker(slot);
+    TaskEntry *entry = find(id);
+    const bool current = entry != nullptr && entry->phase == TaskPhase::Assigned && entry->slot == slot
+        && entry->incarnation == status.incarnation();
+    if (current && !entry->endProposed) {
+        liveTaskReported(now, slot, id, *entry, status, full);
+        return;
+    }
+    if (current)
+        return; // its end is in flight, the worker hears when it is committed
+    if (status.state() == Wire::TASK_STATE_ENDED) {
+        Wire::EndRecorded &recorded = reporter.recorded.emplace_back();
+        *recorded.mutable_task() = status.task();
+        recorded.set_incarnation(status.incarnation());
+        return;
+    }
+    // The zone state holds no such assignment, so nothing may run for it.
+    Wire::StopTask &fenced = reporter.fenced.emplace_back();
+    *fenced.mutable_task() = status.task();
+    fenced.set_incarnation(status.incarnation());
+}
+
+void ZoneScheduler::Private::liveTaskReported(const Moment &now, Slot slot, const TaskId &id, TaskEntry &entry,
+                                              const Wire::TaskStatus &status, bool full)
+{
+    entry.delivery = Delivery::Sent;
+    BookingEntry &booking = bookings_.at(id.booking);
+    if (status.state() == Wire::TASK_STATE_ENDED) {
+        Wire::TaskEndReason reason = status.end_reason();
+        std::string detail = status.detail();
+        if (entry.cause == StopCause::AboveMemory) {
+            reason = Wire::TASK_END_FAILED;
+            detail = "used " + Resources{0, entry.usage.peak().memoryBytes, 0}.toString() + ", declared "
+                + entry.work->resources.toString();
+        } else if (reason == Wire::TASK_END_COMPLETED && entry.work->kind == Placement::WorkKind::Service) {
+            reason = Wire::TASK_END_FAILED;
+            detail = "the service ended before its booked end";
+        }
+        if (entry.cause != StopCause::None && entry.cause != StopCause::AboveMemory
+            && (reason == Wire::TASK_END_FAILED || reason == Wire::TASK_END_UNSPECIFIED))
+            reason = Wire::TASK_END_STOPPED; // some programs fail when they are told to stop
+        proposeEnd(now, id, entry, reason, std::move(detail));
+        return;
+    }
+    entry.prepared = entry.prepared || status.state() == Wire::TASK_STATE_PREPARED;
+    if (status.state() == Wire::TASK_STATE_RUNNING && !std::exchange(entry.running, true))
+        entry.runningSince = now.time;
+    if (full) {
+        // Orders of a lost answer did not reach the worker and are given again.
+        entry.stopSent = false;
+        entry.throttleSent = false;
+        if (!entry.running)
+            entry.startSent = false;
+        const bool waitsForOrder
+            = entry.cause != StopCause::None || entry.throttlePercent < 100 || (entry.prepared && !entry.running);
+        if (waitsForOrder)
+            leases_.answerSoon(now.time, slot);
+    }
+    if (status.has_usage())
+        usageReported(now, id, entry, Wire::toCore(status.usage()));
+    if (entry.prepared && !entry.running)
+        startGangIfPrepared(now, booking);
+}
+
+void ZoneScheduler::Private::usageReported(const Moment &now, const TaskId &id, TaskEntry &entry,
+                                           const Resources &usage)
+{
+    entry.usage.report(now.time, usage);
+    const double allowed = static_cast<double>(entry.work->resources.memoryBytes) * memoryTolerance;
+    if (static_cast<double>(usage.memoryBytes) <= allowed || entry.cause != StopCause::None) {
+        entry.aboveMemorySince.reset();
+        return;
+    }
+    if (!entry.aboveMemorySince) {
+        entry.aboveMemorySince = now.time;
+        entry.throttlePercent = throttledPercent;
+        entry.throttleSent = false;
+        decide("throttle", id, &entry, "uses more memory than declared");
+        leases_.answerSoon(now.time, entry.slot);
+        return;
+    }
+    if (now.time - *entry.aboveMemorySince < aboveMemoryLimit)
+        return;
+    decide("stop", id, &entry, "uses more memory than declared in spite of throttling");
+    stop(now, id, entry, StopCause::AboveMemory, bookings_.at(id.booking).spec.grace);
+}
+
+void ZoneScheduler::Private::missingFromReport(const Moment &now, Slot slot, const std::set<TaskId> &reported)
+{
+    const std::set<TaskId> tasks = worker(slot).tasks;
+    for (const TaskId &id : tasks) {
+        TaskEntry *entry = find(id);
+        if (entry == nullptr || reported.contains(id) || entry->endProposed)
+            continue;
+        const ZoneState::TaskAssignment *assignment = state_.tasks().assignment(id);
+        // A gang task is started only after its worker confirmed it, so the worker has lost it since.
+        if (assignment != nullptr && assignment->gang && assignment->started) {
+            proposeEnd(now, id, *entry, Wire::TASK_END_LOST, "the worker no longer knows the task");
+            continue;
+        }
+        entry->delivery = Delivery::NotSent;
+        entry->prepared = false;
+        entry->running = false;
+        if (entry->cause != StopCause::None)
+            proposeEnd(now, id, *entry, Wire::TASK_END_STOPPED, "stopped before the worker heard of it");
+    }
+}
+
+void ZoneScheduler::Private::updatePressure(Slot slot)
+{
+    const Placement::WorkerEntry &entry = planner_->workers().at(slot);
+    std::int64_t used = 0;
+    for (const TaskId &id : worker(slot).tasks) {
+        if (const TaskEntry *task = find(id))
+            used += task->usage.peak().memoryBytes;
+    }
+    const auto capacity = static_cast<double>(std::max<std::int64_t>(entry.capacity.memoryBytes, 1));
+    const auto excess = static_cast<double>(std::max<std::int64_t>(used - entry.allocated.memoryBytes, 0));
+    planner_->workers().setPressure(slot, excess / capacity);
+}
+
+void ZoneScheduler::Private::shedExcess(const Moment &now, Slot slot)
+{
+    const Placement::WorkerEntry &entry = planner_->workers().at(slot);
+    Resources staying = entry.allocated;
+    std::vector<Placement::PlacedTask> tasks = entry.tasks;
+    std::sort(tasks.begin(), tasks.end(), [](const auto &left, const auto &right) {
+        const bool leftService = left.kind == Placement::WorkKind::Service;
+        const bool rightService = right.kind == Placement::WorkKind::Service;
+        if (leftService != rightService)
+            return rightService;
+        return left.standing > right.standing;
+    });
+    for (const Placement::PlacedTask &placed : tasks) {
+        if (staying.fitsIn(entry.capacity))
+            return;
+        staying -= placed.resources;
+        TaskEntry *task = find(placed.task);
+        if (task == nullptr)
+            continue;
+        decide("stop", placed.task, task, "the capacity of the worker shrank");
+        stop(now, placed.task, *task, StopCause::Moved, bookings_.at(placed.task.booking).spec.grace);
+    }
+}
+
+void ZoneScheduler::Private::updateAccepting(const Moment &now, Slot slot)
+{
+    const Placement::WorkerEntry &entry = planner_->workers().at(slot);
+    const Placement::WorkerHealth::Mode mode = health_.mode(now.time, entry.id);
+    const bool healthy
+        = mode == Placement::WorkerHealth::Mode::Healthy || mode == Placement::WorkerHealth::Mode::ProbeDue;
+    const bool accepting
+        = healthy && entry.known && leases_.isConfirmed(slot) && !worker(slot).leaving && !state_.isDraining(entry.id);
+    if (accepting != entry.accepting || accepting)
+        planner_->workers().setAccepting(slot, accepting, mode == Placement::WorkerHealth::Mode::ProbeDue);
+    if (!accepting)
+        planner_->workerUnavailable(slot);
+}
+
+void ZoneScheduler::Private::moveTasksAway(const Moment &now, Slot slot)
+{
+    const Placement::WorkerEntry &entry = planner_->workers().at(slot);
+    if (!worker(slot).leaving && !state_.isDraining(entry.id))
+        return;
+    // Services first, since somebody waits for their answers.
+    std::vector<Placement::PlacedTask> tasks = entry.tasks;
+    std::stable_sort(tasks.begin(), tasks.end(), [](const auto &left, const auto &right) {
+        return left.kind == Placement::WorkKind::Service && right.kind != Placement::WorkKind::Service;
+    });
+    for (const Placement::PlacedTask &placed : tasks) {
+        TaskEntry *task = find(placed.task);
+        if (task == nullptr || task->cause != StopCause::None || task->endProposed)
+            continue;
+        decide("stop", placed.task, task, "the worker is leaving");
+        stop(now, placed.task, *task, StopCause::Moved, bookings_.at(placed.task.booking).spec.grace);
+    }
+}
+
+void ZoneScheduler::Private::checkHealth(const Moment &now)
+{
+    for (auto slot = unhealthy_.begin(); slot != unhealthy_.end();) {
+        const WorkerId name = planner_->workers().at(*slot).id;
+        for (const TaskId &id : worker(*slot).tasks) {
+            const TaskEntry *entry = find(id);
+            if (entry != nullptr && entry->runningSince
+                && now.time - *entry->runningSince >= Placement::WorkerHealth::earlyFailure)
+                health_.succeeded(name, id.booking);
+        }
+        updateAccepting(now, *slot);
+        const bool healthy = health_.mode(now.time, name) == Placement::WorkerHealth::Mode::Healthy;
+        slot = healthy ? unhealthy_.erase(slot) : std::next(slot);
+    }
+}
+
+} // namespace Pistachio::Scheduler
--- a/src/libs/scheduler/zonescheduler.h
+++ b/src/libs/scheduler/zonescheduler.h
@@ -53,7 +53,7 @@
     bool leaving = false;
     bool draining = false;
     bool quarantined = false;
-    Duration sinceSync{};
+    TimePoint lastSync{};
 };
 
 /// Places booked work on workers and keeps their leases.
--- a/src/libs/zonestate/tasktable.cpp
+++ b/src/libs/zonestate/tasktable.cpp
@@ -116,16 +116,15 @@
     if (found == assignments_.end() || command.incarnations().empty())
         return failure(ErrorCode::NotFound, "booking " + command.booking() + " has no prepared tasks");
     Assignments &tasks = found->second;
-    std::uint32_t index = 0;
-    for (const std::uint64_t incarnation : command.incarnations()) {
-        const auto task = tasks.find(index++);
-        if (task == tasks.end() || task->second.incarnation != incarnation || task->second.started)
+    if (tasks.size() != static_cast<std::size_t>(command.incarnations_size()))
+        return failure(ErrorCode::Conflict, "booking " + command.booking() + " has not all its tasks prepared");
+    auto incarnation = command.incarnations().begin();
+    for (const auto &[index, task] : tasks) {
+        if (task.incarnation != *incarnation || task.started)
             return failure(ErrorCode::Conflict,
-                           "task " + std::to_string(index - 1) + " of booking " + command.booking()
-                               + " is not prepared as incarnation " + std::to_string(incarnation));
+                           task.task.toString() + " is not prepared as incarnation " + std::to_string(*incarnation));
+        ++incarnation;
     }
-    if (tasks.size() != index)
-        return failure(ErrorCode::Conflict, "booking " + command.booking() + " has more tasks than are to start");
     for (auto &[number, task] : tasks)
         task.started = true;
     return success();
