Decide admission, balancing, retries and forwarding of requests in the library routing

Callers need truthful answers and full minions under overload. The router divides the slots of each minion between the entries of the zone, queues fairly by caller, refuses early, hands requests to entries that have free shares (own zone first), claims non-idempotent requests before the first send, retries within a budget, and ejects failing or slow minions.

--- a/src/libs/routing/commands.h
+++ b/src/libs/routing/commands.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -91,6 +92,7 @@
     std::string outcome; ///< empty while undecided
 };
 
-using Command = std::variant<SendCommand, ForwardCommand, CancelCommand, ClaimCommand, FinishCommand, AnswerCommand, DecisionRecord>;
+using Command = std::variant<SendCommand, ForwardCommand, CancelCommand, ClaimCommand, FinishCommand, AnswerCommand,
+                             DecisionRecord>;
 
 } // namespace Pistachio::Routing
--- a/src/libs/routing/entryview.h
+++ b/src/libs/routing/entryview.h
@@ -23,7 +23,7 @@
     std::uint32_t queued = 0;
 };
 
-/// An entry's report to the entries of other zones.
+/// An entry's report to the other entries.
 struct PeerReport {
     EntryInfo entry;
     bool draining = false;
--- a/src/libs/routing/events.h
+++ b/src/libs/routing/events.h
@@ -4,6 +4,7 @@
 #include "routing/request.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace Pistachio::Routing
 {
--- /dev/null
+++ b/src/libs/routing/miniontable.cpp
@@ -0,0 +1,250 @@
+#include "routing/miniontable.h"
+
+#include <algorithm>
+
+namespace Pistachio::Routing
+{
+
+namespace
+{
+constexpr int smoothing = 32;
+/// Ejecting more than a third would turn a fault that all minions share into an outage.
+constexpr std::size_t largestEjectedShare = 3;
+} // namespace
+
+MinionTable::MinionTable(EntryInfo self, std::unique_ptr<SlotPolicy> policy, Duration silence, Duration growthDelay)
+    : self_(std::move(self))
+    , policy_(std::move(policy))
+    , silence_(silence)
+    , growthDelay_(growthDelay)
+{
+}
+
+void MinionTable::announce(TimePoint now, const MinionAnnouncement &announcement)
+{
+    Minion &minion = minions_[announcement.id];
+    if (minion.announcement.service != announcement.service)
+        removeFromService(minion);
+    if (minion.announcement.address != announcement.address)
+        minion.health = {};
+    minion.announcement = announcement;
+    minion.heard = now;
+    minion.leaving = false;
+    minion.inFlightWhenAnnounced = minion.inFlight;
+    services_[announcement.service].minions.insert(announcement.id);
+}
+
+void MinionTable::leave(const MinionId &id)
+{
+    const auto minion = minions_.find(id);
+    if (minion == minions_.end())
+        return;
+    minion->second.leaving = true;
+    if (minion->second.inFlight > 0)
+        return;
+    removeFromService(minion->second);
+    minions_.erase(minion);
+}
+
+void MinionTable::entriesChanged(TimePoint now, std::span<const EntryInfo> entries)
+{
+    std::set<InstanceId> zone;
+    for (const EntryInfo &entry : entries) {
+        if (entry.zone == self_.zone)
+            zone.insert(entry.id);
+    }
+    std::optional<EntryRank> rank;
+    if (const auto own = zone.find(self_.id); own != zone.end())
+        rank = EntryRank{static_cast<std::size_t>(std::distance(zone.begin(), own)), zone.size()};
+    const bool same = rank.has_value() == rank_.has_value()
+        && (!rank || (rank->position == rank_->position && rank->count == rank_->count));
+    if (same)
+        return;
+    // With two changes in a row the oldest rank is no longer respected; the minion refuses what is too much then.
+    previousRank_ = rank_;
+    rank_ = rank;
+    growAt_ = now + growthDelay_;
+    growing_ = true;
+}
+
+void MinionTable::update(TimePoint now)
+{
+    if (growing_ && now >= growAt_) {
+        growing_ = false;
+        previousRank_.reset();
+    }
+    for (auto position = minions_.begin(); position != minions_.end();) {
+        Minion &minion = position->second;
+        minion.health.update(now);
+        if (now - minion.heard >= silence_)
+            minion.leaving = true;
+        if (minion.leaving && minion.inFlight == 0) {
+            removeFromService(minion);
+            position = minions_.erase(position);
+        } else {
+            ++position;
+        }
+    }
+}
+
+std::uint32_t MinionTable::fullShare(const Minion &minion) const
+{
+    if (!rank_)
+        return 0;
+    const std::uint32_t share = policy_->allowance(minion.announcement, *rank_, minion.inFlightWhenAnnounced);
+    if (!growing_)
+        return share;
+    if (!previousRank_)
+        return 0;
+    return std::min(share, policy_->allowance(minion.announcement, *previousRank_, minion.inFlightWhenAnnounced));
+}
+
+std::uint32_t MinionTable::allowanceOf(const Minion &minion) const
+{
+    return minion.leaving || minion.health.isFull() ? 0 : minion.health.allowance(fullShare(minion));
+}
+
+std::vector<Candidate> MinionTable::candidates(const ServiceId &service, const std::set<MinionId> &excluded) const
+{
+    std::vector<Candidate> result;
+    const auto known = services_.find(service);
+    if (known == services_.end())
+        return result;
+    result.reserve(known->second.minions.size());
+    for (const MinionId &id : known->second.minions) {
+        const auto position = minions_.find(id);
+        const Minion &minion = position->second;
+        const std::uint32_t allowance = allowanceOf(minion);
+        if (minion.inFlight >= allowance || excluded.contains(id))
+            continue;
+        result.push_back({&position->first, minion.inFlight, allowance, minion.announcement.slots,
+                          minion.announcement.slotsInUse, minion.health.latency()});
+    }
+    return result;
+}
+
+const std::string &MinionTable::address(const MinionId &minion) const
+{
+    return minions_.at(minion).announcement.address;
+}
+
+void MinionTable::begin(const MinionId &minion)
+{
+    ++minions_.at(minion).inFlight;
+}
+
+void MinionTable::end(const MinionId &id)
+{
+    const auto minion = minions_.find(id);
+    if (minion != minions_.end() && minion->second.inFlight > 0)
+        --minion->second.inFlight;
+}
+
+void MinionTable::refused(TimePoint now, const MinionId &id)
+{
+    if (const auto minion = minions_.find(id); minion != minions_.end())
+        minion->second.health.refused(now);
+}
+
+void MinionTable::succeeded(TimePoint now, const MinionId &id, Duration latency)
+{
+    const auto minion = minions_.find(id);
+    if (minion == minions_.end())
+        return;
+    Service &service = services_[minion->second.announcement.service];
+    service.latency
+        = service.latency == Duration::zero() ? latency : service.latency + (latency - service.latency) / smoothing;
+    minion->second.health.succeeded(latency);
+    judge(now, minion->second);
+}
+
+std::string_view MinionTable::failed(TimePoint now, const MinionId &id)
+{
+    const auto minion = minions_.find(id);
+    if (minion == minions_.end())
+        return {};
+    minion->second.health.failed();
+    return judge(now, minion->second);
+}
+
+std::string_view MinionTable::judge(TimePoint now, Minion &minion)
+{
+    const std::string_view reason = minion.health.ejectionReason(latency(minion.announcement.service));
+    if (reason.empty() || !mayEject(minion, reason))
+        return {};
+    minion.health.eject(now);
+    return reason;
+}
+
+bool MinionTable::mayEject(const Minion &minion, std::string_view reason) const
+{
+    const ServiceId &service = minion.announcement.service;
+    const std::set<MinionId> &all = services_.at(service).minions;
+    const auto ejected = static_cast<std::size_t>(
+        std::ranges::count_if(all, [this](const MinionId &id) { return minions_.at(id).health.isEjected(); }));
+    if (all.size() < 2 || ejected + 1 > std::max<std::size_t>(1, all.size() / largestEjectedShare))
+        return false;
+    // A failing minion does no useful work, so its removal takes nothing from the rest; a slow one does some.
+    if (reason != "slow")
+        return true;
+    const std::uint32_t remaining = allowance(service) - allowanceOf(minion);
+    return inFlight(service) <= remaining;
+}
+
+std::uint32_t MinionTable::allowance(const ServiceId &service) const
+{
+    const auto known = services_.find(service);
+    if (known == services_.end())
+        return 0;
+    std::uint32_t sum = 0;
+    for (const MinionId &id : known->second.minions) {
+        const Minion &minion = minions_.at(id);
+        sum += std::min(allowanceOf(minion), minion.announcement.slots);
+    }
+    return sum;
+}
+
+std::uint32_t MinionTable::inFlight(const ServiceId &service) const
+{
+    const auto known = services_.find(service);
+    if (known == services_.end())
+        return 0;
+    std::uint32_t sum = 0;
+    for (const MinionId &id : known->second.minions)
+        sum += minions_.at(id).inFlight;
+    return sum;
+}
+
+Duration MinionTable::latency(const ServiceId &service) const
+{
+    const auto known = services_.find(service);
+    return known == services_.end() ? Duration::zero() : known->second.latency;
+}
+
+std::size_t MinionTable::usable() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(minions_, [this](const auto &minion) { return allowanceOf(minion.second) > 0; }));
+}
+
+bool MinionTable::hasFull() const
+{
+    return std::ranges::any_of(minions_, [](const auto &minion) { return minion.second.health.isFull(); });
+}
+
+std::vector<ServiceId> MinionTable::services() const
+{
+    std::vector<ServiceId> result;
+    result.reserve(services_.size());
+    for (const auto &[service, state] : services_)
+        result.push_back(service);
+    return result;
+}
+
+void MinionTable::removeFromService(const Minion &minion)
+{
+    if (const auto service = services_.find(minion.announcement.service); service != services_.end())
+        service->second.minions.erase(minion.announcement.id);
+}
+
+} // namespace Pistachio::Routing
--- a/src/libs/routing/request.h
+++ b/src/libs/routing/request.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace Pistachio::Routing
 {
--- a/src/libs/routing/router.h
+++ b/src/libs/routing/router.h
@@ -20,7 +20,8 @@
 class Balancer;
 class SlotPolicy;
 
-/// Decides for one entry where each request goes and what its caller is told. Takes events and the time, yields commands.
+/// Decides for one entry where each request goes and what its caller is told. Takes events and the time, yields
+/// commands.
 class Router
 {
 public:
--- /dev/null
+++ b/src/libs/routing/routercore.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "core/random.h"
+#include "routing/admissionqueue.h"
+#include "routing/balancer.h"
+#include "routing/commands.h"
+#include "routing/events.h"
+#include "routing/miniontable.h"
+#include "routing/peertable.h"
+#include "routing/retrybudget.h"
+#include "routing/routersettings.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Pistachio::Routing::Internal
+{
+
+enum class RequestState : std::uint8_t {
+    Queued,
+    Claiming, ///< a slot is held while the claim is committed
+    InFlight,
+    Backoff, ///< waits before a retry
+};
+
+/// A request accepted and not answered.
+struct OpenRequest {
+    Request request;
+    RequestState state = RequestState::Queued;
+    std::uint32_t attempts = 0;
+    AttemptId attempt; ///< claim or attempt that is outstanding
+    AttemptId claim; ///< set once this entry holds the claim
+    MinionId minion; ///< whose slot is held
+    InstanceId peer; ///< entry the request was handed to
+    std::set<MinionId> triedMinions;
+    std::set<InstanceId> triedPeers;
+    AttemptId fallback; ///< complete answer with a server error, passed on when no retry does better
+    bool mayHaveRun = false;
+};
+
+/// An attempt whose result is awaited.
+struct OpenAttempt {
+    RequestId request;
+    TimePoint sent;
+};
+
+enum class TimerKind : std::uint8_t {
+    Deadline,
+    Attempt,
+    Claim,
+    Retry,
+};
+
+struct Timer {
+    TimerKind kind = TimerKind::Deadline;
+    RequestId request;
+    AttemptId attempt; ///< the timer is void once the request has another one
+};
+
+/// The decisions behind Router; routercore.cpp admits and dispatches, routerlifecycle.cpp follows each request to its
+/// end.
+class RouterCore
+{
+public:
+    RouterCore(RouterSettings settings, std::unique_ptr<Balancer> balancer, std::unique_ptr<SlotPolicy> slotPolicy,
+               std::uint64_t seed);
+
+    void arrived(TimePoint now, const Request &request);
+    void abandoned(TimePoint now, const RequestId &request);
+    void claimAnswered(TimePoint now, const ClaimResult &result);
+    void attemptFinished(TimePoint now, const AttemptResult &result);
+    void tick(TimePoint now);
+    /// Sends waiting requests while there are free slots.
+    void pump(TimePoint now, const ServiceId &service);
+    void pumpAll(TimePoint now);
+
+    [[nodiscard]] TimePoint nextTick() const;
+    [[nodiscard]] std::size_t queued() const;
+    [[nodiscard]] std::vector<ServiceLoad> loads() const;
+
+    RouterSettings settings_;
+    MinionTable minions_;
+    PeerTable peers_;
+    std::vector<Command> commands_;
+    std::unordered_map<RequestId, OpenRequest> requests_;
+    bool draining_ = false;
+
+private:
+    struct Estimate {
+        Duration wait{};
+        Duration hold{}; ///< time a slot is held, zero when unknown
+    };
+
+    void admit(TimePoint now, OpenRequest &open);
+    void readmit(TimePoint now, const ServiceId &service);
+    [[nodiscard]] Estimate estimate(const ServiceId &service, const CallerId &caller) const;
+    bool makeRoom(TimePoint now, const Request &request);
+    bool tryDispatch(TimePoint now, OpenRequest &open);
+    bool tryForward(TimePoint now, OpenRequest &open, PeerTable::Reach reach);
+    [[nodiscard]] bool needsClaim(const OpenRequest &open) const;
+    void claim(TimePoint now, OpenRequest &open);
+    void send(TimePoint now, OpenRequest &open);
+
+    void retryOrAnswer(TimePoint now, OpenRequest &open, AnswerReason reason);
+    void giveUp(TimePoint now, OpenRequest &open, AnswerReason reason);
+    void answer(TimePoint now, OpenRequest &open, Outcome outcome, AnswerReason reason,
+                const AttemptId &answeredBy = {});
+    void claimFailed(TimePoint now, OpenRequest &open, ClaimState state);
+    void releaseSlot(OpenRequest &open);
+    void judge(TimePoint now, OpenRequest &open, const AttemptResult &result, TimePoint sent);
+    void runTimer(TimePoint now, const Timer &timer);
+    void expire(TimePoint now, OpenRequest &open);
+    void attemptTimedOut(TimePoint now, OpenRequest &open);
+    void housekeeping(TimePoint now);
+
+    [[nodiscard]] Duration attemptTimeout(TimePoint now, const OpenRequest &open) const;
+    [[nodiscard]] Duration retryAfter(const ServiceId &service) const;
+    [[nodiscard]] OpenRequest *find(const RequestId &request);
+    AttemptId nextAttempt();
+    void startTimer(TimePoint at, TimerKind kind, const OpenRequest &open);
+    void record(const OpenRequest &open, std::string chosen, std::vector<std::string> candidates, std::string reason,
+                std::string outcome = {});
+
+    std::unique_ptr<Balancer> balancer_;
+    RandomSource random_;
+    RetryBudget budget_;
+    std::map<ServiceId, AdmissionQueue> queues_;
+    std::unordered_map<AttemptId, OpenAttempt> attempts_;
+    std::multimap<TimePoint, Timer> timers_;
+    TimePoint nextHousekeeping_;
+    std::uint64_t attemptCount_ = 0;
+};
+
+} // namespace Pistachio::Routing::Internal
--- /dev/null
+++ b/src/libs/routing/routerlifecycle.cpp
@@ -0,0 +1,251 @@
+#include "routing/routercore.h"
+
+#include <algorithm>
+
+namespace Pistachio::Routing::Internal
+{
+
+namespace
+{
+constexpr std::uint32_t firstServerError = 500;
+constexpr Duration firstBackoff = 4ms;
+constexpr std::uint32_t maxBackoffDoublings = 6;
+
+bool didNotRun(AttemptEnd end)
+{
+    return end == AttemptEnd::RefusedSlots || end == AttemptEnd::RefusedLeaving || end == AttemptEnd::NotWritten;
+}
+
+} // namespace
+
+void RouterCore::claimAnswered(TimePoint now, const ClaimResult &result)
+{
+    OpenRequest *open = find(result.request);
+    // A claim that is answered late was already finished as `not run` when it was given up.
+    if (!open || open->state != RequestState::Claiming || open->attempt != result.attempt)
+        return;
+    if (result.state != ClaimState::Claimed)
+        return claimFailed(now, *open, result.state);
+    open->claim = result.attempt;
+    if (now >= open->request.deadline) {
+        releaseSlot(*open);
+        return giveUp(now, *open, AnswerReason::Expired);
+    }
+    send(now, *open);
+}
+
+void RouterCore::claimFailed(TimePoint now, OpenRequest &open, ClaimState state)
+{
+    releaseSlot(open);
+    const ServiceId service = open.request.service;
+    switch (state) {
+    case ClaimState::FinishedRun:
+        answer(now, open, Outcome::Run, AnswerReason::StoredAnswer);
+        break;
+    case ClaimState::FinishedUnknown:
+        answer(now, open, Outcome::Unknown, AnswerReason::StoredAnswer);
+        break;
+    case ClaimState::InProgress:
+        answer(now, open, Outcome::Unknown, AnswerReason::InProgress);
+        break;
+    case ClaimState::FingerprintMismatch:
+        answer(now, open, Outcome::NotRun, AnswerReason::FingerprintMismatch);
+        break;
+    case ClaimState::Lost:
+        // The claim may still be committed; the request was not sent and never will be.
+        open.claim = open.attempt;
+        answer(now, open, Outcome::NotRun, AnswerReason::ClaimUnavailable);
+        break;
+    case ClaimState::Claimed:
+    case ClaimState::Unavailable:
+        answer(now, open, Outcome::NotRun, AnswerReason::ClaimUnavailable);
+        break;
+    }
+    pump(now, service);
+}
+
+void RouterCore::attemptFinished(TimePoint now, const AttemptResult &result)
+{
+    const auto position = attempts_.find(result.attempt);
+    if (position == attempts_.end())
+        return; // late or duplicate
+    const OpenAttempt attempt = position->second;
+    attempts_.erase(position);
+    OpenRequest *open = find(attempt.request);
+    if (!open || open->attempt != result.attempt)
+        return;
+    const ServiceId service = open->request.service;
+    judge(now, *open, result, attempt.sent);
+    releaseSlot(*open);
+
+    if (result.end == AttemptEnd::Answered) {
+        const bool retryable = open->request.idempotent && result.status >= firstServerError && open->attempts == 1;
+        if (!retryable) {
+            answer(now, *open, Outcome::Run, AnswerReason::MinionAnswer, result.attempt);
+        } else {
+            open->fallback = result.attempt;
+            retryOrAnswer(now, *open, AnswerReason::MinionAnswer);
+        }
+    } else if (result.end == AttemptEnd::PeerNotRun) {
+        // No minion got it, so this adds no load and takes nothing from the retry budget.
+        admit(now, *open);
+    } else if (didNotRun(result.end)) {
+        retryOrAnswer(now, *open, AnswerReason::RetriesExhausted);
+    } else {
+        open->mayHaveRun = true;
+        if (open->request.idempotent)
+            retryOrAnswer(now, *open, AnswerReason::InDoubt);
+        else
+            giveUp(now, *open, AnswerReason::InDoubt);
+    }
+    pump(now, service);
+}
+
+void RouterCore::judge(TimePoint now, OpenRequest &open, const AttemptResult &result, TimePoint sent)
+{
+    if (!open.peer.isEmpty()) {
+        if (result.end != AttemptEnd::Answered)
+            peers_.refused(open.peer, open.request.service);
+        return;
+    }
+    std::string_view ejection;
+    switch (result.end) {
+    case AttemptEnd::Answered:
+        if (result.status < firstServerError)
+            minions_.succeeded(now, open.minion, now - sent);
+        else
+            ejection = minions_.failed(now, open.minion);
+        break;
+    case AttemptEnd::RefusedLeaving:
+        minions_.leave(open.minion);
+        break;
+    case AttemptEnd::RefusedSlots:
+        minions_.refused(now, open.minion);
+        nextHousekeeping_ = now;
+        break;
+    default:
+        ejection = minions_.failed(now, open.minion);
+    }
+    if (!ejection.empty())
+        record(open, open.minion.value(), {}, "ejected: " + std::string(ejection), std::string(toString(result.end)));
+}
+
+void RouterCore::releaseSlot(OpenRequest &open)
+{
+    if (!open.minion.isEmpty()) {
+        minions_.end(open.minion);
+        open.triedMinions.insert(open.minion);
+        open.minion = MinionId();
+    }
+    if (!open.peer.isEmpty()) {
+        peers_.ended(open.peer, open.request.service);
+        open.triedPeers.insert(open.peer);
+        open.peer = InstanceId();
+    }
+}
+
+void RouterCore::retryOrAnswer(TimePoint now, OpenRequest &open, AnswerReason reason)
+{
+    const Duration ceiling = firstBackoff * (1LL << std::min(open.attempts, maxBackoffDoublings));
+    const auto jitter
+        = Duration(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(ceiling.count()))));
+    if (open.request.forwarded || now + jitter >= open.request.deadline || !budget_.take())
+        return giveUp(now, open, reason);
+    open.state = RequestState::Backoff;
+    record(open, {}, {}, "retry");
+    startTimer(now + jitter, TimerKind::Retry, open);
+}
+
+void RouterCore::giveUp(TimePoint now, OpenRequest &open, AnswerReason reason)
+{
+    if (!open.fallback.isEmpty())
+        return answer(now, open, Outcome::Run, AnswerReason::MinionAnswer, open.fallback);
+    answer(now, open, open.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, reason);
+}
+
+void RouterCore::answer(TimePoint, OpenRequest &open, Outcome outcome, AnswerReason reason, const AttemptId &answeredBy)
+{
+    const Duration comeBack = outcome == Outcome::NotRun ? retryAfter(open.request.service) : Duration::zero();
+    if (!open.claim.isEmpty())
+        commands_.emplace_back(FinishCommand{open.request.id, open.claim, open.request.key, outcome, answeredBy});
+    commands_.emplace_back(AnswerCommand{open.request.id, outcome, reason, answeredBy, comeBack});
+    record(open, {}, {}, std::string(toString(reason)), std::string(toString(outcome)));
+    const RequestId request = open.request.id;
+    requests_.erase(request);
+}
+
+void RouterCore::abandoned(TimePoint now, const RequestId &request)
+{
+    OpenRequest *open = find(request);
+    if (!open || (open->state != RequestState::Queued && open->state != RequestState::Backoff))
+        return;
+    queues_[open->request.service].remove(open->request.caller, request);
+    giveUp(now, *open, AnswerReason::Expired);
+}
+
+void RouterCore::runTimer(TimePoint now, const Timer &timer)
+{
+    OpenRequest *open = find(timer.request);
+    if (!open)
+        return;
+    if (timer.kind == TimerKind::Deadline)
+        return expire(now, *open);
+    if (open->attempt != timer.attempt)
+        return;
+    switch (timer.kind) {
+    case TimerKind::Claim:
+        if (open->state == RequestState::Claiming)
+            claimFailed(now, *open, ClaimState::Lost);
+        break;
+    case TimerKind::Attempt:
+        if (open->state == RequestState::InFlight)
+            attemptTimedOut(now, *open);
+        break;
+    case TimerKind::Retry:
+        if (open->state == RequestState::Backoff) {
+            open->state = RequestState::Queued;
+            queues_[open->request.service].pushRetry(open->request.id);
+            pump(now, open->request.service);
+        }
+        break;
+    case TimerKind::Deadline:
+        break;
+    }
+}
+
+void RouterCore::attemptTimedOut(TimePoint now, OpenRequest &open)
+{
+    // Without a retry left, an answer before the deadline is still worth waiting for.
+    if (!budget_.allows())
+        return;
+    commands_.emplace_back(CancelCommand{open.attempt});
+    attemptFinished(now, {open.attempt, AttemptEnd::TimedOut, 0});
+}
+
+void RouterCore::expire(TimePoint now, OpenRequest &open)
+{
+    const ServiceId service = open.request.service;
+    switch (open.state) {
+    case RequestState::Queued:
+        queues_[service].remove(open.request.caller, open.request.id);
+        return giveUp(now, open, AnswerReason::Expired);
+    case RequestState::Backoff:
+        return giveUp(now, open, AnswerReason::Expired);
+    case RequestState::Claiming:
+        return claimFailed(now, open, ClaimState::Lost);
+    case RequestState::InFlight:
+        break;
+    }
+    const AttemptId attempt = open.attempt;
+    commands_.emplace_back(CancelCommand{attempt});
+    open.mayHaveRun = true;
+    if (const auto position = attempts_.find(attempt); position != attempts_.end()) {
+        judge(now, open, {attempt, AttemptEnd::TimedOut, 0}, position->second.sent);
+        attempts_.erase(position);
+    }
+    releaseSlot(open);
+    giveUp(now, open, AnswerReason::Expired);
+    pump(now, service);
+}
+
+} // namespace Pistachio::Routing::Internal
--- /dev/null
+++ b/tests/benchmarks/routing/main.cpp
@@ -0,0 +1,135 @@
+#include "simulation.h"
+
+#include <cstdio>
+#include <cstring>
+#include <vector>
+
+using namespace Pistachio;
+using namespace Pistachio::Benchmark;
+
+namespace
+{
+
+constexpr std::uint64_t seed = 20260;
+
+// Bounds from the requirements: goodput under overload, load added by retries, shares of a minion.
+constexpr double leastGoodputAtTwiceCapacity = 0.95;
+constexpr double mostAttemptsPerRequest = 1.1;
+
+std::vector<Scenario> scenarios()
+{
+    std::vector<Scenario> result;
+    for (const double load : {1.0, 1.5, 2.0}) {
+        Scenario ordering;
+        ordering.name = "ordering";
+        ordering.load = load;
+        result.push_back(ordering);
+        Scenario artwork;
+        artwork.name = "artwork";
+        artwork.minions = 13;
+        artwork.meanService = 200ms;
+        artwork.timeout = 5s;
+        artwork.load = load;
+        result.push_back(artwork);
+    }
+    Scenario faults;
+    faults.name = "faults";
+    faults.load = 0.7;
+    faults.faults = true;
+    result.push_back(faults);
+    Scenario zones;
+    zones.name = "skewed zones";
+    zones.load = 0.8;
+    zones.skewedZones = true;
+    result.push_back(zones);
+    Scenario entries;
+    entries.name = "skewed entries";
+    entries.load = 0.8;
+    entries.skewedEntries = true;
+    result.push_back(entries);
+    return result;
+}
+
+const Variant chosen{"shares, two choices", Balancing::TwoChoicesByShare, Slots::Shares, true};
+const Variant roundRobin{"round robin, all in", Balancing::RoundRobin, Slots::Connections, false};
+const Variant randomChoice{"random, all in", Balancing::Random, Slots::Connections, false};
+
+double ratio(std::uint64_t part, std::uint64_t whole)
+{
+    return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+void print(const Scenario &scenario, const Variant &variant, const Measurement &result)
+{
+    std::printf("%-15s %4.1f  %-22s %7.3f %8.3f %7.3f %8.1f %8.1f %9.3f %8llu %7.4f %7.4f\n", scenario.name.c_str(),
+                scenario.load, variant.name.c_str(), result.capacityShare, ratio(result.refused, result.requests),
+                ratio(result.failed, result.requests), static_cast<double>(result.waitP50.count()) / 1000.0,
+                static_cast<double>(result.waitP99.count()) / 1000.0, ratio(result.attempts, result.requests),
+                static_cast<unsigned long long>(result.aboveSlots), ratio(result.crossedZone, result.requests),
+                ratio(result.crossedRegion, result.requests));
+}
+
+bool require(bool condition, const char *bound)
+{
+    if (!condition)
+        std::printf("  bound violated: %s\n", bound);
+    return condition;
+}
+
+bool checkBounds(const Scenario &scenario, const Measurement &result, const std::vector<Measurement> &baselines)
+{
+    bool met = require(result.requests > 1000, "more than 1000 requests measured");
+    met &= require(result.answeredTwice == 0, "one answer for each request");
+    met &= require(result.aboveSlots == 0, "no minion has more than 8 open attempts");
+    met &= require(ratio(result.attempts, result.requests) <= mostAttemptsPerRequest, "attempts <= 1.1 x requests");
+    if (scenario.load >= 2.0)
+        met &= require(result.capacityShare >= leastGoodputAtTwiceCapacity, "goodput >= 0.95 x capacity at 2 x");
+    if (scenario.faults) {
+        for (const Measurement &baseline : baselines)
+            met &= require(result.waitP99 < baseline.waitP99, "99th percentile of waiting below each baseline");
+    }
+    return met;
+}
+
+std::vector<Variant> alternatives()
+{
+    return {{"shares, by report", Balancing::TwoChoicesByReport, Slots::Shares, true},
+            {"shares, round robin", Balancing::RoundRobin, Slots::Shares, true},
+            {"shares, random", Balancing::Random, Slots::Shares, true},
+            {"credits, two choices", Balancing::TwoChoicesByShare, Slots::Credits, true},
+            {"load reports", Balancing::TwoChoicesByReport, Slots::LoadReports, true}};
+}
+
+} // namespace
+
+/// Prints the table. `--check` measures only the chosen variant and the baselines and fails when a bound is violated;
+/// `--broken` puts entries without shares and admission in the place of the chosen variant.
+int main(int argc, char **argv)
+{
+    bool check = false;
+    bool broken = false;
+    for (int index = 1; index < argc; ++index) {
+        check = check || std::strcmp(argv[index], "--check") == 0;
+        broken = broken || std::strcmp(argv[index], "--broken") == 0;
+    }
+    const Variant subject = broken ? Variant{"broken", Balancing::Random, Slots::LoadReports, false} : chosen;
+    std::printf("goodput: share of capacity; waiting in ms beyond the work itself; crossings: share of requests\n");
+    std::printf("%-15s %4s  %-22s %7s %8s %7s %8s %8s %9s %8s %7s %7s\n", "scenario", "load", "variant", "goodput",
+                "refused", "failed", "wait p50", "wait p99", "attempts", "above 8", "x-zone", "x-region");
+    bool met = true;
+    for (const Scenario &scenario : scenarios()) {
+        std::vector<Measurement> baselines;
+        for (const Variant &baseline : {roundRobin, randomChoice}) {
+            baselines.push_back(Simulation(scenario, baseline, seed).run());
+            print(scenario, baseline, baselines.back());
+        }
+        if (!check) {
+            for (const Variant &variant : alternatives())
+                print(scenario, variant, Simulation(scenario, variant, seed).run());
+        }
+        const Measurement result = Simulation(scenario, subject, seed).run();
+        print(scenario, subject, result);
+        met &= checkBounds(scenario, result, baselines);
+    }
+    return met ? 0 : 1;
+}
--- /dev/null
+++ b/tests/benchmarks/routing/simulation.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "core/random.h"
+#include "routing/router.h"
+#include "simulatedminion.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Pistachio::Benchmark
+{
+
+enum class Balancing : std::uint8_t {
+    TwoChoicesByShare,
+    TwoChoicesByReport,
+    RoundRobin,
+    Random,
+};
+
+enum class Slots : std::uint8_t {
+    Shares,
+    Credits,
+    LoadReports,
+    Connections,
+};
+
+/// What is measured against what.
+struct Variant {
+    std::string name;
+    Balancing balancing = Balancing::TwoChoicesByShare;
+    Slots slots = Slots::Shares;
+    bool admission = true;
+};
+
+struct Scenario {
+    std::string name;
+    std::size_t minions = 35;
+    Duration meanService = 50ms;
+    Duration timeout = 2s;
+    double load = 1.0; ///< offered work over the capacity of all slots
+    bool faults = false; ///< one slow, one failing and one silent minion
+    bool skewedZones = false; ///< the first zone gets half of the load instead of a third
+    bool skewedEntries = false; ///< the first entry of each zone gets half of the zone's load
+};
+
+struct Measurement {
+    std::uint64_t requests = 0;
+    std::uint64_t inTime = 0; ///< answered with success before the deadline
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0; ///< `unknown` or a server error
+    std::uint64_t attempts = 0;
+    std::uint64_t aboveSlots = 0; ///< attempts sent to a minion that had 8 open
+    std::uint64_t crossedZone = 0;
+    std::uint64_t crossedRegion = 0;
+    std::uint64_t answeredTwice = 0;
+    double capacityShare = 0; ///< goodput over capacity
+    Duration waitP50{};
+    Duration waitP99{};
+};
+
+/// Nine entries in three zones, two of them in one region, under an open load in virtual time.
+class Simulation
+{
+public:
+    Simulation(Scenario scenario, const Variant &variant, std::uint64_t seed);
+    ~Simulation();
+
+    Measurement run();
+
+private:
+    struct Entry;
+    struct Call;
+    struct Event;
+
+    void at(TimePoint time, std::function<void()> action);
+    void announceMinions();
+    void reportPeers();
+    void arrive();
+    void process(std::size_t entry);
+    void scheduleTick(std::size_t entry);
+    void execute(std::size_t entry, const Routing::Command &command);
+    void sendToMinion(std::size_t entry, const Routing::SendCommand &command);
+    void startWork(std::size_t minion, const Work &work);
+    void finishAttempt(std::size_t entry, const Routing::AttemptId &attempt, Routing::AttemptEnd end,
+                       std::uint32_t status, Duration delay);
+    void closeAttempt(const Routing::AttemptId &attempt);
+    void forward(std::size_t entry, const Routing::ForwardCommand &command);
+    void answerCaller(std::size_t entry, const Routing::AnswerCommand &command);
+    void complete(Call &call, const Routing::AnswerCommand &command);
+    [[nodiscard]] std::size_t drawEntry();
+    [[nodiscard]] Duration drawExponential(Duration mean);
+
+    Scenario scenario_;
+    RandomSource random_;
+    TimePoint now_;
+    std::uint64_t sequence_ = 0;
+    std::vector<std::unique_ptr<Entry>> entries_;
+    std::vector<SimulatedMinion> minions_;
+    std::unordered_map<std::string, std::size_t> minionByAddress_;
+    std::unordered_map<std::string, Call> calls_;
+    std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> openAttempts_; ///< minion and entry
+    std::unordered_map<std::string, std::uint32_t> statusOf_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+    std::vector<Duration> waits_;
+    Measurement measurement_;
+    std::uint64_t callCount_ = 0;
+};
+
+} // namespace Pistachio::Benchmark
