--- a/src/libs/scheduler/answers.cpp
+++ b/src/libs/scheduler/answers.cpp
@@ -47,16 +47,25 @@
     leases_.answered(now.time, slot);
 }
 
-void ZoneScheduler::Private::addTaskOrders(const TaskId &id, TaskEntry &entry, Wire::WorkerOrders &orders)
+bool ZoneScheduler::Private::needsOrder(const TaskId &id, const TaskEntry &entry) const
 {
     if (entry.phase != TaskPhase::Assigned || entry.endProposed)
-        return;
+        return false;
     const ZoneState::TaskAssignment *assignment = state_.tasks().assignment(id);
     if (assignment == nullptr || assignment->incarnation != entry.incarnation)
+        return false;
+    if (entry.cause != StopCause::None)
+        return entry.delivery != Delivery::NotSent && !entry.stopSent;
+    const bool start = assignment->gang && assignment->started && entry.prepared && !entry.running && !entry.startSent;
+    return entry.delivery == Delivery::NotSent || start || (entry.throttlePercent < 100 && !entry.throttleSent);
+}
+
+void ZoneScheduler::Private::addTaskOrders(const TaskId &id, TaskEntry &entry, Wire::WorkerOrders &orders)
+{
+    if (!needsOrder(id, entry))
         return;
+    const ZoneState::TaskAssignment &assignment = *state_.tasks().assignment(id);
     if (entry.cause != StopCause::None) {
-        if (entry.delivery == Delivery::NotSent || entry.stopSent)
-            return;
         Wire::StopTask &stop = *orders.add_stop();
         Wire::fill(*stop.mutable_task(), id);
         stop.set_incarnation(entry.incarnation);
@@ -71,10 +80,10 @@
         run.set_incarnation(entry.incarnation);
         Wire::fill(*run.mutable_resources(), entry.work->resources);
         run.set_command(bookings_.at(id.booking).spec.command);
-        run.set_prepare_only(assignment->gang);
+        run.set_prepare_only(assignment.gang);
         entry.delivery = Delivery::Sent;
     }
-    if (assignment->gang && assignment->started && entry.prepared && !entry.running && !entry.startSent) {
+    if (assignment.started && entry.prepared && !entry.running && !entry.startSent) {
         Wire::fill(*orders.add_start(), id);
         entry.startSent = true;
     }
--- a/src/libs/scheduler/workersyncs.cpp
+++ b/src/libs/scheduler/workersyncs.cpp
@@ -71,7 +71,7 @@
     const bool orders = !reporter.recorded.empty() || !reporter.fenced.empty()
         || std::any_of(reporter.tasks.begin(), reporter.tasks.end(), [this](const TaskId &id) {
                const TaskEntry *entry = find(id);
-               return entry != nullptr && !entry->endProposed && entry->delivery == Delivery::NotSent;
+               return entry != nullptr && needsOrder(id, *entry);
            });
     if (orders)
         leases_.answerSoon(now.time, slot);
@@ -85,7 +85,7 @@
     const bool current = entry != nullptr && entry->phase == TaskPhase::Assigned && entry->slot == slot
         && entry->incarnation == status.incarnation();
     if (current && !entry->endProposed) {
-        liveTaskReported(now, slot, id, *entry, status, full);
+        liveTaskReported(now, id, *entry, status, full);
         return;
     }
     if (current)
@@ -102,7 +102,7 @@
     fenced.set_incarnation(status.incarnation());
 }
 
-void ZoneScheduler::Private::liveTaskReported(const Moment &now, Slot slot, const TaskId &id, TaskEntry &entry,
+void ZoneScheduler::Private::liveTaskReported(const Moment &now, const TaskId &id, TaskEntry &entry,
                                               const Wire::TaskStatus &status, bool full)
 {
     entry.delivery = Delivery::Sent;
@@ -133,10 +133,6 @@
         entry.throttleSent = false;
         if (!entry.running)
             entry.startSent = false;
-        const bool waitsForOrder
-            = entry.cause != StopCause::None || entry.throttlePercent < 100 || (entry.prepared && !entry.running);
-        if (waitsForOrder)
-            leases_.answerSoon(now.time, slot);
     }
     if (status.has_usage())
         usageReported(now, id, entry, Wire::toCore(status.usage()));
@@ -153,18 +149,30 @@
         entry.aboveMemorySince.reset();
         return;
     }
-    if (!entry.aboveMemorySince) {
-        entry.aboveMemorySince = now.time;
-        entry.throttlePercent = throttledPercent;
-        entry.throttleSent = false;
-        decide("throttle", id, &entry, "uses more memory than declared");
-        leases_.answerSoon(now.time, entry.slot);
+    if (entry.aboveMemorySince)
         return;
+    entry.aboveMemorySince = now.time;
+    memoryDeadlines_.emplace(now.time + aboveMemoryLimit, id);
+    entry.throttlePercent = throttledPercent;
+    entry.throttleSent = false;
+    decide("throttle", id, &entry, "uses more memory than declared");
+    leases_.answerSoon(now.time, entry.slot);
+}
+
+void ZoneScheduler::Private::checkMemory(const Moment &now)
+{
+    while (!memoryDeadlines_.empty() && memoryDeadlines_.begin()->first <= now.time) {
+        const TaskId id = memoryDeadlines_.begin()->second;
+        memoryDeadlines_.erase(memoryDeadlines_.begin());
+        TaskEntry *entry = find(id);
+        // Workers report usage when it changes, so the last report still holds.
+        const bool above = entry != nullptr && entry->phase == TaskPhase::Assigned && entry->aboveMemorySince
+            && now.time - *entry->aboveMemorySince >= aboveMemoryLimit;
+        if (!above)
+            continue;
+        decide("stop", id, entry, "uses more memory than declared in spite of throttling");
+        stop(now, id, *entry, StopCause::AboveMemory, bookings_.at(id.booking).spec.grace);
     }
-    if (now.time - *entry.aboveMemorySince < aboveMemoryLimit)
-        return;
-    decide("stop", id, &entry, "uses more memory than declared in spite of throttling");
-    stop(now, id, entry, StopCause::AboveMemory, bookings_.at(id.booking).spec.grace);
 }
 
 void ZoneScheduler::Private::missingFromReport(const Moment &now, Slot slot, const std::set<TaskId> &reported)
--- a/src/libs/scheduler/zonescheduler.cpp
+++ b/src/libs/scheduler/zonescheduler.cpp
@@ -140,6 +140,7 @@
     wallTimers_.clear();
     delays_.clear();
     stopDeadlines_.clear();
+    memoryDeadlines_.clear();
     workers_.clear();
     unhealthy_.clear();
     ends_.clear();
@@ -231,6 +232,7 @@
     loseExpired(now);
     checkHealth(now);
     checkStopDeadlines(now);
+    checkMemory(now);
     if (now.time >= planFrom_)
         plan(now);
     flushEnds(now);
--- a/src/libs/scheduler/zoneschedulerprivate.h
+++ b/src/libs/scheduler/zoneschedulerprivate.h
@@ -76,9 +76,10 @@
     void workerSync(const Moment &now, const Wire::WorkerSync &sync);
     void acceptReport(const Moment &now, Slot slot, const Wire::WorkerSync &sync);
     void taskReported(const Moment &now, Slot slot, const Wire::TaskStatus &status, bool full);
-    void liveTaskReported(const Moment &now, Slot slot, const TaskId &id, TaskEntry &entry,
-                          const Wire::TaskStatus &status, bool full);
+    void liveTaskReported(const Moment &now, const TaskId &id, TaskEntry &entry, const Wire::TaskStatus &status,
+                          bool full);
     void usageReported(const Moment &now, const TaskId &id, TaskEntry &entry, const Resources &usage);
+    void checkMemory(const Moment &now);
     void missingFromReport(const Moment &now, Slot slot, const std::set<TaskId> &reported);
     void updatePressure(Slot slot);
     void shedExcess(const Moment &now, Slot slot);
@@ -89,6 +90,7 @@
     // answers.cpp
     void answerDue(const Moment &now);
     void answer(const Moment &now, Slot slot);
+    [[nodiscard]] bool needsOrder(const TaskId &id, const TaskEntry &entry) const;
     void addTaskOrders(const TaskId &id, TaskEntry &entry, Wire::WorkerOrders &orders);
     void loseExpired(const Moment &now);
     void removeIfGone(Slot slot);
@@ -130,6 +132,7 @@
     std::set<std::pair<std::int64_t, BookingId>> wallTimers_;
     std::set<std::pair<TimePoint, TaskId>> delays_;
     std::set<std::pair<TimePoint, TaskId>> stopDeadlines_;
+    std::set<std::pair<TimePoint, TaskId>> memoryDeadlines_;
     std::vector<Worker> workers_;
     std::set<Slot> unhealthy_;
     LeaseTable leases_;
--- /dev/null
+++ b/tests/auto/scheduler/tst_scheduler.cpp
@@ -0,0 +1,300 @@
+#include "simulatedzone.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace Pistachio;
+using Scheduler::BookingState;
+
+class SchedulerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SchedulerTest);
+    CPPUNIT_TEST(workRunsAndIsExplained);
+    CPPUNIT_TEST(leavingWorkerReceivesNothingNew);
+    CPPUNIT_TEST(drainMovesServicesOverRacks);
+    CPPUNIT_TEST(urgentWorkDisplacesOnlyWhatAllowsIt);
+    CPPUNIT_TEST(noTaskIsDisplacedAgainAndAgain);
+    CPPUNIT_TEST(datesAndCancellationsEndWork);
+    CPPUNIT_TEST(cancellationWaveIsOneLogEntry);
+    CPPUNIT_TEST(taskAboveItsMemoryIsThrottledThenStopped);
+    CPPUNIT_TEST(faultyWorkerIsQuarantinedAndProbed);
+    CPPUNIT_TEST(jobThatFailsEverywhereIsHeld);
+    CPPUNIT_TEST(newLeaderWaitsForEarlierLeases);
+    CPPUNIT_TEST(brokenGangStartsAgainWhole);
+    CPPUNIT_TEST(delayedSyncOfAnEarlierProcessIsNoRestart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against booked work that does not run, and against untruthful answers about it.
+    void workRunsAndIsExplained()
+    {
+        SimulatedZone zone({});
+        zone.book("service", Wire::WORK_KIND_SERVICE, 2, 1000);
+        zone.book("batch", Wire::WORK_KIND_BATCH, 3, 1000);
+        zone.book("gang", Wire::WORK_KIND_TOGETHER, 4, 2000);
+        zone.book("huge", Wire::WORK_KIND_BATCH, 1, 9000);
+        zone.runTime = {{"batch", 2s}};
+        zone.advance(4s);
+        CPPUNIT_ASSERT(zone.violations().empty());
+        CPPUNIT_ASSERT(zone.stateOf("service") == BookingState::Running);
+        CPPUNIT_ASSERT(zone.stateOf("gang") == BookingState::Running);
+        CPPUNIT_ASSERT(zone.stateOf("batch") == BookingState::Completed);
+        CPPUNIT_ASSERT(zone.stateOf("huge") == BookingState::Unschedulable);
+        CPPUNIT_ASSERT(zone.scheduler().explain(BookingId("huge")).reason.find("cores") != std::string::npos);
+        CPPUNIT_ASSERT(zone.stateOf("nothing") == BookingState::Unknown);
+    }
+
+    // Guards I6 and against work that is lost with a worker that announced its leave.
+    void leavingWorkerReceivesNothingNew()
+    {
+        SimulatedZone zone({});
+        zone.book("batch", Wire::WORK_KIND_BATCH, 600, 1000);
+        zone.book("service", Wire::WORK_KIND_SERVICE, 2, 1000);
+        zone.runTime = {{"batch", 3s}};
+        zone.advance(5s);
+        zone.agent(0).setLeaving(true);
+        zone.advance(2s);
+        std::map<TaskId, std::uint64_t> known;
+        for (const auto &[id, task] : zone.agent(0).tasks())
+            known[id] = task.incarnation;
+        for (int i = 0; i < 20; ++i) {
+            zone.advance(500ms);
+            for (const auto &[id, task] : zone.agent(0).tasks())
+                CPPUNIT_ASSERT_EQUAL(known[id], task.incarnation);
+        }
+        CPPUNIT_ASSERT(zone.agent(0).allocated() == Resources{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, zone.runningOn("service").size());
+        zone.agent(0).setLeaving(false);
+        zone.advance(10s);
+        CPPUNIT_ASSERT(zone.agent(0).allocated() != Resources{});
+        CPPUNIT_ASSERT(zone.violations().empty());
+    }
+
+    // Guards against a service that is lost with one rack, and against a drain that leaves work behind.
+    void drainMovesServicesOverRacks()
+    {
+        SimulatedZone::Options options;
+        options.workers = 8; // in four racks
+        SimulatedZone zone(options);
+        zone.book("service", Wire::WORK_KIND_SERVICE, 4, 1000);
+        zone.advance(3s);
+        std::set<char> racks;
+        for (const std::string &worker : zone.runningOn("service"))
+            racks.insert(static_cast<char>((worker.back() - '0') / 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, racks.size());
+        zone.proposeDrain(0, true);
+        zone.proposeDrain(1, true);
+        zone.advance(10s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, zone.runningOn("service").size());
+        CPPUNIT_ASSERT(zone.agent(0).allocated() == Resources{} && zone.agent(1).allocated() == Resources{});
+    }
+
+    // Guards against promised work, services and work without checkpoints that is stopped for other work.
+    void urgentWorkDisplacesOnlyWhatAllowsIt()
+    {
+        SimulatedZone zone({});
+        zone.book("promised", Wire::WORK_KIND_BATCH, 1, 8000, Wire::STANDING_PROMISED).set_checkpoint(true);
+        zone.book("service", Wire::WORK_KIND_SERVICE, 1, 8000, Wire::STANDING_SPARE).set_checkpoint(true);
+        zone.book("plain", Wire::WORK_KIND_BATCH, 1, 8000, Wire::STANDING_SPARE);
+        zone.advance(2s);
+        zone.book("spare", Wire::WORK_KIND_BATCH, 8, 1000, Wire::STANDING_SPARE).set_checkpoint(true);
+        zone.publish();
+        zone.advance(5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, zone.runningOn("spare").size());
+        zone.book("urgent", Wire::WORK_KIND_BATCH, 1, 4000, Wire::STANDING_URGENT);
+        zone.publish();
+        zone.advance(3700ms);
+        CPPUNIT_ASSERT(zone.stateOf("urgent") == BookingState::Running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, zone.runningOn("spare").size()); // no more than needed
+        zone.book("urgent2", Wire::WORK_KIND_BATCH, 2, 4000, Wire::STANDING_URGENT);
+        zone.publish();
+        zone.advance(20s);
+        for (const char *kept : {"promised", "service", "plain"})
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.runningOn(kept).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.runningOn("urgent2").size());
+    }
+
+    // Guards against a task that loses its work at each of many urgent arrivals.
+    void noTaskIsDisplacedAgainAndAgain()
+    {
+        SimulatedZone::Options options;
+        options.workers = 1;
+        SimulatedZone zone(options);
+        zone.book("spare", Wire::WORK_KIND_BATCH, 1, 8000, Wire::STANDING_SPARE).set_checkpoint(true);
+        zone.advance(3s);
+        for (int i = 0; i < 5; ++i) {
+            const std::string id = "urgent" + std::to_string(i);
+            zone.book(id, Wire::WORK_KIND_BATCH, 1, 8000, Wire::STANDING_URGENT);
+            zone.runTime[id] = 2s;
+            zone.publish();
+            zone.advance(15s);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, zone.decisions("displace"));
+        CPPUNIT_ASSERT(zone.stateOf("spare") == BookingState::Running);
+        CPPUNIT_ASSERT(zone.stateOf("urgent4") == BookingState::Waiting);
+    }
+
+    // Guards against work that runs before its start, after its end, or after it left the sheet.
+    void datesAndCancellationsEndWork()
+    {
+        SimulatedZone zone({});
+        Wire::Booking &later = zone.book("later", Wire::WORK_KIND_SERVICE, 2, 1000);
+        later.set_start_unix_s(1'800'000'010);
+        later.set_end_unix_s(1'800'000'020);
+        zone.book("gone", Wire::WORK_KIND_SERVICE, 2, 1000);
+        zone.advance(8s);
+        CPPUNIT_ASSERT(zone.stateOf("later") == BookingState::Scheduled && zone.runningOn("later").empty());
+        zone.advance(5s);
+        CPPUNIT_ASSERT(zone.stateOf("later") == BookingState::Running);
+        zone.cancel("gone");
+        zone.advance(9s);
+        CPPUNIT_ASSERT(zone.stateOf("later") == BookingState::Ended && zone.runningOn("later").empty());
+        CPPUNIT_ASSERT(zone.runningOn("gone").empty());
+        CPPUNIT_ASSERT(zone.state().tasks().assignments().empty());
+    }
+
+    // Guards against a cost for each cancelled task in the log.
+    void cancellationWaveIsOneLogEntry()
+    {
+        ZoneState::ZoneState state;
+        Scheduler::ZoneScheduler scheduler("zone", state, 1);
+        Scheduler::Moment now{TimePoint(1000s), 1'800'000'000'000, true};
+        scheduler.leadershipChanged(now, 1, true);
+        std::vector<Wire::Booking> bookings(1000);
+        for (std::size_t i = 0; i < bookings.size(); ++i) {
+            bookings[i].set_id("b" + std::to_string(i));
+            bookings[i].set_kind(Wire::WORK_KIND_BATCH);
+            bookings[i].set_tasks(10);
+            bookings[i].mutable_resources()->set_milli_cores(1000);
+            bookings[i].set_zone("zone");
+        }
+        scheduler.bookingsChanged(now, bookings, {});
+        now.time += 1s;
+        scheduler.tick(now);
+        scheduler.takeCommands();
+        scheduler.bookingsChanged(now, {}, {});
+        CPPUNIT_ASSERT(scheduler.takeCommands().proposals.empty()); // nothing of waiting work is in the log
+        CPPUNIT_ASSERT(scheduler.explain(BookingId("b0")).state == BookingState::Unknown);
+
+        SimulatedZone zone({});
+        zone.book("wave", Wire::WORK_KIND_BATCH, 32, 1000);
+        zone.advance(3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{32}, zone.runningOn("wave").size());
+        const std::size_t before = zone.endCommands;
+        zone.cancel("wave");
+        zone.advance(5s);
+        CPPUNIT_ASSERT(zone.runningOn("wave").empty());
+        CPPUNIT_ASSERT(zone.endCommands - before <= 8); // a few reports of four workers, not 32
+    }
+
+    // Guards against one task that takes the memory of the others on its worker.
+    void taskAboveItsMemoryIsThrottledThenStopped()
+    {
+        SimulatedZone zone({});
+        zone.book("greedy", Wire::WORK_KIND_BATCH, 1, 1000);
+        zone.book("modest", Wire::WORK_KIND_BATCH, 1, 1000);
+        zone.memoryUse = {{"greedy", 2LL << 30}, {"modest", 1LL << 29}};
+        zone.advance(6s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.decisions("throttle"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.decisions("stop"));
+        zone.advance(15s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.decisions("stop"));
+        const ZoneState::TaskPast *past = zone.state().tasks().past({BookingId("greedy"), 0});
+        CPPUNIT_ASSERT(past->reason == ZoneState::EndReason::Failed);
+        CPPUNIT_ASSERT(past->detail.find("declared") != std::string::npos);
+        CPPUNIT_ASSERT(zone.stateOf("modest") == BookingState::Running);
+    }
+
+    // Guards against a worker that fails everything and thereby attracts all new work.
+    void faultyWorkerIsQuarantinedAndProbed()
+    {
+        SimulatedZone zone({});
+        bool broken = true;
+        zone.fails = [&](const std::string &worker, const std::string &) { return broken && worker == "w0"; };
+        for (int i = 0; i < 60; ++i) {
+            const std::string id = "job" + std::to_string(i);
+            zone.book(id, Wire::WORK_KIND_BATCH, 1, 1000);
+            zone.runTime[id] = 8s;
+        }
+        zone.advance(60s);
+        CPPUNIT_ASSERT(zone.decisions("quarantine") >= 1);
+        std::size_t failures = 0;
+        for (int i = 0; i < 60; ++i) {
+            CPPUNIT_ASSERT(zone.stateOf("job" + std::to_string(i)) == BookingState::Completed);
+            failures += zone.state().tasks().past({BookingId("job" + std::to_string(i)), 0})->failures;
+        }
+        CPPUNIT_ASSERT(failures <= 8 + 4); // the first ones placed at once, then single probes
+        broken = false;
+        zone.book("after", Wire::WORK_KIND_BATCH, 32, 1000);
+        zone.publish();
+        zone.advance(200s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{32}, zone.runningOn("after").size()); // needs all four workers
+    }
+
+    // Guards against a job that fails for ever and keeps workers busy or quarantined.
+    void jobThatFailsEverywhereIsHeld()
+    {
+        SimulatedZone zone({});
+        zone.fails = [](const std::string &, const std::string &booking) { return booking == "bad"; };
+        zone.book("bad", Wire::WORK_KIND_BATCH, 3, 1000);
+        zone.book("good", Wire::WORK_KIND_BATCH, 3, 1000);
+        zone.runTime = {{"good", 5s}};
+        zone.advance(60s);
+        CPPUNIT_ASSERT(zone.stateOf("bad") == BookingState::Failing);
+        CPPUNIT_ASSERT(zone.scheduler().explain(BookingId("bad")).reason.find("failed") != std::string::npos);
+        CPPUNIT_ASSERT(zone.stateOf("good") == BookingState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.decisions("quarantine"));
+        zone.changeLeader(1s, true);
+        zone.advance(30s);
+        CPPUNIT_ASSERT(zone.stateOf("bad") == BookingState::Failing); // the history is replicated
+    }
+
+    // Guards against a new leader that takes silent workers for lost before their old leases have run out (I2).
+    void newLeaderWaitsForEarlierLeases()
+    {
+        SimulatedZone zone({});
+        zone.book("service", Wire::WORK_KIND_SERVICE, 4, 1000);
+        zone.advance(5s);
+        for (std::size_t worker = 0; worker < 4; ++worker)
+            zone.partition(worker, 12s);
+        zone.changeLeader(100ms, true);
+        zone.advance(12400ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.decisions("lost"));
+        zone.partition(0, 60s);
+        zone.advance(20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, zone.runningOn("service").size());
+        CPPUNIT_ASSERT(zone.violations().empty());
+    }
+
+    // Guards against a gang of which some tasks run without the others.
+    void brokenGangStartsAgainWhole()
+    {
+        SimulatedZone zone({});
+        zone.book("gang", Wire::WORK_KIND_TOGETHER, 3, 6000);
+        zone.advance(5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, zone.runningOn("gang").size());
+        const std::string lost = zone.runningOn("gang").front();
+        zone.partition(static_cast<std::size_t>(lost.back() - '0'), 100s);
+        zone.advance(30s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, zone.runningOn("gang").size());
+        CPPUNIT_ASSERT(zone.violations().empty());
+    }
+
+    // Guards against a sync of an earlier process, delayed on the way, that makes the tasks of its successor run twice.
+    void delayedSyncOfAnEarlierProcessIsNoRestart()
+    {
+        SimulatedZone zone({});
+        zone.book("service", Wire::WORK_KIND_SERVICE, 4, 1000);
+        Scheduler::WorkerAgent earlier(WorkerId("w0"), "0", "r0", {8000, 16LL << 30, 2});
+        const Wire::WorkerSync delayed = earlier.makeSync(zone.now());
+        zone.advance(5s);
+        zone.scheduler().workerSync({zone.now(), 1'800'000'005'000, true}, delayed);
+        zone.advance(5s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, zone.runningOn("service").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.decisions("end"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerTest);
