--- a/src/libs/routing/request.h
+++ b/src/libs/routing/request.h
@@ -32,8 +32,8 @@
     ServiceId service;
     TimePoint deadline;
     bool idempotent = true;
-    std::string key; ///< idempotency key, required when not idempotent
-    std::string fingerprint; ///< digest of method, target and body, checked by the claim
+    std::string key{}; ///< idempotency key, required when not idempotent
+    std::string fingerprint{}; ///< digest of method, target and body, checked by the claim
     bool forwarded = false; ///< handed over by an entry of another zone; never forwarded again
     bool claimed = false; ///< the forwarding entry holds the claim
 };
