--- a/tests/auto/endtoend/cluster.cpp
+++ b/tests/auto/endtoend/cluster.cpp
@@ -85,14 +85,16 @@
     auto &control = controls_[static_cast<std::size_t>(index)];
     control.settings = folder_ + '/' + name(index) + ".toml";
     std::ofstream file(control.settings);
-    file << "instance = \"" << name(index) << "\"\nzone = \"svealand\"\ndata_folder = \"" << folder_ << '/' << name(index)
-         << "\"\noperator_token_file = \"" << folder_ << "/token\"\n[listen]\ninternal = " << address(control.internal)
+    file << "instance = \"" << name(index) << "\"\nzone = \"svealand\"\ndata_folder = \"" << folder_ << '/'
+         << name(index) << "\"\noperator_token_file = \"" << folder_
+         << "/token\"\n[listen]\ninternal = " << address(control.internal)
          << "operator = " << address(control.operators) << "worker = " << address(control.worker);
     std::string voters;
     for (int other = 0; other < size(); ++other) {
         const auto &peer = controls_[static_cast<std::size_t>(other)];
-        file << "[[instance_address]]\nid = \"" << name(other) << "\"\nzone = \"svealand\"\ninternal = "
-             << address(peer.internal) << "operator = " << address(peer.operators) << "worker = " << address(peer.worker);
+        file << "[[instance_address]]\nid = \"" << name(other)
+             << "\"\nzone = \"svealand\"\ninternal = " << address(peer.internal)
+             << "operator = " << address(peer.operators) << "worker = " << address(peer.worker);
         voters += (other > 0 ? ", \"" : "\"") + name(other) + '"';
     }
     for (const auto *group : {"cell", "zone:svealand"})
--- a/tests/auto/endtoend/journalview.cpp
+++ b/tests/auto/endtoend/journalview.cpp
@@ -42,7 +42,8 @@
 {
     return static_cast<std::size_t>(std::count_if(runs_.begin(), runs_.end(), [&prefix](const auto &entry) {
         return entry.first.starts_with(prefix)
-            && std::any_of(entry.second.begin(), entry.second.end(), [](const Run &run) { return run.end == stillRuns; });
+            && std::any_of(entry.second.begin(), entry.second.end(),
+                           [](const Run &run) { return run.end == stillRuns; });
     }));
 }
 
--- a/tests/auto/endtoend/process.cpp
+++ b/tests/auto/endtoend/process.cpp
@@ -8,8 +8,6 @@
 #include <stdexcept>
 #include <thread>
 
-extern char **environ;
-
 namespace Pistachio::EndToEnd
 {
 
