--- a/src/libs/replication/leader.cpp
+++ b/src/libs/replication/leader.cpp
@@ -119,14 +119,17 @@
 void Replica::receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress)
 {
     if (answer.accepted) {
+        // Only a follower whose files are wrong can hold what the leader lacks; it must not count for anything.
+        if (answer.logIndex > lastIndex())
+            return;
         progress.acknowledged(now, answer.logIndex);
         const bool isInstalled
             = progress.state() == Progress::State::Snapshot && progress.match() >= progress.snapshot()->index;
         if (progress.state() == Progress::State::Probe || isInstalled)
             catchUp(now, answer.from, progress);
-        commitByQuorum(now);
         hasNewsForFollowers_ = hasNewsForFollowers_ || progress.next() <= lastIndex();
-        return;
+        // Last, since the leader's own removal may be committed by this, which ends the office and frees `progress`.
+        return commitByQuorum(now);
     }
     // A refusal of anything else is older than an answer that came before it.
     const bool isCurrent = progress.state() == Progress::State::Replicate
--- a/src/libs/storage/segment.cpp
+++ b/src/libs/storage/segment.cpp
@@ -48,14 +48,17 @@
 
 Result<void> ReplayedLog::take(Replication::Entry entry)
 {
-    const Replication::LogIndex first = entries.empty() ? resetIndex + 1 : entries.front().index;
-    const Replication::LogIndex next = first + entries.size();
-    const bool isStart = entries.empty() && resetIndex == 0;
-    if (!isStart && (entry.index > next || entry.index < first))
-        return failure(ErrorCode::Corrupt,
-                       "entry " + std::to_string(entry.index) + " follows entry " + std::to_string(next - 1));
-    if (!isStart)
+    if (!entries.empty() && entry.index > resetIndex && entry.index <= entries.front().index) {
+        // Replaces everything held, and begins before it when the segment of the entries between was removed.
+        entries.clear();
+    } else if (!entries.empty() || resetIndex > 0) {
+        const Replication::LogIndex first = entries.empty() ? resetIndex + 1 : entries.front().index;
+        const Replication::LogIndex next = first + entries.size();
+        if (entry.index > next || entry.index < first)
+            return failure(ErrorCode::Corrupt,
+                           "entry " + std::to_string(entry.index) + " follows entry " + std::to_string(next - 1));
         entries.resize(entry.index - first);
+    }
     entries.push_back(std::move(entry));
     return success();
 }
--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -169,6 +169,13 @@
         deliver(message);
 }
 
+void Cluster::setClockRate(Node &node, double rate)
+{
+    const TimePoint before = local(node);
+    node.clockRate = rate;
+    node.clockOffset += before - local(node);
+}
+
 void Cluster::isolate(const Node &node)
 {
     for (const auto &other : nodes) {
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -104,6 +104,7 @@
     void crash(Node &node);
     void start(Node &node);
     void pause(Node &node, bool isPaused);
+    void setClockRate(Node &node, double rate);
     void isolate(const Node &node);
     void healAll(); ///< restarts, resumes and connects everything
 
