Test the focused failures of replication

Two tests break a rule on purpose, disks that lose synced data and a clock at 40% of its rate, and expect the checker to report it.

--- a/src/libs/replication/message.h
+++ b/src/libs/replication/message.h
@@ -43,6 +43,8 @@
     std::uint64_t totalBytes = 0; ///< snapshot: size of the whole data
     std::string data; ///< snapshot: the chunk
     Membership membership; ///< snapshot: set in the first chunk
+
+    bool operator==(const Message &) const = default;
 };
 
 /// \param messages messages to one instance, of any groups
--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -155,6 +155,14 @@
     scheduleTick(node);
 }
 
+void Cluster::restartAll()
+{
+    for (auto &node : nodes) {
+        crash(*node);
+        start(*node);
+    }
+}
+
 void Cluster::crash(Node &node)
 {
     node.group.reset();
@@ -330,18 +338,17 @@
         limit);
 }
 
-bool Cluster::isConverged() const
+bool Cluster::isConverged()
 {
-    const Node *first = nullptr;
-    for (const auto &node : nodes) {
-        if (!node->group || node->group->appliedIndex() == 0)
-            continue;
-        if (!first)
-            first = node.get();
-        if (node->group->appliedIndex() != first->group->appliedIndex())
-            return false;
-    }
-    return first != nullptr;
+    const Node *leading = leader();
+    if (!leading || !leading->group->isLeaderWithState())
+        return false;
+    const Membership &members = leading->group->membership();
+    return std::ranges::all_of(nodes, [&](const auto &node) {
+        const bool isMember = std::ranges::binary_search(members.voters, node->id)
+            || std::ranges::binary_search(members.learners, node->id);
+        return !isMember || (node->group && node->group->appliedIndex() == leading->group->appliedIndex());
+    });
 }
 
 } // namespace Pistachio::Replication
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -103,6 +103,7 @@
 
     void crash(Node &node);
     void start(Node &node);
+    void restartAll(); ///< for settings that count from the start
     void pause(Node &node, bool isPaused);
     void setClockRate(Node &node, double rate);
     void isolate(const Node &node);
@@ -123,8 +124,8 @@
     /// \return false when that took longer than \p limit.
     bool proposeAndWait(const std::string &command, Duration limit = 10s);
 
-    /// \return whether all running members applied the same.
-    [[nodiscard]] bool isConverged() const;
+    /// \return whether there is a leader with its state, and all its members run and applied the same.
+    [[nodiscard]] bool isConverged();
 
     /// Hands a node's outgoing messages to the network and has it flushed.
     void afterEvent(Node &node);
--- a/tests/auto/replication/schedule.cpp
+++ b/tests/auto/replication/schedule.cpp
@@ -117,18 +117,7 @@
     cluster.healAll();
     if (!cluster.proposeAndWait("last"))
         cluster.checker.report("no change accepted within 10 s after the faults");
-    const auto isSettled = [this] {
-        const Cluster::Node *leader = cluster.leader();
-        if (!leader || !leader->group->isLeaderWithState())
-            return false;
-        const Membership &members = leader->group->membership();
-        return std::ranges::all_of(cluster.nodes, [&](const auto &node) {
-            const bool isMember = std::ranges::binary_search(members.voters, node->id)
-                || std::ranges::binary_search(members.learners, node->id);
-            return !isMember || (node->group && node->group->appliedIndex() == leader->group->appliedIndex());
-        });
-    };
-    if (!cluster.runUntil(isSettled, 10s))
+    if (!cluster.runUntil([this] { return cluster.isConverged(); }, 10s))
         cluster.checker.report("members differ 10 s after the faults");
     if (const Cluster::Node *leader = cluster.leader())
         cluster.checker.checkAccepted(leader->machine->commands);
--- a/tests/auto/replication/tst_replication.cpp
+++ b/tests/auto/replication/tst_replication.cpp
@@ -1,3 +1,4 @@
+#include "replication/progress.h"
 #include "replication/schedule.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -19,7 +20,7 @@
     return asked ? std::strtoull(asked, nullptr, 10) : schedulesInCi;
 }
 
-[[maybe_unused]] void assertSound(const Cluster &cluster)
+void assertSound(const Cluster &cluster)
 {
     CPPUNIT_ASSERT_EQUAL_MESSAGE(cluster.checker.text(), std::size_t{0}, cluster.checker.breaches.size());
 }
@@ -30,6 +31,18 @@
 {
     CPPUNIT_TEST_SUITE(ReplicationTest);
     CPPUNIT_TEST(schedulesKeepTheInvariants);
+    CPPUNIT_TEST(checkerReportsForgottenVotesAndEntries);
+    CPPUNIT_TEST(checkerReportsOverlappingAuthority);
+    CPPUNIT_TEST(secondLossRightAfterRepair);
+    CPPUNIT_TEST(memberCutOffForAnHour);
+    CPPUNIT_TEST(pausedLeaderDoesNothingOnItsOldAuthority);
+    CPPUNIT_TEST(rejoinAfterManyMissedChanges);
+    CPPUNIT_TEST(silentFollowerIsNotFlooded);
+    CPPUNIT_TEST(learnerNeverLeads);
+    CPPUNIT_TEST(unsafeMembershipChangesAreRefused);
+    CPPUNIT_TEST(fullDiskStopsOnlyItsReplica);
+    CPPUNIT_TEST(failedSyncStopsItsReplica);
+    CPPUNIT_TEST(messagesSurviveTheCodec);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -48,6 +61,281 @@
         // Schedules in which nothing is ever accepted would prove nothing.
         CPPUNIT_ASSERT(accepted > 5 * scheduleCount());
     }
+
+    // Guards against a checker that sees nothing: with disks that lose synced votes and entries it must report two
+    // leaders in a term, differing sequences and lost changes.
+    void checkerReportsForgottenVotesAndEntries()
+    {
+        std::size_t twoLeaders = 0;
+        std::size_t differing = 0;
+        std::size_t lost = 0;
+        for (std::uint64_t seed = 0; seed < 150; ++seed) {
+            Schedule schedule(seed);
+            schedule.cluster.hasLyingDisks = true;
+            for (auto &node : schedule.cluster.nodes)
+                node->files.forgetSyncs = true;
+            schedule.runFaults(8s);
+            schedule.settle();
+            twoLeaders += schedule.cluster.checker.hasBreach("two leaders") ? 1 : 0;
+            differing += schedule.cluster.checker.hasBreach("sequence of") ? 1 : 0;
+            lost += schedule.cluster.checker.hasBreach("accepted command lost") ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(twoLeaders > 0 && differing > 0 && lost > 0);
+    }
+
+    // Guards against an authority check that can't fail: a clock at 40% of its rate breaks the rule it rests on.
+    void checkerReportsOverlappingAuthority()
+    {
+        Cluster cluster(7, 3);
+        Cluster::Node &slow = cluster.awaitLeader();
+        cluster.setClockRate(slow, 0.4);
+        cluster.isolate(slow);
+        cluster.run(3s);
+        CPPUNIT_ASSERT(cluster.checker.hasBreach("authority of " + slow.id.value()));
+    }
+
+    // Guards against a repaired group that can't lose another member, because the new one does not count.
+    void secondLossRightAfterRepair()
+    {
+        Cluster cluster(11, 3, 0, 1);
+        cluster.proposeAndWait("before");
+        Cluster::Node &lost = follower(cluster);
+        cluster.crash(lost);
+        for (int i = 0; i < 100; ++i)
+            CPPUNIT_ASSERT(cluster.proposeAndWait("c" + std::to_string(i)));
+        Cluster::Node &added = cluster.node(3);
+        change(cluster, MembershipChange::Kind::AddLearner, added);
+        change(cluster, MembershipChange::Kind::Promote, added);
+        change(cluster, MembershipChange::Kind::Remove, lost);
+        cluster.crash(*cluster.leader());
+        const TimePoint second = cluster.now;
+        CPPUNIT_ASSERT(cluster.proposeAndWait("after"));
+        CPPUNIT_ASSERT(cluster.now - second < 3700ms);
+        cluster.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{102}, added.machine->commands.size() - repeated(added));
+        assertSound(cluster);
+    }
+
+    // Guards against a returning member that raises the term and so unseats the leader.
+    void memberCutOffForAnHour()
+    {
+        Cluster cluster(12, 3);
+        const Cluster::Node &leader = cluster.awaitLeader();
+        const Term term = leader.group->term();
+        Cluster::Node &away = follower(cluster);
+        cluster.isolate(away);
+        cluster.run(1h);
+        CPPUNIT_ASSERT(cluster.proposeAndWait("meanwhile"));
+        cluster.healAll();
+        cluster.run(5s);
+        CPPUNIT_ASSERT_EQUAL(term, leader.group->term());
+        CPPUNIT_ASSERT_EQUAL(term, away.group->term());
+        CPPUNIT_ASSERT(cluster.leader() == &leader && cluster.isConverged());
+        assertSound(cluster);
+    }
+
+    // Guards against a leader that wakes up and renews leases or takes changes before it hears of its successor.
+    void pausedLeaderDoesNothingOnItsOldAuthority()
+    {
+        Cluster cluster(13, 3);
+        Cluster::Node &old = cluster.awaitLeader();
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return old.group->hasAuthority(cluster.local(old)); }, 1s));
+        cluster.pause(old, true);
+        CPPUNIT_ASSERT(old.group->propose(cluster.local(old), "late")); // arrived just before the pause
+        cluster.run(60s);
+        CPPUNIT_ASSERT(cluster.proposeAndWait("successor"));
+        old.isPaused = false;
+        CPPUNIT_ASSERT(!old.group->hasAuthority(cluster.local(old)));
+        CPPUNIT_ASSERT(old.group->propose(cluster.local(old), "stale").error().code == ErrorCode::NotLeader);
+        CPPUNIT_ASSERT(!old.group->isLeader());
+        cluster.healAll();
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.isConverged(); }, 5s));
+        CPPUNIT_ASSERT(!cluster.acceptedCommands.contains("late") && cluster.acceptedCommands.contains("successor"));
+        assertSound(cluster);
+    }
+
+    // Guards against a rejoin that gets stuck or starts from the beginning, by log and by a snapshot in many chunks, on
+    // good links and on bad ones.
+    void rejoinAfterManyMissedChanges()
+    {
+        for (const bool bySnapshot : {false, true}) {
+            for (const std::uint64_t loss : {0, 20}) {
+                Cluster cluster(14 + loss, 3);
+                cluster.snapshotAfterEntries = bySnapshot ? 60 : 100'000;
+                cluster.restartAll();
+                cluster.awaitLeader();
+                Cluster::Node &away = follower(cluster);
+                cluster.crash(away);
+                for (int i = 0; i < 500; ++i)
+                    CPPUNIT_ASSERT(cluster.proposeAndWait(std::string(1000, 'x') + std::to_string(i)));
+                cluster.network.lossPercent = loss;
+                cluster.start(away);
+                CPPUNIT_ASSERT(cluster.runUntil([&] { return away.machine->commands.size() >= 500; }, 20s));
+                assertSound(cluster);
+            }
+        }
+    }
+
+    // Guards against a leader that fills the queues towards a follower that doesn't answer, with large or with many
+    // messages.
+    void silentFollowerIsNotFlooded()
+    {
+        for (const std::size_t size : {10U, 20'000U}) {
+            Cluster cluster(15, 3);
+            cluster.snapshotAfterEntries = 100'000; // a snapshot would begin its own, equally bounded, transfer
+            cluster.restartAll();
+            Cluster::Node &leader = cluster.awaitLeader();
+            cluster.run(1s);
+            Cluster::Node &silent = follower(cluster);
+            cluster.pause(silent, true);
+            for (int i = 0; i < 30; ++i) {
+                for (int j = 0; j < 5; ++j)
+                    CPPUNIT_ASSERT(leader.group->propose(cluster.local(leader), std::string(size, 'x')));
+                cluster.afterEvent(leader);
+                cluster.run(3ms);
+            }
+            std::uint64_t bytes = 0;
+            std::size_t appends = 0;
+            for (const Message &message : silent.heldBack) {
+                bytes += encodedSize(message);
+                appends += message.entries.empty() ? 0 : 1;
+            }
+            CPPUNIT_ASSERT(bytes <= maxInFlightBytes + maxMessageBytes);
+            CPPUNIT_ASSERT(size > 10 ? bytes > maxInFlightBytes : appends == maxInFlightMessages);
+            cluster.healAll();
+            CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.isConverged(); }, 10s));
+            assertSound(cluster);
+        }
+    }
+
+    // Guards against a copy without a vote that decides something.
+    void learnerNeverLeads()
+    {
+        Cluster cluster(16, 1, 2);
+        CPPUNIT_ASSERT(cluster.proposeAndWait("one"));
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return !cluster.node(1).machine->commands.empty(); }, 2s));
+        cluster.crash(cluster.node(0));
+        cluster.run(30s);
+        CPPUNIT_ASSERT(!cluster.leader() && cluster.node(1).machine->commands.size() == 1);
+        assertSound(cluster);
+    }
+
+    // Guards against changes that could form two majorities or a group without voters.
+    void unsafeMembershipChangesAreRefused()
+    {
+        using Kind = MembershipChange::Kind;
+        Cluster cluster(17, 1, 0, 2);
+        Cluster::Node &leader = cluster.awaitLeader();
+        const auto code = [&](Kind kind, const InstanceId &instance) {
+            const auto result = leader.group->proposeMembership(cluster.local(leader), {kind, instance});
+            return result ? std::string("accepted") : std::string(toString(result.error().code));
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid-argument"), code(Kind::Remove, leader.id));
+        CPPUNIT_ASSERT_EQUAL(std::string("invalid-argument"), code(Kind::Promote, cluster.node(1).id));
+        CPPUNIT_ASSERT_EQUAL(std::string("accepted"), code(Kind::AddLearner, cluster.node(1).id));
+        CPPUNIT_ASSERT_EQUAL(std::string("unavailable"), code(Kind::AddLearner, cluster.node(2).id));
+        cluster.crash(cluster.node(1));
+        cluster.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::string("unavailable"), code(Kind::Promote, cluster.node(1).id));
+    }
+
+    // Guards against a full disk that stops the group, loses what the replica has, or lets it acknowledge.
+    void fullDiskStopsOnlyItsReplica()
+    {
+        Cluster cluster(18, 3);
+        CPPUNIT_ASSERT(cluster.proposeAndWait("one"));
+        Cluster::Node &full = *cluster.leader();
+        full.files.room = 10;
+        CPPUNIT_ASSERT(cluster.proposeAndWait("two"));
+        CPPUNIT_ASSERT(full.group->isDiskFull() && !full.group->isLeader() && !full.group->failure());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), full.machine->commands.rbegin()->second);
+        full.files.room = 1'000'000;
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.isConverged(); }, 5s));
+        CPPUNIT_ASSERT(!full.group->isDiskFull());
+        assertSound(cluster);
+    }
+
+    // Guards against a replica that acknowledges what it can't know to be durable.
+    void failedSyncStopsItsReplica()
+    {
+        Cluster cluster(19, 3);
+        CPPUNIT_ASSERT(cluster.proposeAndWait("one"));
+        Cluster::Node &failed = *cluster.leader();
+        failed.files.failSyncs = true;
+        CPPUNIT_ASSERT(cluster.proposeAndWait("two"));
+        failed.files.failSyncs = false;
+        cluster.run(5s);
+        CPPUNIT_ASSERT(failed.group->failure() && failed.group->failure()->code == ErrorCode::Io);
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), failed.machine->commands.rbegin()->second);
+        assertSound(cluster);
+    }
+
+    // Guards against fields that a message loses on its way, and against a peer that stops the process with bad bytes.
+    void messagesSurviveTheCodec()
+    {
+        Message message;
+        message.kind = MessageKind::SnapshotRequest;
+        message.group = GroupId("cell");
+        message.from = InstanceId("control-1");
+        message.to = InstanceId("control-2");
+        message.term = 3;
+        message.logIndex = 41;
+        message.logTerm = 2;
+        message.commit = 40;
+        message.stamp = 77;
+        message.accepted = true;
+        message.hintIndex = 5;
+        message.hintTerm = 1;
+        message.entries = {{42, 3, EntryKind::Noop, ""}, {43, 3, EntryKind::Command, std::string("\0x", 2)}};
+        message.offset = 9;
+        message.totalBytes = 12;
+        message.data = "abc";
+        message.membership = {{InstanceId("control-1")}, {InstanceId("control-2")}};
+        const std::string bytes = encode(std::vector{message, message});
+        const auto decoded = decode(bytes).value();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded.size());
+        CPPUNIT_ASSERT(decoded.back() == message);
+        for (std::size_t size = 1; size < bytes.size(); ++size) {
+            const auto part = decode(std::string_view(bytes).substr(0, size));
+            CPPUNIT_ASSERT(!part || part.value().size() < 2);
+        }
+        message.entries = {{42, 3, EntryKind::Membership, "no members"}};
+        CPPUNIT_ASSERT(decode(encode(std::vector{message})).error().code == ErrorCode::Corrupt);
+    }
+
+private:
+    static Cluster::Node &follower(Cluster &cluster)
+    {
+        const Cluster::Node &leader = cluster.awaitLeader();
+        return &leader == &cluster.node(0) ? cluster.node(1) : cluster.node(0);
+    }
+
+    /// Changes the members, with retries until the change is committed.
+    static void change(Cluster &cluster, MembershipChange::Kind kind, const Cluster::Node &node)
+    {
+        const auto isDone = [&] {
+            Cluster::Node &leader = cluster.awaitLeader();
+            const auto index = leader.group->proposeMembership(cluster.local(leader), {kind, node.id});
+            if (index)
+                cluster.afterEvent(leader);
+            return index && cluster.runUntil([&] { return leader.group->appliedIndex() >= index.value(); }, 1s);
+        };
+        for (int i = 0; i < 100; ++i) {
+            if (isDone())
+                return;
+            cluster.run(50ms);
+        }
+        CPPUNIT_FAIL("the change of the members was not committed");
+    }
+
+    /// \return how many commands were proposed more than once.
+    static std::size_t repeated(const Cluster::Node &node)
+    {
+        std::set<std::string> different;
+        for (const auto &[index, command] : node.machine->commands)
+            different.insert(command);
+        return node.machine->commands.size() - different.size();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicationTest);
