--- a/src/libs/replication/election.cpp
+++ b/src/libs/replication/election.cpp
@@ -34,6 +34,11 @@
     deadline_ = now + between(minElectionTimeout, maxElectionTimeout);
 }
 
+void Election::retryLater(TimePoint now)
+{
+    startRound(now, Role::Follower);
+}
+
 void Election::startRound(TimePoint now, Role role)
 {
     role_ = role;
--- a/src/libs/replication/election.h
+++ b/src/libs/replication/election.h
@@ -59,6 +59,9 @@
     /// Waits as a follower for a whole election timeout, since another candidate has this replica's vote.
     void yield(TimePoint now);
 
+    /// Ends a round as a follower that campaigns again after a retry time.
+    void retryLater(TimePoint now);
+
     /// \param role PreCandidate or Candidate
     void startRound(TimePoint now, Role role);
 
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -192,8 +192,12 @@
     const bool isCurrent = isPreVote ? request.term > term() : request.term == term() && isFree;
     Message reply = message(isPreVote ? MessageKind::PreVoteAnswer : MessageKind::VoteAnswer, request.from);
     reply.accepted = isUpToDate && isCurrent;
-    if (reply.accepted && isPreVote)
+    if (reply.accepted && isPreVote) {
         reply.term = request.term;
+        // Of two that campaign at the same time the one with the smaller name goes on, which avoids a split vote.
+        if (election_.role() == Role::PreCandidate && request.from < self_)
+            election_.retryLater(now);
+    }
     if (reply.accepted && !isPreVote && hardState_.votedFor.isEmpty()) {
         hardState_.votedFor = request.from;
         markHardState(true);
--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -183,7 +183,7 @@
     const SnapshotPointer snapshot = replica_->makeSnapshot(applied_, machine_.snapshot());
     // The store keeps whole segments, so it may keep a little more than the replica.
     const LogIndex firstKept = applied_ > options_.keptEntries ? applied_ - options_.keptEntries : 0;
-    const auto stored = store_->compact(*snapshot, firstKept);
+    auto stored = store_->compact(*snapshot, firstKept);
     if (!stored && stored.error().code != ErrorCode::Capacity)
         return stored;
     // With a full disk the log stays as it is until as much again was applied.
--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -7,12 +7,6 @@
 namespace Pistachio::Replication
 {
 
-namespace
-{
-constexpr Duration tickInterval = 50ms;
-constexpr Duration syncDuration = 1ms;
-} // namespace
-
 void Checker::noteLeader(Term term, const InstanceId &leader)
 {
     const auto [known, isNew] = leaders_.emplace(term, leader);
@@ -247,9 +241,9 @@
     }
 }
 
-void Cluster::send(std::vector<Message> sent)
+void Cluster::send(const std::vector<Message> &sent)
 {
-    for (Message &message : sent) {
+    for (const Message &message : sent) {
         ++messages;
         if (countBytes)
             bytes += encodedSize(message);
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -141,6 +141,8 @@
     std::uint64_t bytes = 0;
     bool countBytes = false;
     std::set<std::string> acceptedCommands;
+    Duration tickInterval = 50ms;
+    Duration syncDuration = 1ms;
     std::uint64_t snapshotAfterEntries = 60;
     bool hasLyingDisks = false; ///< what running replicas sync is lost at a crash
 
@@ -156,7 +158,7 @@
     void scheduleTick(Node &node);
     void deliver(const Message &message);
     void flush(Node &node);
-    void send(std::vector<Message> sent);
+    void send(const std::vector<Message> &sent);
     void check();
 
     Membership initial_;
--- a/tests/auto/storage/tst_storage.cpp
+++ b/tests/auto/storage/tst_storage.cpp
@@ -48,6 +48,11 @@
     return {index, term, Replication::EntryKind::Command, "payload " + std::to_string(index * 100 + term)};
 }
 
+void flip(char &byte, unsigned mask)
+{
+    byte = static_cast<char>(static_cast<unsigned char>(byte) ^ mask);
+}
+
 void copyFiles(const MemoryFileSystem &from, MemoryFileSystem &to)
 {
     for (const auto &[path, content] : from.files)
@@ -244,10 +249,10 @@
         std::size_t refused = 0;
         for (const auto &[path, content] : files_->files) {
             for (std::size_t offset = 0; offset < content->bytes.size(); ++offset) {
-                for (const char mask : {'\x01', '\x80', '\xff'}) {
+                for (const unsigned mask : {0x01U, 0x80U, 0xffU}) {
                     MemoryFileSystem damaged;
                     copyFiles(*files_, damaged);
-                    damaged.files[path]->bytes[offset] ^= mask;
+                    flip(damaged.files[path]->bytes[offset], mask);
                     refused += hasKnownState(damaged, lastDurable_) ? 0 : 1;
                 }
             }
