--- a/src/libs/entrynode/entrynode.h
+++ b/src/libs/entrynode/entrynode.h
@@ -1,13 +1,18 @@
 #pragma once
 
+#include "core/result.h"
+
 #include <cstdint>
 #include <memory>
-#include <string>
 
-namespace Pistachio::EntryNode
+namespace Pistachio::Settings
 {
+struct EntrySettings;
+}
 
-struct NodeSettings;
+/// The process `pistachio-entry`: joins the decisions of `routing` to callers, minions, control and other entries.
+namespace Pistachio::Entrynode
+{
 
 /// The ports the system chose or the settings named.
 struct ListenPorts {
@@ -16,24 +21,28 @@
     std::uint16_t internal = 0;
 };
 
-/// The process `pistachio-entry`: joins the decisions of `routing` to callers, minions, control and other entries.
+/// One entry with its threads: network, decisions, logging.
 class EntryNode
 {
 public:
-    explicit EntryNode(NodeSettings settings);
+    /// Opens the ports.
+    /// \param settings checked settings of the entry
+    /// \return the node, or why a port can't be used.
+    static Result<std::unique_ptr<EntryNode>> open(const Settings::EntrySettings &settings);
     ~EntryNode();
     EntryNode(const EntryNode &) = delete;
     EntryNode &operator=(const EntryNode &) = delete;
 
-    /// Serves until `stop` was called and everything in flight has ended.
-    /// \return the process's exit code.
+    [[nodiscard]] ListenPorts ports() const;
+
+    /// Serves until SIGTERM or SIGINT, then turns unready and finishes what is in flight.
+    /// \return the process's exit code: 0 when nothing had to be cut off.
     int run();
-    /// Turns unready, finishes what is in flight and makes `run` return. Safe to call from any thread.
-    void stop();
 
 private:
     class Private;
+    explicit EntryNode(std::unique_ptr<Private> d);
     std::unique_ptr<Private> d_;
 };
 
-} // namespace Pistachio::EntryNode
+} // namespace Pistachio::Entrynode
--- a/src/libs/routing/miniontable.cpp
+++ b/src/libs/routing/miniontable.cpp
@@ -60,19 +60,13 @@
         && (!rank || (rank->position == rank_->position && rank->count == rank_->count));
     if (same)
         return;
-    // With two changes in a row the oldest rank is no longer respected; the minion refuses what is too much then.
-    previousRank_ = rank_;
+    pastRanks_.push_back({rank_, now + growthDelay_});
     rank_ = rank;
-    growAt_ = now + growthDelay_;
-    growing_ = true;
 }
 
 void MinionTable::update(TimePoint now)
 {
-    if (growing_ && now >= growAt_) {
-        growing_ = false;
-        previousRank_.reset();
-    }
+    std::erase_if(pastRanks_, [now](const PastRank &past) { return now >= past.respectedUntil; });
     for (auto position = minions_.begin(); position != minions_.end();) {
         Minion &minion = position->second;
         minion.health.update(now);
@@ -89,14 +83,13 @@
 
 std::uint32_t MinionTable::fullShare(const Minion &minion) const
 {
-    if (!rank_)
-        return 0;
-    const std::uint32_t share = policy_->allowance(minion.announcement, *rank_, minion.inFlightWhenAnnounced);
-    if (!growing_)
-        return share;
-    if (!previousRank_)
-        return 0;
-    return std::min(share, policy_->allowance(minion.announcement, *previousRank_, minion.inFlightWhenAnnounced));
+    const auto shareAt = [this, &minion](const std::optional<EntryRank> &rank) {
+        return rank ? policy_->allowance(minion.announcement, *rank, minion.inFlightWhenAnnounced) : 0U;
+    };
+    std::uint32_t share = shareAt(rank_);
+    for (const PastRank &past : pastRanks_)
+        share = std::min(share, shareAt(past.rank));
+    return share;
 }
 
 std::uint32_t MinionTable::allowanceOf(const Minion &minion) const
--- a/src/libs/routing/miniontable.h
+++ b/src/libs/routing/miniontable.h
@@ -65,6 +65,11 @@
         std::uint32_t inFlightWhenAnnounced = 0;
         MinionHealth health;
     };
+    /// A rank that other entries may still assume; nothing means that they gave this entry no share.
+    struct PastRank {
+        std::optional<EntryRank> rank;
+        TimePoint respectedUntil;
+    };
     struct Service {
         std::set<MinionId> minions;
         Duration latency{};
@@ -81,9 +86,7 @@
     Duration silence_;
     Duration growthDelay_;
     std::optional<EntryRank> rank_;
-    std::optional<EntryRank> previousRank_; ///< also respected until `growAt_`
-    TimePoint growAt_;
-    bool growing_ = false;
+    std::vector<PastRank> pastRanks_;
     std::map<MinionId, Minion> minions_;
     std::map<ServiceId, Service> services_;
 };
