--- a/src/libs/entrynode/decisions.cpp
+++ b/src/libs/entrynode/decisions.cpp
@@ -21,6 +21,7 @@
 template<class... Functions> struct Overloaded : Functions... {
     using Functions::operator()...;
 };
+template<class... Functions> Overloaded(Functions...) -> Overloaded<Functions...>;
 
 std::string join(const std::vector<std::string> &parts)
 {
