--- a/src/libs/controlnode/clusterreports.cpp
+++ b/src/libs/controlnode/clusterreports.cpp
@@ -188,8 +188,8 @@
 {
     std::vector<Operatorapi::ZoneCapacityView> result;
     for (const auto &[id, zone] : zones_) {
-        // A zone without known workers may just have elected its leader; it must not make a booking impossible.
-        if (zone->round != round_ || zone->report.workers_size() == 0)
+        // A leader that was just elected does not know the workers yet, which must not make a booking impossible.
+        if (zone->round != round_ || !zone->report.workers_known() || zone->report.workers_size() == 0)
             continue;
         Operatorapi::ZoneCapacityView view{id, {}};
         for (const auto &worker : zone->report.workers()) {
--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr Duration proposalLimit = 3s;
+constexpr Duration introductionTime = 5s; ///< workers find a new leader within one long poll of 3 s and a reconnect
 
 std::int64_t unixMs()
 {
@@ -178,6 +179,7 @@
     }
     if (!ledTerm_ && group.isLeaderWithState()) {
         ledTerm_ = group.term();
+        ledSince_ = now;
         proposedFloor_ = 0;
         const auto claiming = machine_.state().requests().claimingEntries();
         feed_.start(now, {claiming.begin(), claiming.end()});
@@ -253,6 +255,7 @@
     if (!ledTerm_ || !host_->canAnswer(now))
         return;
     fillZoneReport(zone_, cell, machine_.state(), *scheduler_, report);
+    report.set_workers_known(now - ledSince_ > introductionTime);
     for (const auto &entry : feed_.versions()) {
         auto &item = *report.add_entries();
         item.set_entry(entry.entry);
--- a/src/libs/controlnode/zonehost.h
+++ b/src/libs/controlnode/zonehost.h
@@ -101,6 +101,7 @@
     ConfigurationFeed feed_;
     std::map<std::string, WaitingSync> waiting_;
     std::optional<std::uint64_t> ledTerm_;
+    TimePoint ledSince_;
     std::uint64_t seenRevision_ = 0;
     std::uint64_t seenConfiguration_ = 0;
     bool seenCell_ = false;
