Bring memberships in line with added instances and release ended bookings

The cell leader and the zone leaders add, promote and remove one member at a time. A zone releases an ended booking once no task of it is left and no assignment that was proposed before is still on its way.

--- a/src/libs/controlnode/decisions.cpp
+++ b/src/libs/controlnode/decisions.cpp
@@ -63,6 +63,7 @@
     BOOST_OUTCOME_TRYV(openZones());
     operators_
         = std::make_unique<OperatorRequests>(cellMachine_.state(), *cell_, reports_, router_, directory_, calls_);
+    upkeep_ = std::make_unique<Upkeep>(*cell_, zones_, directory_, calls_);
     return success();
 }
 
@@ -163,6 +164,8 @@
         Wire::ControlReport report;
         fillReport(report);
         incoming.responder.respond({200, {}, report.SerializeAsString()});
+    } else if (request.target == "/cell/propose") {
+        upkeep_->serve(now, request, incoming.responder);
     } else if (request.target.starts_with("/zone/")) {
         router_.serveInternal(now, std::move(request), incoming.responder);
     } else if (request.target.starts_with(operatorPrefix)) {
@@ -204,6 +207,7 @@
     cell_->tick(now);
     for (const auto &[id, zone] : zones_)
         zone->tick(now, cellMachine_.state());
+    upkeep_->tick(now, cellMachine_.state());
 }
 
 void Decisions::flushGroups()
--- a/src/libs/controlnode/decisions.h
+++ b/src/libs/controlnode/decisions.h
@@ -6,6 +6,7 @@
 #include "controlnode/operatorrequests.h"
 #include "controlnode/peercalls.h"
 #include "controlnode/statemachines.h"
+#include "controlnode/upkeep.h"
 #include "controlnode/zonerouter.h"
 #include "storage/posixfilesystem.h"
 
@@ -83,6 +84,7 @@
     ZoneRouter router_;
     ClusterReports reports_;
     std::unique_ptr<OperatorRequests> operators_;
+    std::unique_ptr<Upkeep> upkeep_;
     TimePoint statusUpdated_;
     std::size_t seenInstances_ = 0;
     std::string loggedLeaders_;
--- a/src/libs/controlnode/directory.cpp
+++ b/src/libs/controlnode/directory.cpp
@@ -33,21 +33,34 @@
 void Directory::update(const Cellstate::CellState &state)
 {
     for (const auto &[id, record] : state.instances()) {
-        if (record.retired) {
-            instances_.erase(id);
-            continue;
-        }
         instances_[id] = {id, record.zone, endpoint(record.internalAddress), endpoint(record.operatorAddress),
                           endpoint(record.workerAddress)};
+    }
+    for (const auto &[id, record] : state.instances()) {
+        if (record.retired)
+            retire(id);
         if (!record.replaces.isEmpty())
-            instances_.erase(record.replaces);
+            retire(record.replaces);
     }
 }
 
-const Directory::Instance *Directory::find(const InstanceId &id) const
+void Directory::retire(const InstanceId &id)
 {
     const auto found = instances_.find(id);
-    return found == instances_.end() ? nullptr : &found->second;
+    if (found == instances_.end())
+        return;
+    retired_[id] = found->second;
+    instances_.erase(found);
+}
+
+const Directory::Instance *Directory::find(const InstanceId &id) const
+{
+    for (const auto *instances : {&instances_, &retired_}) {
+        const auto found = instances->find(id);
+        if (found != instances->end())
+            return &found->second;
+    }
+    return nullptr;
 }
 
 const Directory::Instance *Directory::anyOf(const ZoneId &zone, std::size_t attempt) const
--- a/src/libs/controlnode/directory.h
+++ b/src/libs/controlnode/directory.h
@@ -38,10 +38,11 @@
     /// Takes over the instances of the cell state.
     void update(const Cellstate::CellState &state);
 
-    /// \param id an instance, possibly empty
+    /// \param id an instance, possibly empty, also one that was replaced but may still be a member of a group
     /// \return its addresses, or null.
     [[nodiscard]] const Instance *find(const InstanceId &id) const;
 
+    /// \return the instances that were not replaced.
     [[nodiscard]] const std::map<InstanceId, Instance> &all() const { return instances_; }
 
     /// \param zone a zone
@@ -50,7 +51,10 @@
     [[nodiscard]] const Instance *anyOf(const ZoneId &zone, std::size_t attempt) const;
 
 private:
+    void retire(const InstanceId &id);
+
     std::map<InstanceId, Instance> instances_;
+    std::map<InstanceId, Instance> retired_;
 };
 
 } // namespace Pistachio::Controlnode
--- a/src/libs/controlnode/grouphost.cpp
+++ b/src/libs/controlnode/grouphost.cpp
@@ -35,6 +35,7 @@
         done(index.error());
         return;
     }
+    lastProposed_ = index.value();
     const auto deadline = limit > Duration::zero() ? now + limit : TimePoint::max();
     pending_[{index.value(), group_->term()}] = {deadline, std::move(done)};
 }
--- a/src/libs/controlnode/grouphost.h
+++ b/src/libs/controlnode/grouphost.h
@@ -48,6 +48,10 @@
     bool flush(TimePoint now, const std::function<void(std::vector<Replication::Message>)> &send);
 
     [[nodiscard]] Storage::ReplicatedGroup &group() { return *group_; }
+
+    /// \return the last log index that this instance has proposed since its start.
+    [[nodiscard]] Replication::LogIndex lastProposed() const { return lastProposed_; }
+
     [[nodiscard]] const Storage::ReplicatedGroup &group() const { return *group_; }
 
     /// \return whether this instance leads, has the state of earlier leaders, and no other leader can exist.
@@ -66,6 +70,7 @@
 
     std::unique_ptr<Storage::ReplicatedGroup> group_;
     std::map<Key, Pending> pending_;
+    Replication::LogIndex lastProposed_ = 0;
 };
 
 } // namespace Pistachio::Controlnode
--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -181,6 +181,7 @@
         ledTerm_ = group.term();
         ledSince_ = now;
         proposedFloor_ = 0;
+        release_.reset();
         const auto claiming = machine_.state().requests().claimingEntries();
         feed_.start(now, {claiming.begin(), claiming.end()});
         scheduler_->leadershipChanged(moment(now), *ledTerm_, true);
@@ -228,6 +229,13 @@
     proposeOwn(now, std::move(command));
 }
 
+std::vector<BookingId> ZoneHost::releasable(TimePoint now, const Cellstate::CellState &cell)
+{
+    if (!ledTerm_ || !host_->canAnswer(now))
+        return {};
+    return release_.find(zone_, cell, machine_.state().tasks(), host_->lastProposed(), host_->group().appliedIndex());
+}
+
 void ZoneHost::carryOut(TimePoint now)
 {
     auto commands = scheduler_->takeCommands();
--- a/src/libs/controlnode/zonehost.h
+++ b/src/libs/controlnode/zonehost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controlnode/bookingrelease.h"
 #include "controlnode/configurationfeed.h"
 #include "controlnode/grouphost.h"
 #include "controlnode/statemachines.h"
@@ -69,6 +70,9 @@
     /// \param cell the state to hand to entries
     void tick(TimePoint now, const Cellstate::CellState &cell);
 
+    /// \return the ended and cancelled bookings that have no task left; none while another instance may lead.
+    std::vector<BookingId> releasable(TimePoint now, const Cellstate::CellState &cell);
+
     /// Carries out the scheduler's commands of the last events.
     void carryOut(TimePoint now);
 
@@ -99,6 +103,7 @@
     std::unique_ptr<Scheduler::ZoneScheduler> scheduler_;
     std::unique_ptr<GroupHost> host_;
     ConfigurationFeed feed_;
+    BookingRelease release_;
     std::map<std::string, WaitingSync> waiting_;
     std::optional<std::uint64_t> ledTerm_;
     TimePoint ledSince_;
