Add a replay of both users' nights and the large cell

Gangs got no room for hours because one reservation kept only as many workers as the gang needs and was extended by backfill when estimates failed. It now keeps twice the room and adds nothing once the expected start has passed.

--- a/src/libs/placement/levelgrid.cpp
+++ b/src/libs/placement/levelgrid.cpp
@@ -16,7 +16,7 @@
     constexpr int exactLevels = 4;
     if (units < exactLevels)
         return static_cast<int>(units);
-    const int exponent = std::bit_width(units) - 1; // at least 2
+    const int exponent = static_cast<int>(std::bit_width(units)) - 1; // at least 2
     const int quarter = static_cast<int>((units >> (exponent - 2)) & 3);
     return std::min((exponent - 1) * 4 + quarter, levels - 1);
 }
--- a/src/libs/placement/levelgrid.h
+++ b/src/libs/placement/levelgrid.h
@@ -69,7 +69,7 @@
     static std::size_t row(int accelerators) { return static_cast<std::size_t>(accelerators); }
     static std::size_t cell(int accelerators, int cores)
     {
-        return static_cast<std::size_t>(accelerators * levels + cores);
+        return static_cast<std::size_t>(accelerators) * levels + static_cast<std::size_t>(cores);
     }
     static std::uint32_t bucket(int accelerators, int cores, int memory)
     {
@@ -98,7 +98,7 @@
 
     std::vector<Node> nodes_;
     std::vector<Entry> heads_;
-    std::array<std::uint64_t, acceleratorLevels * levels> cells_{}; // a bit for each memory level
+    std::array<std::uint64_t, static_cast<std::size_t>(acceleratorLevels) * levels> cells_{}; // a bit for each memory level
     std::array<std::uint64_t, acceleratorLevels> rows_{}; // a bit for each core level
 };
 
--- a/src/libs/placement/reservations.cpp
+++ b/src/libs/placement/reservations.cpp
@@ -13,6 +13,9 @@
 constexpr Duration refreshInterval = 10s;
 // Workers compared for one task of a job; more would find only slightly earlier starts.
 constexpr std::size_t comparedWorkers = 64;
+// Reserved room as a multiple of what the unit needs. Ends are hard to foresee; with more workers to choose from the
+// unit starts sooner, and the room that is kept idle meanwhile is about the same, since it is kept for a shorter time.
+constexpr std::int64_t overProvision = 2;
 
 std::int64_t countThatFits(const Resources &need, const Resources &room)
 {
@@ -59,19 +62,25 @@
     }
 }
 
-std::optional<TimePoint> estimateStart(std::vector<Opening> &openings, std::int64_t wanted,
-                                       std::vector<WorkerSlot> *workers)
+/// Chooses the workers with the first openings.
+/// \return when the unit is expected to fit.
+std::optional<TimePoint> chooseWorkers(std::vector<Opening> &openings, std::int64_t wanted,
+                                       std::vector<WorkerSlot> &workers)
 {
     std::stable_sort(openings.begin(), openings.end(),
                      [](const Opening &left, const Opening &right) { return left.at < right.at; });
+    std::optional<TimePoint> start;
+    std::int64_t found = 0;
     for (const Opening &opening : openings) {
-        if (workers != nullptr && std::find(workers->begin(), workers->end(), opening.worker) == workers->end())
-            workers->push_back(opening.worker);
-        wanted -= opening.tasks;
-        if (wanted <= 0)
-            return opening.at;
+        if (found >= wanted * overProvision)
+            break;
+        if (std::find(workers.begin(), workers.end(), opening.worker) == workers.end())
+            workers.push_back(opening.worker);
+        found += opening.tasks;
+        if (!start && found >= wanted)
+            start = opening.at;
     }
-    return std::nullopt;
+    return start;
 }
 
 } // namespace
@@ -90,10 +99,10 @@
             return false;
         addOpenings(now, need, wanted, worker, slot, openings);
         found += countThatFits(need, worker.capacity - worker.pinned);
-        return found >= wanted && ++compared >= comparedWorkers;
+        return found >= wanted * overProvision && ++compared >= comparedWorkers;
     });
     Reservation reservation;
-    const std::optional<TimePoint> start = estimateStart(openings, wanted, &reservation.workers);
+    const std::optional<TimePoint> start = chooseWorkers(openings, wanted, reservation.workers);
     if (!start)
         return false;
     reservation.holder = unit.id();
@@ -125,12 +134,10 @@
             continue;
         }
         if (whole) {
-            // The work there outlived its estimate. The same workers stay reserved, or the wait would start again.
-            reservation->start = now + std::max<Duration>((now - reservation->since) / 2, refreshInterval);
-            reservation->refreshAt = reservation->start;
-            // Work that is expected to end before the later start may use the workers again.
-            for (const WorkerSlot slot : reservation->workers)
-                index.markGrown(slot);
+            // The work there outlived its estimate. The same workers stay reserved, or the wait would start again, and
+            // nothing more may be added, or it would not end.
+            reservation->start = now;
+            reservation->refreshAt = now + refreshInterval;
             continue;
         }
         drop(reservation, index);
--- a/src/libs/placement/waitqueue.cpp
+++ b/src/libs/placement/waitqueue.cpp
@@ -110,7 +110,9 @@
 
 void WaitQueue::wakeFitting(const std::vector<WorkerSlot> &slots, const WorkerIndex &workers)
 {
-    for (auto &[key, shape] : shapes_) {
+    for (auto &entry : shapes_) {
+        const ShapeKey &key = entry.first;
+        Shape *shape = entry.second.get();
         // A gang needs room on several workers and is tried by time instead, see Planner.
         if (!shape->blocked || key.kind == WorkKind::Gang)
             continue;
--- /dev/null
+++ b/tests/benchmarks/placement/baseline.cpp
@@ -0,0 +1,188 @@
+#include "cellreplay.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace Pistachio::Replay
+{
+
+namespace
+{
+
+constexpr Duration passInterval = 100ms;
+constexpr Duration lossTimeout = 12340ms;
+
+struct Waiting {
+    const Job *job = nullptr;
+    std::vector<std::uint32_t> tasks;
+    Duration since{};
+};
+
+struct Running {
+    const Job *job = nullptr;
+    std::uint32_t task = 0;
+    std::size_t worker = 0;
+
+    auto operator<=>(const Running &) const = default;
+};
+
+class BaselineReplay
+{
+public:
+    BaselineReplay(const Workload &workload, Baseline baseline)
+        : workload_(workload)
+        , baseline_(baseline)
+        , measurements_(workload)
+    {
+        for (const WorkerSpec &worker : workload.workers)
+            free_.push_back(worker.capacity);
+    }
+
+    Measurements run()
+    {
+        std::size_t next = 0;
+        for (now_ = {}; now_ < workload_.length; now_ += passInterval) {
+            bool changed = endDue();
+            for (; next < workload_.jobs.size() && workload_.jobs[next].arrival <= now_; ++next, changed = true)
+                arrive(workload_.jobs[next]);
+            if (workload_.rackLoss > Duration::zero() && now_ >= workload_.rackLoss && !std::exchange(rackLost_, true))
+                loseRack();
+            if (changed)
+                pass();
+            measurements_.allocated(now_, allocated_);
+        }
+        measurements_.finish(now_);
+        for (const Waiting &unit : queue_) {
+            measurements_.neverStarted += unit.tasks.size();
+            measurements_.gangsWaiting += unit.job->kind == Placement::WorkKind::Gang ? 1 : 0;
+        }
+        return measurements_;
+    }
+
+private:
+    void arrive(const Job &job)
+    {
+        if (job.kind == Placement::WorkKind::Gang) {
+            Waiting &unit = queue_.emplace_back(Waiting{&job, {}, now_});
+            for (std::uint32_t task = 0; task < job.tasks; ++task)
+                unit.tasks.push_back(task);
+            return;
+        }
+        for (std::uint32_t task = 0; task < job.tasks; ++task)
+            queue_.push_back({&job, {task}, now_});
+    }
+
+    bool endDue()
+    {
+        bool ended = false;
+        while (!ends_.empty() && ends_.begin()->first <= now_) {
+            const Running task = ends_.begin()->second;
+            ends_.erase(ends_.begin());
+            ended = true;
+            running_.erase(task);
+            free_[task.worker] += task.job->resources;
+            allocated_ -= task.job->resources;
+            if (lost_.contains(task.worker)) // the end of the lease
+                queue_.push_back({task.job, {task.task}, now_});
+        }
+        return ended;
+    }
+
+    void loseRack()
+    {
+        for (std::size_t worker = 0; worker < free_.size(); ++worker) {
+            if (workload_.workers[worker].rack == workload_.lostRack)
+                lost_.insert(worker);
+        }
+        std::erase_if(ends_, [&](const auto &end) { return lost_.contains(end.second.worker); });
+        for (const Running &task : running_) {
+            if (lost_.contains(task.worker))
+                ends_.emplace(now_ + lossTimeout, task);
+        }
+    }
+
+    void pass()
+    {
+        std::set<std::pair<std::array<std::int64_t, 3>, std::size_t>> failed;
+        std::erase_if(queue_, [&](const Waiting &unit) {
+            const Resources &need = unit.job->resources;
+            const std::array<std::int64_t, 3> shape{need.milliCores, need.memoryBytes, need.accelerators};
+            if (failed.contains({shape, unit.tasks.size()}))
+                return false;
+            ++measurements_.decisions;
+            if (place(unit))
+                return true;
+            failed.insert({shape, unit.tasks.size()});
+            return false;
+        });
+    }
+
+    bool place(const Waiting &unit)
+    {
+        const Resources &need = unit.job->resources;
+        std::vector<std::size_t> chosen;
+        while (chosen.size() < unit.tasks.size()) {
+            const std::optional<std::size_t> worker = choose(need);
+            if (!worker) {
+                for (const std::size_t taken : chosen)
+                    free_[taken] += need;
+                return false;
+            }
+            free_[*worker] -= need;
+            chosen.push_back(*worker);
+        }
+        for (std::size_t i = 0; i < chosen.size(); ++i) {
+            const Running task{unit.job, unit.tasks[i], chosen[i]};
+            allocated_ += need;
+            measurements_.waited(*unit.job, now_ - unit.since);
+            running_.insert(task);
+            if (!unit.job->runs.empty())
+                ends_.emplace(now_ + unit.job->runs[task.task], task);
+        }
+        return true;
+    }
+
+    std::optional<std::size_t> choose(const Resources &need) const
+    {
+        std::optional<std::size_t> best;
+        double bestLeft = 0;
+        for (std::size_t worker = 0; worker < free_.size(); ++worker) {
+            if (!need.fitsIn(free_[worker]) || lost_.contains(worker))
+                continue;
+            if (baseline_ == Baseline::FirstFit)
+                return worker;
+            const Resources &capacity = workload_.workers[worker].capacity;
+            const Resources left = free_[worker] - need;
+            const double share = static_cast<double>(left.milliCores) / static_cast<double>(capacity.milliCores)
+                + static_cast<double>(left.memoryBytes) / static_cast<double>(capacity.memoryBytes)
+                + static_cast<double>(left.accelerators);
+            if (!best || share < bestLeft) {
+                best = worker;
+                bestLeft = share;
+            }
+        }
+        return best;
+    }
+
+    const Workload &workload_;
+    Baseline baseline_;
+    Measurements measurements_;
+    std::vector<Resources> free_;
+    std::vector<Waiting> queue_;
+    std::multimap<Duration, Running> ends_;
+    std::set<Running> running_;
+    std::set<std::size_t> lost_;
+    Resources allocated_;
+    Duration now_{};
+    bool rackLost_ = false;
+};
+
+} // namespace
+
+Measurements runBaseline(const Workload &workload, Baseline baseline)
+{
+    return BaselineReplay(workload, baseline).run();
+}
+
+} // namespace Pistachio::Replay
--- /dev/null
+++ b/tests/benchmarks/placement/cellreplay.cpp
@@ -0,0 +1,232 @@
+#include "cellreplay.h"
+
+#include "wire/convert.h"
+
+#include <algorithm>
+
+namespace Pistachio::Replay
+{
+
+namespace
+{
+constexpr Duration tickInterval = 100ms;
+constexpr Duration commitTime = 5ms; // a majority within the region
+constexpr Duration messageTime = 2ms;
+constexpr Duration prepareTime = 500ms;
+constexpr Duration checkpointTime = 1s;
+constexpr std::int64_t unixStartMs = 1'800'000'000'000;
+} // namespace
+
+CellReplay::CellReplay(const Workload &workload, std::function<void(bool)> aroundScheduler)
+    : workload_(workload)
+    , aroundScheduler_(std::move(aroundScheduler))
+    , measurements_(workload)
+    , scheduler_("zone", state_, 1)
+{
+    configuration_.set_packing_weight_percent(workload.packingPercent);
+    for (const WorkerSpec &worker : workload.workers) {
+        const std::size_t number = hosts_.size();
+        hostNumbers_[worker.id] = number;
+        Host &host = hosts_.emplace_back();
+        host.agent = std::make_unique<Scheduler::WorkerAgent>(WorkerId(worker.id), "1", worker.rack, worker.capacity);
+        at(std::chrono::milliseconds(number % 100), [this, number] { sync(number); });
+    }
+    scheduler([this] { scheduler_.leadershipChanged(moment(), 1, true); });
+    if (workload.rackLoss > Duration::zero())
+        at(workload.rackLoss, [this] { loseRack(); });
+}
+
+Scheduler::Moment CellReplay::moment() const
+{
+    return {TimePoint(1000s + now_), unixStartMs + now_.count() / 1000, true};
+}
+
+void CellReplay::at(Duration time, std::function<void()> action)
+{
+    events_.push({time, ++sequence_, std::move(action)});
+}
+
+template<class Call> void CellReplay::scheduler(Call call)
+{
+    aroundScheduler_(true);
+    call();
+    Scheduler::Commands commands = scheduler_.takeCommands();
+    aroundScheduler_(false);
+    for (const Scheduler::DecisionRecord &record : commands.decisions) {
+        measurements_.decisions += record.action == "assign" ? 1 : 0;
+        measurements_.displacements += record.action == "displace" ? 1 : 0;
+        measurements_.quarantines += record.action == "quarantine" ? 1 : 0;
+    }
+    for (Wire::ZoneCommand &command : commands.proposals)
+        at(now_ + commitTime, [this, command = std::move(command)] { apply(command); });
+    for (Scheduler::WorkerAnswer &answer : commands.answers) {
+        const std::size_t number = hostNumbers_.at(answer.worker.value());
+        at(now_ + messageTime, [this, number, orders = std::move(answer.orders)] {
+            Host &host = hosts_[number];
+            if (host.dead)
+                return;
+            if (orders.answered_sequence() == host.sequence)
+                host.outstanding = false;
+            carryOut(number, host.agent->ordersReceived(moment().time, orders));
+            if (!host.outstanding)
+                sync(number);
+        });
+    }
+}
+
+Measurements CellReplay::run()
+{
+    Duration nextTick{};
+    while (now_ < workload_.length) {
+        const bool event = !events_.empty() && events_.top().at <= nextTick;
+        now_ = event ? events_.top().at : nextTick;
+        if (event) {
+            const auto action = events_.top().action;
+            events_.pop();
+            action();
+            continue;
+        }
+        nextTick += tickInterval;
+        if (nextJob_ < workload_.jobs.size() && workload_.jobs[nextJob_].arrival <= now_)
+            publish();
+        scheduler([this] { scheduler_.tick(moment()); });
+    }
+    measurements_.finish(now_);
+    for (const auto &[task, since] : waitingSince_) {
+        const Job &job = *jobs_.at(task.booking.value());
+        ++measurements_.neverStarted;
+        if (job.kind == Placement::WorkKind::Gang && task.index == 0)
+            ++measurements_.gangsWaiting;
+    }
+    return measurements_;
+}
+
+void CellReplay::publish()
+{
+    for (; nextJob_ < workload_.jobs.size() && workload_.jobs[nextJob_].arrival <= now_; ++nextJob_) {
+        const Job &job = workload_.jobs[nextJob_];
+        jobs_[job.id] = &job;
+        Wire::Booking booking;
+        booking.set_id(job.id);
+        booking.set_team(job.team);
+        booking.set_kind(static_cast<Wire::WorkKind>(static_cast<int>(job.kind) + 1));
+        booking.set_standing(static_cast<Wire::Standing>(static_cast<int>(job.standing) + 1));
+        booking.set_tasks(job.tasks);
+        Wire::fill(*booking.mutable_resources(), job.resources);
+        booking.set_checkpoint(job.checkpoint);
+        booking.set_run_seconds(std::chrono::duration_cast<std::chrono::seconds>(job.declaredRun).count());
+        booking.set_grace_seconds(5);
+        booking.set_zone("zone");
+        bookings_[job.id] = std::move(booking);
+        for (std::uint32_t index = 0; index < job.tasks; ++index)
+            waitingSince_[{BookingId(job.id), index}] = now_;
+    }
+    std::vector<Wire::Booking> all;
+    all.reserve(bookings_.size());
+    for (const auto &[id, booking] : bookings_)
+        all.push_back(booking);
+    scheduler([&] { scheduler_.bookingsChanged(moment(), all, configuration_); });
+}
+
+void CellReplay::sync(std::size_t number)
+{
+    Host &host = hosts_[number];
+    if (host.dead)
+        return;
+    const Wire::WorkerSync message = host.agent->makeSync(moment().time);
+    host.sequence = message.sequence();
+    host.outstanding = true;
+    at(now_ + messageTime, [this, message] { scheduler([&] { scheduler_.workerSync(moment(), message); }); });
+}
+
+void CellReplay::carryOut(std::size_t number, const std::vector<Scheduler::WorkerAction> &actions)
+{
+    using Kind = Scheduler::WorkerAction::Kind;
+    const auto news = [this, number] {
+        if (hosts_[number].agent->hasNews())
+            sync(number);
+    };
+    for (const Scheduler::WorkerAction &action : actions) {
+        const TaskId task = action.task;
+        const std::uint64_t incarnation = action.incarnation;
+        if (action.kind == Kind::Prepare) {
+            at(now_ + prepareTime, [this, number, task, incarnation, news] {
+                hosts_[number].agent->taskPrepared(task, incarnation);
+                news();
+            });
+        } else if (action.kind == Kind::Run || action.kind == Kind::Start) {
+            started(number, task, incarnation);
+        } else if (action.kind == Kind::Stop) {
+            at(now_ + checkpointTime, [this, number, task, incarnation, news] {
+                const auto start = startedAt_.find(task);
+                if (start != startedAt_.end() && remaining_.contains(task))
+                    remaining_[task] -= now_ - start->second;
+                hosts_[number].agent->taskEnded(task, incarnation, Scheduler::AgentEnd::Stopped, {});
+                news();
+            });
+        }
+    }
+}
+
+void CellReplay::started(std::size_t number, const TaskId &task, std::uint64_t incarnation)
+{
+    const Job &job = *jobs_.at(task.booking.value());
+    if (const auto waiting = waitingSince_.find(task); waiting != waitingSince_.end()) {
+        measurements_.waited(job, now_ - waiting->second);
+        waitingSince_.erase(waiting);
+    }
+    if (job.runs.empty())
+        return;
+    startedAt_[task] = now_;
+    const Duration run = std::max<Duration>(remaining_.try_emplace(task, job.runs[task.index]).first->second, 1s);
+    at(now_ + run, [this, number, task, incarnation] {
+        Host &host = hosts_[number];
+        const auto found = host.agent->tasks().find(task);
+        const bool runs = !host.dead && found != host.agent->tasks().end() && found->second.incarnation == incarnation
+            && found->second.state == Scheduler::AgentTaskState::Running;
+        if (!runs)
+            return;
+        host.agent->taskEnded(task, incarnation, Scheduler::AgentEnd::Completed, {});
+        sync(number);
+    });
+}
+
+void CellReplay::apply(const Wire::ZoneCommand &command)
+{
+    std::vector<std::pair<TaskId, Resources>> ending;
+    for (const Wire::TaskEnd &end : command.end_tasks().ends()) {
+        const TaskId task = Wire::toCore(end.task());
+        if (const ZoneState::TaskAssignment *assignment = state_.tasks().assignment(task))
+            ending.emplace_back(task, assignment->resources);
+    }
+    const Wire::ZoneResult result = state_.apply(command);
+    for (const auto &[task, resources] : ending) {
+        allocated_ -= resources;
+        const ZoneState::TaskPast &past = *state_.tasks().past(task);
+        const std::string &id = task.booking.value();
+        if (past.completed) {
+            startedAt_.erase(task);
+            remaining_.erase(task);
+            if (++completed_[id] == jobs_.at(id)->tasks)
+                bookings_.erase(id);
+        } else {
+            waitingSince_.try_emplace(task, now_);
+        }
+    }
+    if (result.code() == Wire::ZONE_RESULT_ACCEPTED) {
+        for (const Wire::Assignment &assignment : command.assign_tasks().assignments())
+            allocated_ += Wire::toCore(assignment.resources());
+    }
+    measurements_.allocated(now_, allocated_);
+    scheduler([&] { scheduler_.applied(moment(), command, result); });
+}
+
+void CellReplay::loseRack()
+{
+    for (const WorkerSpec &worker : workload_.workers) {
+        if (worker.rack == workload_.lostRack)
+            hosts_[hostNumbers_.at(worker.id)].dead = true;
+    }
+}
+
+} // namespace Pistachio::Replay
--- /dev/null
+++ b/tests/benchmarks/placement/main.cpp
@@ -0,0 +1,95 @@
+#include "cellreplay.h"
+
+#include <valgrind/callgrind.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Replay;
+
+namespace
+{
+
+// Stated targets: design page, sections 1.2 and 1.3.
+constexpr Duration urgentStart = 3700ms;
+constexpr double acceleratorsOvernight = 0.95;
+
+bool check(bool held, const std::string &what)
+{
+    std::printf("  %s: %s\n", held ? "held" : "NOT HELD", what.c_str());
+    return held;
+}
+
+Measurements replay(const Workload &workload)
+{
+    return CellReplay(workload, [](bool) {}).run();
+}
+
+void printBaselines(const Workload &workload)
+{
+    runBaseline(workload, Baseline::FirstFit).print("first fit in order of arrival");
+    runBaseline(workload, Baseline::BestFit).print("best fit without reservations");
+}
+
+bool checkCommon(const Measurements &result)
+{
+    bool held = check(result.longest("batch urgent") <= urgentStart, "urgent work starts within 3.7 s");
+    held &= check(result.gangsWaiting == 0, "no gang job waits at the end");
+    held &= check(result.quarantines == 0, "no healthy worker is quarantined");
+    return held;
+}
+
+bool runUsers()
+{
+    bool held = true;
+    for (const Workload &workload : {lindqvistNight(1), tauhereNight(2)}) {
+        const Measurements result = replay(workload);
+        result.print("scheduler");
+        held &= checkCommon(result);
+        // More accelerator work waits than the night holds, so the volume bound is all accelerators.
+        held &= check(result.acceleratorShare() >= acceleratorsOvernight, "accelerators in use at 95% of the bound");
+        held &= check(result.neverStarted > 0, "enough work waited for the bound to apply");
+        printBaselines(workload);
+    }
+    return held;
+}
+
+bool runLarge(std::uint32_t workers, Duration length)
+{
+    const Workload workload = largeCell(3, workers, length);
+    const Measurements result = replay(workload);
+    result.print("scheduler");
+    const bool held = checkCommon(result);
+    printBaselines(workload);
+    return held;
+}
+
+/// Runs under callgrind with --collect-atstart=no, which then counts only the scheduler's instructions.
+void runCounted(std::uint32_t workers, Duration length)
+{
+    const Workload workload = largeCell(3, workers, length);
+    const Measurements result = CellReplay(workload, [](bool) { CALLGRIND_TOGGLE_COLLECT; }).run();
+    std::printf("decisions %llu\n", static_cast<unsigned long long>(result.decisions));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::string mode = argc > 1 ? argv[1] : "";
+    const auto workers = static_cast<std::uint32_t>(argc > 2 ? std::strtoul(argv[2], nullptr, 10) : 850);
+    const auto length = std::chrono::seconds(argc > 3 ? std::strtol(argv[3], nullptr, 10) : 600);
+    if (mode == "users")
+        return runUsers() ? 0 : 1;
+    if (mode == "large")
+        return runLarge(workers, length) ? 0 : 1;
+    if (mode == "count") {
+        runCounted(workers, length);
+        return 0;
+    }
+    std::cerr << "usage: placement-replay users | large [workers] [seconds] | count [workers] [seconds]\n";
+    return 2;
+}
--- /dev/null
+++ b/tests/benchmarks/placement/measurements.cpp
@@ -0,0 +1,84 @@
+#include "measurements.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace Pistachio::Replay
+{
+
+Measurements::Measurements(const Workload &workload)
+    : workload_(workload)
+{
+    for (const WorkerSpec &worker : workload.workers)
+        capacity_ += worker.capacity;
+}
+
+std::string Measurements::groupOf(const Job &job)
+{
+    static constexpr std::array<const char *, 3> kinds = {"service", "batch", "gang"};
+    static constexpr std::array<const char *, 4> standings = {"urgent", "promised", "normal", "spare"};
+    return std::string(kinds.at(static_cast<std::size_t>(job.kind))) + ' '
+        + standings.at(static_cast<std::size_t>(job.standing));
+}
+
+void Measurements::waited(const Job &job, Duration wait)
+{
+    waits_[groupOf(job)].push_back(wait);
+}
+
+void Measurements::allocated(Duration at, const Resources &sum)
+{
+    const Duration from = std::max(since_, workload_.measureFrom);
+    if (at > from) {
+        const double seconds = std::chrono::duration<double>(at - from).count();
+        integral_[0] += seconds * static_cast<double>(current_.milliCores);
+        integral_[1] += seconds * static_cast<double>(current_.memoryBytes);
+        integral_[2] += seconds * static_cast<double>(current_.accelerators);
+        measured_ += at - from;
+    }
+    since_ = at;
+    current_ = sum;
+}
+
+void Measurements::finish(Duration at)
+{
+    allocated(at, current_);
+}
+
+double Measurements::share(double integral, std::int64_t capacity) const
+{
+    const double whole = std::chrono::duration<double>(measured_).count() * static_cast<double>(capacity);
+    return whole > 0 ? integral / whole : 0;
+}
+
+Duration Measurements::percentile(const std::string &group, double percent) const
+{
+    const auto found = waits_.find(group);
+    if (found == waits_.end() || found->second.empty())
+        return {};
+    std::vector<Duration> sorted = found->second;
+    std::sort(sorted.begin(), sorted.end());
+    const auto rank = static_cast<std::size_t>(std::ceil(percent / 100 * static_cast<double>(sorted.size())));
+    return sorted[std::clamp<std::size_t>(rank, 1, sorted.size()) - 1];
+}
+
+void Measurements::print(const std::string &title) const
+{
+    std::printf("%s: %s\n", workload_.name.c_str(), title.c_str());
+    std::printf("  %-18s %8s %10s %10s %10s\n", "waiting (s)", "starts", "median", "99th", "99.9th");
+    for (const auto &[group, waits] : waits_) {
+        const auto seconds
+            = [&](double percent) { return std::chrono::duration<double>(percentile(group, percent)).count(); };
+        std::printf("  %-18s %8zu %10.2f %10.2f %10.2f\n", group.c_str(), waits.size(), seconds(50), seconds(99),
+                    seconds(99.9));
+    }
+    std::printf("  in use: cores %.1f%%, memory %.1f%%, accelerators %.1f%% of the cell\n",
+                100 * share(integral_[0], capacity_.milliCores), 100 * share(integral_[1], capacity_.memoryBytes),
+                100 * share(integral_[2], capacity_.accelerators));
+    std::printf("  decisions %llu, displacements %llu, tasks still waiting %llu, gangs still waiting %llu\n",
+                static_cast<unsigned long long>(decisions), static_cast<unsigned long long>(displacements),
+                static_cast<unsigned long long>(neverStarted), static_cast<unsigned long long>(gangsWaiting));
+}
+
+} // namespace Pistachio::Replay
