Let the holder of a reservation displace what allows it

The last few tasks on reserved workers kept the other room idle until they ended. After the wait that its standing asks for, a gang now has them stopped with a checkpoint.

--- a/src/libs/placement/displacement.cpp
+++ b/src/libs/placement/displacement.cpp
@@ -15,15 +15,9 @@
 constexpr Duration promisedWait = 60s;
 constexpr Duration normalWait = 10min;
 
-bool mayDisplace(const Work &work, const PlacedTask &task)
-{
-    const bool lower
-        = work.standing == Standing::Normal ? task.standing == Standing::Spare : task.standing >= Standing::Normal;
-    return task.displaceable && lower;
-}
-
 /// Chooses the victims on one worker, lowest standing and least progress first.
-std::optional<std::vector<const PlacedTask *>> victimsOn(const Work &work, const WorkerEntry &worker)
+std::optional<std::vector<const PlacedTask *>> victimsOn(const Work &work, const Resources &need,
+                                                         const WorkerEntry &worker)
 {
     std::vector<const PlacedTask *> candidates;
     for (const PlacedTask &task : worker.tasks) {
@@ -38,16 +32,16 @@
     Resources room = worker.free();
     std::vector<const PlacedTask *> victims;
     for (const PlacedTask *task : candidates) {
-        if (work.resources.fitsIn(room))
+        if (need.fitsIn(room))
             break;
         room += task->resources;
         victims.push_back(task);
     }
-    if (!work.resources.fitsIn(room))
+    if (!need.fitsIn(room))
         return std::nullopt;
     // Leaves out those that the last ones made unnecessary.
     std::erase_if(victims, [&](const PlacedTask *task) {
-        if (!work.resources.fitsIn(room - task->resources))
+        if (!need.fitsIn(room - task->resources))
             return false;
         room -= task->resources;
         return true;
@@ -71,10 +65,6 @@
 
 std::optional<Duration> waitBeforeDisplacing(const Work &work)
 {
-    // Stopping work on several workers for a gang would stop it for nothing when one of them is lost meanwhile; gangs
-    // have reservations instead.
-    if (work.kind == WorkKind::Gang)
-        return std::nullopt;
     switch (work.standing) {
     case Standing::Urgent:
         return Duration::zero();
@@ -99,7 +89,7 @@
         const WorkerEntry &worker = workers.at(slot);
         if (!reservations.allows(now, unit, priority, worker))
             return false;
-        const auto victims = victimsOn(work, worker);
+        const auto victims = victimsOn(work, work.resources, worker);
         if (!victims || victims->empty())
             return false;
         const double cost = costOf(*victims, worker, now);
@@ -116,6 +106,64 @@
     return best;
 }
 
+bool mayDisplace(const Work &work, const PlacedTask &task)
+{
+    const bool lower
+        = work.standing == Standing::Normal ? task.standing == Standing::Spare : task.standing >= Standing::Normal;
+    return task.displaceable && lower;
+}
+
+std::vector<Displacement> findDisplacementsFor(const Unit &holder, const std::vector<WorkerSlot> &reserved,
+                                               const WorkerIndex &workers)
+{
+    const Work &work = *holder.work;
+    struct Option {
+        double cost = 0; // of each task of the holder
+        std::int64_t tasks = 0; // of the holder, more than fit without victims
+        Displacement displacement;
+    };
+    const auto wanted = static_cast<std::int64_t>(holder.tasks.size());
+    std::int64_t open = wanted;
+    std::vector<Option> options;
+    for (const WorkerSlot slot : reserved) {
+        const WorkerEntry &worker = workers.at(slot);
+        std::int64_t count = countThatFits(work.resources, worker.free(), wanted);
+        open -= count;
+        // Each further task on the worker may need more victims; the cheapest steps are taken first below.
+        std::size_t before = 0;
+        while (count < wanted) {
+            const auto victims = victimsOn(work, work.resources.times(++count), worker);
+            if (!victims)
+                break;
+            Option option{
+                static_cast<double>(victims->size() - std::min(before, victims->size())), count, {slot, {}, 0}};
+            for (const PlacedTask *task : *victims)
+                option.displacement.victims.push_back(task->task);
+            before = victims->size();
+            options.push_back(std::move(option));
+        }
+    }
+    std::stable_sort(options.begin(), options.end(), [](const Option &left, const Option &right) {
+        return left.cost != right.cost ? left.cost < right.cost : left.tasks < right.tasks;
+    });
+    std::vector<Displacement> chosen;
+    for (Option &option : options) {
+        if (open <= 0)
+            break;
+        --open;
+        const auto same = std::find_if(chosen.begin(), chosen.end(), [&](const Displacement &displacement) {
+            return displacement.worker == option.displacement.worker;
+        });
+        if (same == chosen.end())
+            chosen.push_back(std::move(option.displacement));
+        else if (same->victims.size() < option.displacement.victims.size())
+            *same = std::move(option.displacement);
+    }
+    if (open > 0)
+        chosen.clear();
+    return chosen;
+}
+
 bool isDisplaceable(const Work &work, std::uint32_t displacements)
 {
     return work.kind == WorkKind::Batch && work.checkpoint && work.standing >= Standing::Normal
--- a/src/libs/placement/displacement.h
+++ b/src/libs/placement/displacement.h
@@ -25,6 +25,14 @@
 std::optional<Displacement> findDisplacement(const Unit &unit, const Priority &priority, TimePoint now,
                                              const WorkerIndex &workers, const Reservations &reservations);
 
+/// \return whether the work may displace the task.
+bool mayDisplace(const Work &work, const PlacedTask &task);
+
+/// Finds the tasks on reserved workers that have to stop so that all tasks of the holder fit.
+/// \return one entry for each worker with victims; empty when stopping them would not be enough.
+std::vector<Displacement> findDisplacementsFor(const Unit &holder, const std::vector<WorkerSlot> &reserved,
+                                               const WorkerIndex &workers);
+
 /// \return whether a task placed with these properties may be displaced later.
 bool isDisplaceable(const Work &work, std::uint32_t displacements);
 
--- a/src/libs/placement/levelgrid.h
+++ b/src/libs/placement/levelgrid.h
@@ -98,7 +98,8 @@
 
     std::vector<Node> nodes_;
     std::vector<Entry> heads_;
-    std::array<std::uint64_t, static_cast<std::size_t>(acceleratorLevels) * levels> cells_{}; // a bit for each memory level
+    std::array<std::uint64_t, static_cast<std::size_t>(acceleratorLevels) * levels>
+        cells_{}; // a bit for each memory level
     std::array<std::uint64_t, acceleratorLevels> rows_{}; // a bit for each core level
 };
 
--- a/src/libs/placement/planner.cpp
+++ b/src/libs/placement/planner.cpp
@@ -17,14 +17,6 @@
 // A single task is large from a quarter of the largest worker on: several usual tasks have to end before it fits.
 constexpr std::int64_t largeShare = 4;
 
-std::int64_t countThatFits(const Resources &need, const Resources &room, std::int64_t most)
-{
-    std::int64_t count = 0;
-    while (count < most && need.times(count + 1).fitsIn(room))
-        ++count;
-    return count;
-}
-
 } // namespace
 
 Planner::Planner(std::function<std::uint32_t(const TaskId &)> displacements)
@@ -164,6 +156,10 @@
     const std::optional<Duration> wait = waitBeforeDisplacing(*unit.work);
     if (!wait || now < unit.readyAt + *wait)
         return false;
+    if (unit.work->kind == WorkKind::Gang) {
+        displaceForGang(now, unit, steps);
+        return false; // it starts once the room is there
+    }
     const auto found = findDisplacement(unit, priority, now, workers_, reservations_);
     if (!found)
         return false;
@@ -180,6 +176,31 @@
     return true;
 }
 
+void Planner::displaceForGang(TimePoint now, const Unit &unit, std::vector<PlannedStep> &steps)
+{
+    // Only the holder of a reservation displaces: no other work can take the room before all of it is there.
+    const AcceleratorClass acceleratorClass = acceleratorClassOf(unit.work->resources);
+    const auto &reservation = reservations_.of(acceleratorClass);
+    if (!reservation || reservation->holder != unit.id())
+        return;
+    const std::vector<Displacement> found = findDisplacementsFor(unit, reservation->workers, workers_);
+    if (found.empty())
+        return;
+    reservations_.startNow(now, acceleratorClass);
+    for (const Displacement &displacement : found) {
+        for (const TaskId &victim : displacement.victims) {
+            workers_.setStopping(displacement.worker, victim);
+            steps.push_back({PlannedStep::Kind::Displace,
+                             unit,
+                             {displacement.worker},
+                             victim,
+                             policyFor(WorkKind::Gang).name(),
+                             0,
+                             static_cast<std::uint32_t>(reservation->workers.size())});
+        }
+    }
+}
+
 void Planner::serveHolds(TimePoint now, std::vector<PlannedStep> &steps)
 {
     for (auto hold = holds_.begin(); hold != holds_.end();) {
--- a/src/libs/placement/planner.h
+++ b/src/libs/placement/planner.h
@@ -84,6 +84,7 @@
 
     bool tryPlace(TimePoint now, const Unit &unit, const Priority &priority, std::vector<PlannedStep> &steps);
     bool tryDisplace(TimePoint now, const Unit &unit, const Priority &priority, std::vector<PlannedStep> &steps);
+    void displaceForGang(TimePoint now, const Unit &unit, std::vector<PlannedStep> &steps);
     void serveHolds(TimePoint now, std::vector<PlannedStep> &steps);
     void wakeByTime(TimePoint now);
     void blockHead(TimePoint now, WaitQueue::Shape &shape);
--- a/src/libs/placement/reservations.cpp
+++ b/src/libs/placement/reservations.cpp
@@ -1,7 +1,8 @@
 #include "placement/reservations.h"
 
+#include "placement/displacement.h"
+
 #include <algorithm>
-#include <limits>
 
 namespace Pistachio::Placement
 {
@@ -17,18 +18,6 @@
 // unit starts sooner, and the room that is kept idle meanwhile is about the same, since it is kept for a shorter time.
 constexpr std::int64_t overProvision = 2;
 
-std::int64_t countThatFits(const Resources &need, const Resources &room)
-{
-    std::int64_t count = std::numeric_limits<std::int32_t>::max();
-    if (need.milliCores > 0)
-        count = std::min(count, room.milliCores / need.milliCores);
-    if (need.memoryBytes > 0)
-        count = std::min(count, room.memoryBytes / need.memoryBytes);
-    if (need.accelerators > 0)
-        count = std::min(count, room.accelerators / need.accelerators);
-    return std::max<std::int64_t>(count, 0);
-}
-
 struct Opening {
     TimePoint at;
     WorkerSlot worker = 0;
@@ -36,11 +25,18 @@
 };
 
 /// Adds when the worker is expected to have room for one more task, two more, and so on.
-void addOpenings(TimePoint now, const Resources &need, std::int64_t wanted, const WorkerEntry &worker, WorkerSlot slot,
+void addOpenings(TimePoint now, const Unit &unit, const WorkerEntry &worker, WorkerSlot slot,
                  std::vector<Opening> &openings)
 {
+    const Resources &need = unit.work->resources;
+    const auto wanted = static_cast<std::int64_t>(unit.tasks.size());
+    const std::optional<Duration> wait = waitBeforeDisplacing(*unit.work);
+    const auto endOf = [&](const PlacedTask &task) {
+        const TimePoint end = task.estimatedEnd(now);
+        return wait && mayDisplace(*unit.work, task) ? std::min(end, std::max(now, unit.readyAt + *wait)) : end;
+    };
     Resources room = worker.capacity - worker.allocated;
-    std::int64_t count = std::min(countThatFits(need, room), wanted);
+    std::int64_t count = countThatFits(need, room, wanted);
     if (count > 0)
         openings.push_back({now, slot, count});
     std::vector<const PlacedTask *> ending;
@@ -48,16 +44,15 @@
         if (task.kind != WorkKind::Service || task.stopping)
             ending.push_back(&task);
     }
-    std::sort(ending.begin(), ending.end(), [now](const PlacedTask *left, const PlacedTask *right) {
-        return left->estimatedEnd(now) < right->estimatedEnd(now);
-    });
+    std::sort(ending.begin(), ending.end(),
+              [&](const PlacedTask *left, const PlacedTask *right) { return endOf(*left) < endOf(*right); });
     for (const PlacedTask *task : ending) {
         if (count >= wanted)
             return;
         room += task->resources;
-        const std::int64_t next = std::min(countThatFits(need, room), wanted);
+        const std::int64_t next = countThatFits(need, room, wanted);
         if (next > count)
-            openings.push_back({task->estimatedEnd(now), slot, next - count});
+            openings.push_back({endOf(*task), slot, next - count});
         count = std::max(count, next);
     }
 }
@@ -97,8 +92,8 @@
         const WorkerEntry &worker = index.at(slot);
         if (worker.reservedFor && worker.reservedFor != acceleratorClass)
             return false;
-        addOpenings(now, need, wanted, worker, slot, openings);
-        found += countThatFits(need, worker.capacity - worker.pinned);
+        addOpenings(now, unit, worker, slot, openings);
+        found += countThatFits(need, worker.capacity - worker.pinned, wanted);
         return found >= wanted * overProvision && ++compared >= comparedWorkers;
     });
     Reservation reservation;
@@ -146,6 +141,13 @@
     return dropped;
 }
 
+void Reservations::startNow(TimePoint now, AcceleratorClass acceleratorClass)
+{
+    auto &reservation = reservations_[static_cast<std::size_t>(acceleratorClass)];
+    if (reservation)
+        reservation->start = std::min(reservation->start, now);
+}
+
 bool Reservations::release(const TaskId &holder, WorkerIndex &index)
 {
     for (std::optional<Reservation> &reservation : reservations_) {
--- a/src/libs/placement/reservations.h
+++ b/src/libs/placement/reservations.h
@@ -29,6 +29,9 @@
     /// \return whether a reservation was dropped.
     bool refresh(TimePoint now, WorkerIndex &index);
 
+    /// Lets no more work use the reserved workers, since room is being made there.
+    void startNow(TimePoint now, AcceleratorClass acceleratorClass);
+
     /// Ends the reservation of a unit that was placed or withdrawn.
     /// \return whether it had one.
     bool release(const TaskId &holder, WorkerIndex &index);
--- a/src/libs/placement/work.cpp
+++ b/src/libs/placement/work.cpp
@@ -23,6 +23,18 @@
     return {static_cast<std::uint8_t>(work.standing == Standing::Urgent ? 0 : 1), key.count(), sequence};
 }
 
+std::int64_t countThatFits(const Resources &need, const Resources &room, std::int64_t most)
+{
+    std::int64_t count = most;
+    if (need.milliCores > 0)
+        count = std::min(count, room.milliCores / need.milliCores);
+    if (need.memoryBytes > 0)
+        count = std::min(count, room.memoryBytes / need.memoryBytes);
+    if (need.accelerators > 0)
+        count = std::min(count, room.accelerators / need.accelerators);
+    return std::max<std::int64_t>(room.isNegative() ? 0 : count, 0);
+}
+
 AcceleratorClass acceleratorClassOf(const Resources &resources)
 {
     return resources.accelerators > 0 ? AcceleratorClass::With : AcceleratorClass::Without;
--- a/src/libs/placement/work.h
+++ b/src/libs/placement/work.h
@@ -58,6 +58,9 @@
 /// \return its place in the order.
 Priority priorityOf(const Unit &unit, unsigned packingPercent, std::uint64_t sequence);
 
+/// \return how many tasks with this need fit into the room, at most \p most.
+std::int64_t countThatFits(const Resources &need, const Resources &room, std::int64_t most);
+
 /// Work with and without accelerators competes for different workers and is reserved for separately.
 enum class AcceleratorClass : std::uint8_t { Without, With };
 constexpr std::size_t acceleratorClassCount = 2;
--- a/tests/benchmarks/placement/main.cpp
+++ b/tests/benchmarks/placement/main.cpp
@@ -42,10 +42,10 @@
     return held;
 }
 
-bool runUsers()
+bool runUsers(std::uint64_t seed)
 {
     bool held = true;
-    for (const Workload &workload : {lindqvistNight(1), tauhereNight(2)}) {
+    for (const Workload &workload : {lindqvistNight(seed), tauhereNight(seed + 1)}) {
         const Measurements result = replay(workload);
         result.print("scheduler");
         held &= checkCommon(result);
@@ -83,13 +83,13 @@
     const auto workers = static_cast<std::uint32_t>(argc > 2 ? std::strtoul(argv[2], nullptr, 10) : 850);
     const auto length = std::chrono::seconds(argc > 3 ? std::strtol(argv[3], nullptr, 10) : 600);
     if (mode == "users")
-        return runUsers() ? 0 : 1;
+        return runUsers(argc > 2 ? std::strtoul(argv[2], nullptr, 10) : 1) ? 0 : 1;
     if (mode == "large")
         return runLarge(workers, length) ? 0 : 1;
     if (mode == "count") {
         runCounted(workers, length);
         return 0;
     }
-    std::cerr << "usage: placement-replay users | large [workers] [seconds] | count [workers] [seconds]\n";
+    std::cerr << "usage: placement-replay users [seed] | large [workers] [seconds] | count [workers] [seconds]\n";
     return 2;
 }
