--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -20,6 +20,7 @@
 {
 
 constexpr Duration proposalLimit = 3s;
+constexpr Duration introductionTime = 5s; ///< workers find a new leader within one long poll of 3 s and a reconnect
 
 std::int64_t unixMs()
 {
@@ -178,7 +179,9 @@
     }
     if (!ledTerm_ && group.isLeaderWithState()) {
         ledTerm_ = group.term();
+        ledSince_ = now;
         proposedFloor_ = 0;
+        release_.reset();
         const auto claiming = machine_.state().requests().claimingEntries();
         feed_.start(now, {claiming.begin(), claiming.end()});
         scheduler_->leadershipChanged(moment(now), *ledTerm_, true);
@@ -226,6 +229,13 @@
     proposeOwn(now, std::move(command));
 }
 
+std::vector<BookingId> ZoneHost::releasable(TimePoint now, const Cellstate::CellState &cell)
+{
+    if (!ledTerm_ || !host_->canAnswer(now))
+        return {};
+    return release_.find(zone_, cell, machine_.state().tasks(), host_->lastProposed(), host_->group().appliedIndex());
+}
+
 void ZoneHost::carryOut(TimePoint now)
 {
     auto commands = scheduler_->takeCommands();
@@ -253,6 +263,7 @@
     if (!ledTerm_ || !host_->canAnswer(now))
         return;
     fillZoneReport(zone_, cell, machine_.state(), *scheduler_, report);
+    report.set_workers_known(now - ledSince_ > introductionTime);
     for (const auto &entry : feed_.versions()) {
         auto &item = *report.add_entries();
         item.set_entry(entry.entry);
