--- a/src/tools/pistachioctl/controlclient.cpp
+++ b/src/tools/pistachioctl/controlclient.cpp
@@ -1,6 +1,7 @@
 #include "pistachioctl/controlclient.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace Pistachio::Pistachioctl
@@ -22,10 +23,14 @@
 constexpr int resultUnknown = 504;
 constexpr int internalError = 500;
 
+// The message of a failure, or the start of a body in another form.
 std::string statusText(const Transport::Response &response)
 {
     constexpr std::size_t shownBytes = 300;
-    return "status " + std::to_string(response.status) + ' ' + response.body.substr(0, shownBytes);
+    const auto body = nlohmann::json::parse(response.body, nullptr, false);
+    const bool hasMessage = body.is_object() && body.contains("message") && body["message"].is_string();
+    return "status " + std::to_string(response.status) + ", "
+        + (hasMessage ? body["message"].get<std::string>() : response.body.substr(0, shownBytes));
 }
 
 // Lists what happened at an address once, however often it was tried.
--- a/tests/auto/cellstate/tst_cellstate.cpp
+++ b/tests/auto/cellstate/tst_cellstate.cpp
@@ -1,6 +1,8 @@
 #include "cellcommands.h"
 #include "cellstate/cellstate.h"
+#include "cellstate/configurationhistory.h"
 #include "cellstate/requestlog.h"
+#include "cellstate/sheethistory.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -62,6 +64,7 @@
     CPPUNIT_TEST(quotasLimitWhatRunsAtOneTime);
     CPPUNIT_TEST(bookingThatCanNeverRunIsRefused);
     CPPUNIT_TEST(configurationIsCheckedAndCompared);
+    CPPUNIT_TEST(historyIsBounded);
     CPPUNIT_TEST(instanceIdIsNeverUsedAgain);
     CPPUNIT_TEST(damagedSnapshotChangesNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -282,6 +285,31 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, cell.configuration().version());
     }
 
+    // Guards against a history that grows with every change, versions that start again once old ones are dropped, and a
+    // conflict with a dropped version that is answered as if nothing had changed.
+    void historyIsBounded()
+    {
+        CellState cell = configured();
+        const std::uint64_t sheets = Internal::keptSheets + 10;
+        for (std::uint64_t i = 0; i < sheets; ++i)
+            assertCode(Wire::CELL_RESULT_ACCEPTED,
+                       cell.apply(sheet("r" + std::to_string(i), "anna", i, {booking("b" + std::to_string(i))})));
+        const std::uint64_t configurations = Internal::keptConfigurations + 10;
+        for (std::uint64_t i = 1; i < configurations; ++i)
+            assertCode(Wire::CELL_RESULT_ACCEPTED, cell.apply(configuration("c" + std::to_string(i), i, threeZones)));
+        cell = restored(cell);
+        CPPUNIT_ASSERT_EQUAL(sheets, cell.sheetVersion());
+        CPPUNIT_ASSERT_EQUAL(configurations, cell.configuration().version());
+        CPPUNIT_ASSERT_EQUAL(Internal::keptSheets, cell.sheetHistory().size());
+        const std::uint64_t oldest = sheets - Internal::keptSheets;
+        CPPUNIT_ASSERT_EQUAL("b" + std::to_string(oldest - 1), cell.sheet(oldest).value().front().id.value());
+        CPPUNIT_ASSERT(cell.sheet(oldest - 1).error().code == ErrorCode::NotFound);
+        const auto stale = cell.apply(sheet("late", "bo", oldest - 1, {}));
+        assertCode(Wire::CELL_RESULT_VERSION_CONFLICT, stale);
+        CPPUNIT_ASSERT(stale.differences().empty() && contains(stale.notes(0), "no longer kept"));
+        CPPUNIT_ASSERT(contains(cell.apply(configuration("late2", 1, threeZones)).notes(0), "not kept"));
+    }
+
     // Guards against a replacement that takes the identity of an instance whose data may be left somewhere.
     void instanceIdIsNeverUsedAgain()
     {
