--- a/src/libs/placement/reservations.cpp
+++ b/src/libs/placement/reservations.cpp
@@ -1,7 +1,8 @@
 #include "placement/reservations.h"
 
+#include "placement/displacement.h"
+
 #include <algorithm>
-#include <limits>
 
 namespace Pistachio::Placement
 {
@@ -13,18 +14,9 @@
 constexpr Duration refreshInterval = 10s;
 // Workers compared for one task of a job; more would find only slightly earlier starts.
 constexpr std::size_t comparedWorkers = 64;
-
-std::int64_t countThatFits(const Resources &need, const Resources &room)
-{
-    std::int64_t count = std::numeric_limits<std::int32_t>::max();
-    if (need.milliCores > 0)
-        count = std::min(count, room.milliCores / need.milliCores);
-    if (need.memoryBytes > 0)
-        count = std::min(count, room.memoryBytes / need.memoryBytes);
-    if (need.accelerators > 0)
-        count = std::min(count, room.accelerators / need.accelerators);
-    return std::max<std::int64_t>(count, 0);
-}
+// Reserved room as a multiple of what the unit needs. Ends are hard to foresee; with more workers to choose from the
+// unit starts sooner, and the room that is kept idle meanwhile is about the same, since it is kept for a shorter time.
+constexpr std::int64_t overProvision = 2;
 
 struct Opening {
     TimePoint at;
@@ -33,11 +25,18 @@
 };
 
 /// Adds when the worker is expected to have room for one more task, two more, and so on.
-void addOpenings(TimePoint now, const Resources &need, std::int64_t wanted, const WorkerEntry &worker, WorkerSlot slot,
+void addOpenings(TimePoint now, const Unit &unit, const WorkerEntry &worker, WorkerSlot slot,
                  std::vector<Opening> &openings)
 {
+    const Resources &need = unit.work->resources;
+    const auto wanted = static_cast<std::int64_t>(unit.tasks.size());
+    const std::optional<Duration> wait = waitBeforeDisplacing(*unit.work);
+    const auto endOf = [&](const PlacedTask &task) {
+        const TimePoint end = task.estimatedEnd(now);
+        return wait && mayDisplace(*unit.work, task) ? std::min(end, std::max(now, unit.readyAt + *wait)) : end;
+    };
     Resources room = worker.capacity - worker.allocated;
-    std::int64_t count = std::min(countThatFits(need, room), wanted);
+    std::int64_t count = countThatFits(need, room, wanted);
     if (count > 0)
         openings.push_back({now, slot, count});
     std::vector<const PlacedTask *> ending;
@@ -45,33 +44,38 @@
         if (task.kind != WorkKind::Service || task.stopping)
             ending.push_back(&task);
     }
-    std::sort(ending.begin(), ending.end(), [now](const PlacedTask *left, const PlacedTask *right) {
-        return left->estimatedEnd(now) < right->estimatedEnd(now);
-    });
+    std::sort(ending.begin(), ending.end(),
+              [&](const PlacedTask *left, const PlacedTask *right) { return endOf(*left) < endOf(*right); });
     for (const PlacedTask *task : ending) {
         if (count >= wanted)
             return;
         room += task->resources;
-        const std::int64_t next = std::min(countThatFits(need, room), wanted);
+        const std::int64_t next = countThatFits(need, room, wanted);
         if (next > count)
-            openings.push_back({task->estimatedEnd(now), slot, next - count});
+            openings.push_back({endOf(*task), slot, next - count});
         count = std::max(count, next);
     }
 }
 
-std::optional<TimePoint> estimateStart(std::vector<Opening> &openings, std::int64_t wanted,
-                                       std::vector<WorkerSlot> *workers)
+/// Chooses the workers with the first openings.
+/// \return when the unit is expected to fit.
+std::optional<TimePoint> chooseWorkers(std::vector<Opening> &openings, std::int64_t wanted,
+                                       std::vector<WorkerSlot> &workers)
 {
     std::stable_sort(openings.begin(), openings.end(),
                      [](const Opening &left, const Opening &right) { return left.at < right.at; });
+    std::optional<TimePoint> start;
+    std::int64_t found = 0;
     for (const Opening &opening : openings) {
-        if (workers != nullptr && std::find(workers->begin(), workers->end(), opening.worker) == workers->end())
-            workers->push_back(opening.worker);
-        wanted -= opening.tasks;
-        if (wanted <= 0)
-            return opening.at;
+        if (found >= wanted * overProvision)
+            break;
+        if (std::find(workers.begin(), workers.end(), opening.worker) == workers.end())
+            workers.push_back(opening.worker);
+        found += opening.tasks;
+        if (!start && found >= wanted)
+            start = opening.at;
     }
-    return std::nullopt;
+    return start;
 }
 
 } // namespace
@@ -88,12 +92,12 @@
         const WorkerEntry &worker = index.at(slot);
         if (worker.reservedFor && worker.reservedFor != acceleratorClass)
             return false;
-        addOpenings(now, need, wanted, worker, slot, openings);
-        found += countThatFits(need, worker.capacity - worker.pinned);
-        return found >= wanted && ++compared >= comparedWorkers;
+        addOpenings(now, unit, worker, slot, openings);
+        found += countThatFits(need, worker.capacity - worker.pinned, wanted);
+        return found >= wanted * overProvision && ++compared >= comparedWorkers;
     });
     Reservation reservation;
-    const std::optional<TimePoint> start = estimateStart(openings, wanted, &reservation.workers);
+    const std::optional<TimePoint> start = chooseWorkers(openings, wanted, reservation.workers);
     if (!start)
         return false;
     reservation.holder = unit.id();
@@ -125,12 +129,10 @@
             continue;
         }
         if (whole) {
-            // The work there outlived its estimate. The same workers stay reserved, or the wait would start again.
-            reservation->start = now + std::max<Duration>((now - reservation->since) / 2, refreshInterval);
-            reservation->refreshAt = reservation->start;
-            // Work that is expected to end before the later start may use the workers again.
-            for (const WorkerSlot slot : reservation->workers)
-                index.markGrown(slot);
+            // The work there outlived its estimate. The same workers stay reserved, or the wait would start again, and
+            // nothing more may be added, or it would not end.
+            reservation->start = now;
+            reservation->refreshAt = now + refreshInterval;
             continue;
         }
         drop(reservation, index);
@@ -139,6 +141,13 @@
     return dropped;
 }
 
+void Reservations::startNow(TimePoint now, AcceleratorClass acceleratorClass)
+{
+    auto &reservation = reservations_[static_cast<std::size_t>(acceleratorClass)];
+    if (reservation)
+        reservation->start = std::min(reservation->start, now);
+}
+
 bool Reservations::release(const TaskId &holder, WorkerIndex &index)
 {
     for (std::optional<Reservation> &reservation : reservations_) {
