Test the replacement of a lost control instance

Three voters, one lost and replaced through the operator API, then a second one lost: the remaining two of three accept a sheet and run its work.

--- a/src/libs/controlnode/decisions.cpp
+++ b/src/libs/controlnode/decisions.cpp
@@ -282,11 +282,17 @@
     metrics_.set("cell_term", static_cast<double>(cell_->group().term()));
     metrics_.set("cell_applied_index", static_cast<double>(cell_->group().appliedIndex()));
     metrics_.set("cell_is_leader", cell_->group().isLeader() ? 1 : 0);
+    const auto &cellVoters = cell_->group().membership().voters;
+    metrics_.set("cell_voters", static_cast<double>(cellVoters.size()));
+    metrics_.set("cell_is_voter", contains(cellVoters, settings_.instance) ? 1 : 0);
     for (const auto &[id, zone] : zones_) {
         const auto label = "{zone=\"" + id.value() + "\"}";
         metrics_.set("zone_term" + label, static_cast<double>(zone->host().group().term()));
         metrics_.set("zone_applied_index" + label, static_cast<double>(zone->host().group().appliedIndex()));
         metrics_.set("zone_is_leader" + label, zone->host().group().isLeader() ? 1 : 0);
+        const auto &voters = zone->host().group().membership().voters;
+        metrics_.set("zone_voters" + label, static_cast<double>(voters.size()));
+        metrics_.set("zone_is_voter" + label, contains(voters, settings_.instance) ? 1 : 0);
     }
 }
 
--- a/tests/auto/endtoend/cluster.cpp
+++ b/tests/auto/endtoend/cluster.cpp
@@ -36,16 +36,14 @@
 
 Cluster::Cluster(int controls)
     : controls_(static_cast<std::size_t>(controls))
+    , voters_(controls)
     , client_(loop_, {})
 {
     auto pattern = (std::filesystem::temp_directory_path() / "pistachio-endtoend-XXXXXX").string();
     folder_ = ::mkdtemp(pattern.data());
     std::ofstream(folder_ + "/token") << token << '\n';
-    for (auto &control : controls_) {
-        control.internal = reservePort();
-        control.operators = reservePort();
-        control.worker = reservePort();
-    }
+    for (auto &control : controls_)
+        reservePorts(control);
     for (int index = 0; index < controls; ++index) {
         writeSettings(index);
         startControl(index);
@@ -80,6 +78,25 @@
     return ntohs(loopback.sin_port);
 }
 
+void Cluster::reservePorts(Control &control)
+{
+    control.internal = reservePort();
+    control.operators = reservePort();
+    control.worker = reservePort();
+}
+
+std::string Cluster::addControl()
+{
+    const int index = size();
+    auto &control = controls_.emplace_back();
+    reservePorts(control);
+    writeSettings(index);
+    startControl(index);
+    const auto quoted = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + '"'; };
+    return R"({"id": ")" + name(index) + R"(", "zone": "svealand", "internal": )" + quoted(control.internal)
+        + R"(, "operator": )" + quoted(control.operators) + R"(, "worker": )" + quoted(control.worker) + '}';
+}
+
 void Cluster::writeSettings(int index)
 {
     auto &control = controls_[static_cast<std::size_t>(index)];
@@ -95,10 +112,12 @@
         file << "[[instance_address]]\nid = \"" << name(other)
              << "\"\nzone = \"svealand\"\ninternal = " << address(peer.internal)
              << "operator = " << address(peer.operators) << "worker = " << address(peer.worker);
-        voters += (other > 0 ? ", \"" : "\"") + name(other) + '"';
+        if (other < voters_)
+            voters += (other > 0 ? ", \"" : "\"") + name(other) + '"';
     }
+    const auto learner = index < voters_ ? std::string() : '"' + name(index) + '"';
     for (const auto *group : {"cell", "zone:svealand"})
-        file << "[[group]]\nname = \"" << group << "\"\nvoters = [" << voters << "]\nlearners = []\n";
+        file << "[[group]]\nname = \"" << group << "\"\nvoters = [" << voters << "]\nlearners = [" << learner << "]\n";
 }
 
 void Cluster::startControl(int index)
--- a/tests/auto/endtoend/cluster.h
+++ b/tests/auto/endtoend/cluster.h
@@ -25,6 +25,10 @@
     Cluster &operator=(const Cluster &) = delete;
 
     void startControl(int index);
+
+    /// Starts one more control instance, which learns from the others.
+    /// \return the operator's request body that names it.
+    std::string addControl();
     [[nodiscard]] Process &control(int index) { return *controls_[static_cast<std::size_t>(index)].process; }
     [[nodiscard]] int size() const { return static_cast<int>(controls_.size()); }
 
@@ -64,11 +68,13 @@
     };
 
     std::uint16_t reservePort();
+    void reservePorts(Control &control);
     void writeSettings(int index);
 
     std::string folder_;
     std::vector<int> reserved_;
     std::vector<Control> controls_;
+    const int voters_;
     std::map<std::string, std::unique_ptr<Process>> workers_;
     std::map<std::string, std::int64_t> deaths_;
     Transport::EventLoop loop_;
--- a/tests/auto/endtoend/tst_endtoend.cpp
+++ b/tests/auto/endtoend/tst_endtoend.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(tasksOfALostWorkerRunOnceElsewhere);
     CPPUNIT_TEST(changesSurviveLeadersOfThreeInstances);
     CPPUNIT_TEST(changesSurviveLeadersOfFiveInstances);
+    CPPUNIT_TEST(aSecondLossAfterARepairLeavesAQuorum);
     CPPUNIT_TEST(aPlannedStopEndsWithSuccess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -202,6 +203,28 @@
     void changesSurviveLeadersOfThreeInstances() { changesSurviveLeaders(3); }
     void changesSurviveLeadersOfFiveInstances() { changesSurviveLeaders(5); }
 
+    // Guards against a repair that does not restore the quorum: a lost voter is replaced, then a second one is lost.
+    void aSecondLossAfterARepairLeavesAQuorum()
+    {
+        Cluster cluster(3);
+        configure(cluster, 2);
+        const int lost = awaitLeader(cluster, "cell");
+        cluster.control(lost).kill();
+        const auto body = cluster.addControl();
+        const auto target = "/v1/instances/control-" + std::to_string(lost + 1);
+        accept(cluster, change("PUT", target, "replace-1", 0, body), lost + 1);
+        CPPUNIT_ASSERT(Cluster::waitFor([&] {
+            const auto metrics = cluster.call(3, {"GET", "/v1/metrics", {}, {}}, 500ms);
+            const auto is = [&](const char *line) { return metrics.value().body.find(line) != std::string::npos; };
+            return metrics && is("cell_is_voter 1") && is("zone_is_voter{zone=\"svealand\"} 1") && is("cell_voters 3")
+                && is("zone_voters{zone=\"svealand\"} 3");
+        }));
+        cluster.control((lost + 1) % 3).kill();
+        accept(cluster, change("POST", "/v1/sheets", "sheet-1", 0, columns + row("web", "service", 2, "serve")), 3);
+        assertRunning(cluster, "web/", 2);
+        assertNoOverlap(cluster);
+    }
+
     // Guards against planned stops that fail or take tasks with them.
     void aPlannedStopEndsWithSuccess()
     {
