--- a/scripts/lib/cell.sh
+++ b/scripts/lib/cell.sh
@@ -7,10 +7,12 @@
 cell_token=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
 cell_zone=svealand
 
+# Ends the processes in the reverse order of their start, so that workers can tell their leader that they leave.
 cell_cleanup() {
-    local pid
-    for pid in "${cell_pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "${cell_pids[@]}"; do
+    local i pid
+    for ((i = ${#cell_pids[@]} - 1; i >= 0; --i)); do
+        pid=${cell_pids[i]}
+        kill -TERM "$pid" 2>/dev/null || continue
         for _ in $(seq 100); do kill -0 "$pid" 2>/dev/null || break; sleep 0.1; done
         kill -KILL "$pid" 2>/dev/null || true
         wait "$pid" 2>/dev/null || true
@@ -115,3 +117,20 @@
           [{\"team\": \"print\", \"cores\": 100000, \"memory_mb\": 100000000, \"accelerators\": 1000}]}" \
         "Request-Id: configuration-1" "Author: $0" "Expect-Version: 0"
 }
+
+# cell_start_entry: one entry that asks all control instances; its callers' port is in cell_callers.
+cell_start_entry() {
+    local i
+    cell_find_ports 3
+    {
+        printf 'instance = "entry-1"\nzone = "%s"\n[listen]\n' "$cell_zone"
+        printf 'callers = "127.0.0.1:%d"\nminions = "127.0.0.1:%d"\ninternal = "127.0.0.1:%d"\n' "${cell_ports[@]}"
+        for ((i = 0; i < ${#cell_control_pids[@]}; ++i)); do
+            printf '[[control]]\nid = "control-%d"\nzone = "%s"\ninternal = "127.0.0.1:%d"\n' \
+                $((i + 1)) "$cell_zone" "${cell_control_ports[i * 3]}"
+        done
+    } >"$cell_folder/entry-1.toml"
+    cell_callers="127.0.0.1:${cell_ports[0]}"
+    cell_minions="127.0.0.1:${cell_ports[1]}"
+    cell_start_process entry-1 "$cell_bin/pistachio-entry" "--settings=$cell_folder/entry-1.toml"
+}
