--- a/scripts/lib/cell.sh
+++ b/scripts/lib/cell.sh
@@ -3,20 +3,30 @@
 
 cell_folder=$(mktemp -d)
 cell_pids=()
+cell_control_pids=()
 cell_bin=build/bin
 cell_token=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
 cell_zone=svealand
 
-# Ends the processes in the reverse order of their start, so that workers can tell their leader that they leave.
-cell_cleanup() {
-    local i pid
-    for ((i = ${#cell_pids[@]} - 1; i >= 0; --i)); do
-        pid=${cell_pids[i]}
-        kill -TERM "$pid" 2>/dev/null || continue
+# cell_stop <pid>...: asks the processes to stop and waits; after 10 s they are killed.
+cell_stop() {
+    local pid
+    for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
+    for pid in "$@"; do
         for _ in $(seq 100); do kill -0 "$pid" 2>/dev/null || break; sleep 0.1; done
         kill -KILL "$pid" 2>/dev/null || true
         wait "$pid" 2>/dev/null || true
     done
+}
+
+# Stops the control instances last, so that workers can tell their leader that they leave.
+cell_cleanup() {
+    local pid others=()
+    for pid in "${cell_pids[@]}"; do
+        if [[ " ${cell_control_pids[*]} " != *" $pid "* ]]; then others+=("$pid"); fi
+    done
+    cell_stop "${others[@]}"
+    cell_stop "${cell_control_pids[@]}"
     rm -rf "$cell_folder"
 }
 trap cell_cleanup EXIT
