Let work that can be displaced use reserved workers until the holder starts

Reserved room stayed idle although work waited that stops within a second. A shape is now also told apart by whether its work can be displaced; before, one unit that could not blocked the others.

--- a/src/libs/placement/displacement.cpp
+++ b/src/libs/placement/displacement.cpp
@@ -21,7 +21,7 @@
 {
     std::vector<const PlacedTask *> candidates;
     for (const PlacedTask &task : worker.tasks) {
-        if (mayDisplace(work, task))
+        if (task.displaceable && mayDisplace(work, task.standing))
             candidates.push_back(&task);
     }
     std::sort(candidates.begin(), candidates.end(), [](const PlacedTask *left, const PlacedTask *right) {
@@ -106,11 +106,9 @@
     return best;
 }
 
-bool mayDisplace(const Work &work, const PlacedTask &task)
+bool mayDisplace(const Work &work, Standing standing)
 {
-    const bool lower
-        = work.standing == Standing::Normal ? task.standing == Standing::Spare : task.standing >= Standing::Normal;
-    return task.displaceable && lower;
+    return work.standing == Standing::Normal ? standing == Standing::Spare : standing >= Standing::Normal;
 }
 
 std::vector<Displacement> findDisplacementsFor(const Unit &holder, const std::vector<WorkerSlot> &reserved,
--- a/src/libs/placement/displacement.h
+++ b/src/libs/placement/displacement.h
@@ -25,8 +25,8 @@
 std::optional<Displacement> findDisplacement(const Unit &unit, const Priority &priority, TimePoint now,
                                              const WorkerIndex &workers, const Reservations &reservations);
 
-/// \return whether the work may displace the task.
-bool mayDisplace(const Work &work, const PlacedTask &task);
+/// \return whether the work may displace displaceable tasks of that standing.
+bool mayDisplace(const Work &work, Standing standing);
 
 /// Finds the tasks on reserved workers that have to stop so that all tasks of the holder fit.
 /// \return one entry for each worker with victims; empty when stopping them would not be enough.
--- a/src/libs/placement/planner.cpp
+++ b/src/libs/placement/planner.cpp
@@ -33,6 +33,7 @@
 
 void Planner::enqueue(Unit unit)
 {
+    unit.displacements = displacements_(unit.id());
     queue_.add(std::move(unit), packingPercent_);
 }
 
--- a/src/libs/placement/reservations.cpp
+++ b/src/libs/placement/reservations.cpp
@@ -33,7 +33,9 @@
     const std::optional<Duration> wait = waitBeforeDisplacing(*unit.work);
     const auto endOf = [&](const PlacedTask &task) {
         const TimePoint end = task.estimatedEnd(now);
-        return wait && mayDisplace(*unit.work, task) ? std::min(end, std::max(now, unit.readyAt + *wait)) : end;
+        return wait && task.displaceable && mayDisplace(*unit.work, task.standing)
+            ? std::min(end, std::max(now, unit.readyAt + *wait))
+            : end;
     };
     Resources room = worker.capacity - worker.allocated;
     std::int64_t count = countThatFits(need, room, wanted);
@@ -101,6 +103,7 @@
     if (!start)
         return false;
     reservation.holder = unit.id();
+    reservation.work = unit.work;
     reservation.priority = priority;
     reservation.start = *start;
     reservation.refreshAt = now + refreshInterval;
@@ -176,7 +179,11 @@
         return true;
     if (unit.work->kind == WorkKind::Service)
         return false;
-    return now + unit.work->estimatedRun <= reservation->start;
+    if (now + unit.work->estimatedRun <= reservation->start)
+        return true;
+    // Work that stops when the holder can start costs it nothing, and the room would be idle until then.
+    return isDisplaceable(*unit.work, unit.displacements) && mayDisplace(*reservation->work, unit.work->standing)
+        && waitBeforeDisplacing(*reservation->work);
 }
 
 void Reservations::drop(std::optional<Reservation> &reservation, WorkerIndex &index)
--- a/src/libs/placement/reservations.h
+++ b/src/libs/placement/reservations.h
@@ -10,6 +10,7 @@
 /// Workers kept for the oldest waiting large job of an accelerator class.
 struct Reservation {
     TaskId holder; ///< first task of the unit
+    std::shared_ptr<const Work> work;
     Priority priority;
     std::vector<WorkerSlot> workers;
     TimePoint start{}; ///< when the work on them is expected to have made room
@@ -44,8 +45,8 @@
     /// \return whether the worker is reserved for the unit.
     [[nodiscard]] bool isHolder(const Unit &unit, const WorkerEntry &worker) const;
 
-    /// \return whether the unit may use the worker: it holds the reservation, goes before the holder, or is expected to
-    /// end before the reserved start.
+    /// \return whether the unit may use the worker: it holds the reservation, goes before the holder, is expected to
+    /// end before the reserved start, or can be displaced by the holder.
     [[nodiscard]] bool allows(TimePoint now, const Unit &unit, const Priority &priority,
                               const WorkerEntry &worker) const;
 
--- a/src/libs/placement/waitqueue.cpp
+++ b/src/libs/placement/waitqueue.cpp
@@ -22,6 +22,7 @@
     return {work.kind,
             work.standing,
             static_cast<std::uint8_t>(runClass - runClassEnds.begin()),
+            isDisplaceable(work, unit.displacements),
             static_cast<std::uint32_t>(unit.tasks.size()),
             work.resources.milliCores,
             work.resources.memoryBytes,
--- a/src/libs/placement/waitqueue.h
+++ b/src/libs/placement/waitqueue.h
@@ -25,6 +25,7 @@
         WorkKind kind = WorkKind::Batch;
         Standing standing = Standing::Normal;
         std::uint8_t runClass = 0; ///< run times that backfill treats alike
+        bool displaceable = false; ///< may use reserved workers until the holder starts
         std::uint32_t count = 1;
         std::int64_t milliCores = 0;
         std::int64_t memoryBytes = 0;
--- a/src/libs/placement/work.h
+++ b/src/libs/placement/work.h
@@ -36,6 +36,7 @@
     std::vector<std::uint32_t> tasks; ///< indexes, at least one
     TimePoint readyAt{}; ///< since when it could run
     std::vector<WorkerId> avoided; ///< workers where it failed
+    std::uint32_t displacements = 0; ///< of its first task
 
     [[nodiscard]] TaskId id() const { return {work->booking, tasks.front()}; }
     [[nodiscard]] Resources total() const { return work->resources.times(static_cast<std::int64_t>(tasks.size())); }
