Keep the shares of an entry while it drains

The other entries use the shares only after a delay, so the draining entry may keep them. Each start of an entry in the test has a log of its own now.

--- a/src/libs/entrynode/networklifecycle.cpp
+++ b/src/libs/entrynode/networklifecycle.cpp
@@ -92,7 +92,10 @@
         EntriesChanged changed;
         for (const Wire::EntryInstance &entry : entries)
             changed.entries.push_back(toEntryInfo(entry));
-        deliver(std::move(changed));
+        // While it drains, the view no longer lists this entry; it keeps its shares for the requests it still has, and
+        // the others wait before they use them.
+        if (!draining_)
+            deliver(std::move(changed));
         peers_.viewChanged(entries);
     }
     if (draining_)
--- a/tests/auto/entrynode/zonefixture.cpp
+++ b/tests/auto/entrynode/zonefixture.cpp
@@ -58,9 +58,10 @@
 void ZoneFixture::startEntry(std::size_t index)
 {
     const std::string settings = file(name(index) + ".toml");
-    std::ofstream(file(name(index) + ".log")).close();
+    // Each start has a log of its own, so that a failure can be explained.
+    entries_[index].log = file(name(index) + '-' + std::to_string(++starts_) + ".log");
     entries_[index].process = std::make_unique<Process>(
-        PISTACHIO_ENTRY, std::vector<std::string>{"--settings=" + settings}, file(name(index) + ".log"));
+        PISTACHIO_ENTRY, std::vector<std::string>{"--settings=" + settings}, entries_[index].log);
     readPorts(index);
     writeSettings(index, controlAddress());
 }
@@ -87,7 +88,7 @@
 
 std::string ZoneFixture::log(std::size_t index) const
 {
-    return readFile(file(name(index) + ".log"));
+    return readFile(entries_[index].log);
 }
 
 int ZoneFixture::stopEntry(std::size_t index)
--- a/tests/auto/entrynode/zonefixture.h
+++ b/tests/auto/entrynode/zonefixture.h
@@ -47,6 +47,7 @@
         std::uint16_t callers = 0;
         std::uint16_t minions = 0;
         std::uint16_t internal = 0;
+        std::string log;
         std::unique_ptr<Process> process;
     };
 
@@ -57,6 +58,7 @@
 
     Cluster cluster_;
     std::array<Entry, 2> entries_;
+    int starts_ = 0;
     Transport::EventLoop loop_;
     Transport::HttpClient client_;
 };
