--- a/src/libs/placement/reservations.cpp
+++ b/src/libs/placement/reservations.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t comparedWorkers = 64;
 // Reserved room as a multiple of what the unit needs. Ends are hard to foresee; with more workers to choose from the
 // unit starts sooner, and the room that is kept idle meanwhile is about the same, since it is kept for a shorter time.
-constexpr std::int64_t overProvision = 2;
+constexpr std::int64_t overProvision = 4;
 
 struct Opening {
     TimePoint at;
--- a/src/libs/placement/work.cpp
+++ b/src/libs/placement/work.cpp
@@ -12,6 +12,9 @@
 constexpr std::array<Duration, 4> standingOffset = {0s, 0s, 30min, 4h};
 // Limits how far long work falls behind short work when waiting time has the greater weight.
 constexpr Duration longestRunOffset = 30min;
+// How much earlier work is tried for each of its accelerators: large tasks first, since small ones fit into what these
+// leave over, and not the other way round.
+constexpr Duration acceleratorAdvance = 10min;
 } // namespace
 
 Priority priorityOf(const Unit &unit, unsigned packingPercent, std::uint64_t sequence)
@@ -19,7 +22,7 @@
     const Work &work = *unit.work;
     const Duration run = std::min(work.estimatedRun, longestRunOffset) * (100 - std::min(packingPercent, 100U)) / 100;
     const Duration key
-        = unit.readyAt.time_since_epoch() + standingOffset.at(static_cast<std::size_t>(work.standing)) + run;
+        = unit.readyAt.time_since_epoch() + standingOffset.at(static_cast<std::size_t>(work.standing)) + run - acceleratorAdvance * work.resources.accelerators;
     return {static_cast<std::uint8_t>(work.standing == Standing::Urgent ? 0 : 1), key.count(), sequence};
 }
 
--- a/tests/benchmarks/placement/baseline.cpp
+++ b/tests/benchmarks/placement/baseline.cpp
@@ -50,11 +50,12 @@
                 loseRack();
             if (changed)
                 pass();
-            measurements_.allocated(now_, allocated_);
+            measurements_.allocated(now_, allocated_, demand_);
         }
         measurements_.finish(now_);
         for (const Waiting &unit : queue_) {
-            measurements_.neverStarted += unit.tasks.size();
+            for (std::size_t i = 0; i < unit.tasks.size(); ++i)
+                measurements_.waitsAtEnd(*unit.job, now_ - unit.since);
             measurements_.gangsWaiting += unit.job->kind == Placement::WorkKind::Gang ? 1 : 0;
         }
         return measurements_;
@@ -63,6 +64,7 @@
 private:
     void arrive(const Job &job)
     {
+        demand_ += job.resources.times(job.tasks);
         if (job.kind == Placement::WorkKind::Gang) {
             Waiting &unit = queue_.emplace_back(Waiting{&job, {}, now_});
             for (std::uint32_t task = 0; task < job.tasks; ++task)
@@ -85,6 +87,8 @@
             allocated_ -= task.job->resources;
             if (lost_.contains(task.worker)) // the end of the lease
                 queue_.push_back({task.job, {task.task}, now_});
+            else
+                demand_ -= task.job->resources;
         }
         return ended;
     }
@@ -174,6 +178,7 @@
     std::set<Running> running_;
     std::set<std::size_t> lost_;
     Resources allocated_;
+    Resources demand_;
     Duration now_{};
     bool rackLost_ = false;
 };
--- a/tests/benchmarks/placement/cellreplay.cpp
+++ b/tests/benchmarks/placement/cellreplay.cpp
@@ -94,7 +94,7 @@
     measurements_.finish(now_);
     for (const auto &[task, since] : waitingSince_) {
         const Job &job = *jobs_.at(task.booking.value());
-        ++measurements_.neverStarted;
+        measurements_.waitsAtEnd(job, now_ - since);
         if (job.kind == Placement::WorkKind::Gang && task.index == 0)
             ++measurements_.gangsWaiting;
     }
@@ -106,6 +106,7 @@
     for (; nextJob_ < workload_.jobs.size() && workload_.jobs[nextJob_].arrival <= now_; ++nextJob_) {
         const Job &job = workload_.jobs[nextJob_];
         jobs_[job.id] = &job;
+        demand_ += job.resources.times(job.tasks);
         Wire::Booking booking;
         booking.set_id(job.id);
         booking.set_team(job.team);
@@ -205,6 +206,7 @@
         const ZoneState::TaskPast &past = *state_.tasks().past(task);
         const std::string &id = task.booking.value();
         if (past.completed) {
+            demand_ -= resources;
             startedAt_.erase(task);
             remaining_.erase(task);
             if (++completed_[id] == jobs_.at(id)->tasks)
@@ -217,7 +219,7 @@
         for (const Wire::Assignment &assignment : command.assign_tasks().assignments())
             allocated_ += Wire::toCore(assignment.resources());
     }
-    measurements_.allocated(now_, allocated_);
+    measurements_.allocated(now_, allocated_, demand_);
     scheduler([&] { scheduler_.applied(moment(), command, result); });
 }
 
--- a/tests/benchmarks/placement/cellreplay.h
+++ b/tests/benchmarks/placement/cellreplay.h
@@ -67,6 +67,7 @@
     std::map<std::string, Wire::Booking> bookings_;
     std::size_t nextJob_ = 0;
     Resources allocated_;
+    Resources demand_;
     Duration now_{};
     std::uint64_t sequence_ = 0;
 };
--- a/tests/benchmarks/placement/main.cpp
+++ b/tests/benchmarks/placement/main.cpp
@@ -16,6 +16,7 @@
 // Stated targets: design page, sections 1.2 and 1.3.
 constexpr Duration urgentStart = 3700ms;
 constexpr double acceleratorsOvernight = 0.95;
+constexpr Duration meanRun = 44s; // of the large cell
 
 bool check(bool held, const std::string &what)
 {
@@ -37,7 +38,6 @@
 bool checkCommon(const Measurements &result)
 {
     bool held = check(result.longest("batch urgent") <= urgentStart, "urgent work starts within 3.7 s");
-    held &= check(result.gangsWaiting == 0, "no gang job waits at the end");
     held &= check(result.quarantines == 0, "no healthy worker is quarantined");
     return held;
 }
@@ -49,29 +49,38 @@
         const Measurements result = replay(workload);
         result.print("scheduler");
         held &= checkCommon(result);
-        // More accelerator work waits than the night holds, so the volume bound is all accelerators.
-        held &= check(result.acceleratorShare() >= acceleratorsOvernight, "accelerators in use at 95% of the bound");
+        held &= check(result.gangsWaiting == 0, "every gang of the night has run");
+        held &= check(result.acceleratorShareOfBound() >= acceleratorsOvernight,
+                      "accelerators in use at 95% of the volume bound");
         held &= check(result.neverStarted > 0, "enough work waited for the bound to apply");
         printBaselines(workload);
     }
     return held;
 }
 
-bool runLarge(std::uint32_t workers, Duration length)
+bool runLarge(std::uint32_t workers, Duration length, double load)
 {
-    const Workload workload = largeCell(3, workers, length);
+    const Workload workload = largeCell(3, workers, length, load);
     const Measurements result = replay(workload);
     result.print("scheduler");
-    const bool held = checkCommon(result);
+    bool held = checkCommon(result);
+    // In a cell with too much work every wait grows; a gang must not be overtaken for ever by smaller work of its
+    // standing. One mean run time is what its room may take longer to gather.
+    held &= check(result.longest("gang normal") <= result.longest("batch normal") + meanRun,
+                  "gangs wait no longer than single tasks of their standing and one run");
+    // Overtaking is also bounded without a crowd: all work fits, so nothing but the loss of the rack delays a gang.
+    if (load <= 1)
+        held &= check(result.gangsWaiting == 0, "no gang waits at the end");
     printBaselines(workload);
     return held;
 }
 
 /// Runs under callgrind with --collect-atstart=no, which then counts only the scheduler's instructions.
-void runCounted(std::uint32_t workers, Duration length)
+void runCounted(std::uint32_t workers, Duration length, double load)
 {
-    const Workload workload = largeCell(3, workers, length);
+    const Workload workload = largeCell(3, workers, length, load);
     const Measurements result = CellReplay(workload, [](bool) { CALLGRIND_TOGGLE_COLLECT; }).run();
+    std::printf("waiting at the end %llu\n", static_cast<unsigned long long>(result.neverStarted));
     std::printf("decisions %llu\n", static_cast<unsigned long long>(result.decisions));
 }
 
@@ -82,14 +91,16 @@
     const std::string mode = argc > 1 ? argv[1] : "";
     const auto workers = static_cast<std::uint32_t>(argc > 2 ? std::strtoul(argv[2], nullptr, 10) : 850);
     const auto length = std::chrono::seconds(argc > 3 ? std::strtol(argv[3], nullptr, 10) : 600);
+    const double load = argc > 4 ? std::strtod(argv[4], nullptr) : 1.0;
     if (mode == "users")
         return runUsers(argc > 2 ? std::strtoul(argv[2], nullptr, 10) : 1) ? 0 : 1;
     if (mode == "large")
-        return runLarge(workers, length) ? 0 : 1;
+        return runLarge(workers, length, load) ? 0 : 1;
     if (mode == "count") {
-        runCounted(workers, length);
+        runCounted(workers, length, load);
         return 0;
     }
-    std::cerr << "usage: placement-replay users [seed] | large [workers] [seconds] | count [workers] [seconds]\n";
+    std::cerr << "usage: placement-replay users [seed] | large [workers] [seconds] [load] | count [workers] [seconds] "
+                 "[load]\n";
     return 2;
 }
--- a/tests/benchmarks/placement/measurements.cpp
+++ b/tests/benchmarks/placement/measurements.cpp
@@ -27,7 +27,20 @@
     waits_[groupOf(job)].push_back(wait);
 }
 
-void Measurements::allocated(Duration at, const Resources &sum)
+void Measurements::waitsAtEnd(const Job &job, Duration wait)
+{
+    ++neverStarted;
+    Duration &longest = longestAtEnd_[groupOf(job)];
+    longest = std::max(longest, wait);
+}
+
+Duration Measurements::longest(const std::string &group) const
+{
+    const auto atEnd = longestAtEnd_.find(group);
+    return std::max(percentile(group, 100), atEnd == longestAtEnd_.end() ? Duration() : atEnd->second);
+}
+
+void Measurements::allocated(Duration at, const Resources &sum, const Resources &demand)
 {
     const Duration from = std::max(since_, workload_.measureFrom);
     if (at > from) {
@@ -35,15 +48,17 @@
         integral_[0] += seconds * static_cast<double>(current_.milliCores);
         integral_[1] += seconds * static_cast<double>(current_.memoryBytes);
         integral_[2] += seconds * static_cast<double>(current_.accelerators);
+        acceleratorBound_ += seconds * static_cast<double>(std::min(capacity_.accelerators, demand_.accelerators));
         measured_ += at - from;
     }
     since_ = at;
     current_ = sum;
+    demand_ = demand;
 }
 
 void Measurements::finish(Duration at)
 {
-    allocated(at, current_);
+    allocated(at, current_, demand_);
 }
 
 double Measurements::share(double integral, std::int64_t capacity) const
@@ -73,9 +88,10 @@
         std::printf("  %-18s %8zu %10.2f %10.2f %10.2f\n", group.c_str(), waits.size(), seconds(50), seconds(99),
                     seconds(99.9));
     }
-    std::printf("  in use: cores %.1f%%, memory %.1f%%, accelerators %.1f%% of the cell\n",
+    std::printf("  in use: cores %.1f%%, memory %.1f%%, accelerators %.1f%% of the cell, %.1f%% of the "
+                "volume bound\n",
                 100 * share(integral_[0], capacity_.milliCores), 100 * share(integral_[1], capacity_.memoryBytes),
-                100 * share(integral_[2], capacity_.accelerators));
+                100 * share(integral_[2], capacity_.accelerators), 100 * acceleratorShareOfBound());
     std::printf("  decisions %llu, displacements %llu, tasks still waiting %llu, gangs still waiting %llu\n",
                 static_cast<unsigned long long>(decisions), static_cast<unsigned long long>(displacements),
                 static_cast<unsigned long long>(neverStarted), static_cast<unsigned long long>(gangsWaiting));
--- a/tests/benchmarks/placement/measurements.h
+++ b/tests/benchmarks/placement/measurements.h
@@ -18,15 +18,23 @@
 
     /// Takes the wait of a task from when it could run until it ran.
     void waited(const Job &job, Duration wait);
-    /// Takes the sum of what running and assigned tasks hold from a time on.
-    void allocated(Duration at, const Resources &sum);
+    /// Takes the sum of what assigned tasks hold, and of what all tasks that arrived and did not end ask for, from a
+    /// time on.
+    void allocated(Duration at, const Resources &sum, const Resources &demand);
     void finish(Duration at);
 
     /// \param percent for example 99.9
     [[nodiscard]] Duration percentile(const std::string &group, double percent) const;
-    [[nodiscard]] Duration longest(const std::string &group) const { return percentile(group, 100); }
-    /// \return the share of the cell's accelerators in use while measured.
-    [[nodiscard]] double acceleratorShare() const { return share(integral_.at(2), capacity_.accelerators); }
+    /// Takes the wait so far of a task that waits at the end.
+    void waitsAtEnd(const Job &job, Duration wait);
+    /// \return the longest wait of the group, those at the end included.
+    [[nodiscard]] Duration longest(const std::string &group) const;
+    /// \return the accelerators in use as a share of the volume bound: what the cell has or what the work asks for, if
+    /// that is less.
+    [[nodiscard]] double acceleratorShareOfBound() const
+    {
+        return acceleratorBound_ > 0 ? integral_[2] / acceleratorBound_ : 1;
+    }
     void print(const std::string &title) const;
 
     std::uint64_t displacements = 0;
@@ -43,8 +51,11 @@
     const Workload &workload_;
     Resources capacity_;
     std::map<std::string, std::vector<Duration>> waits_;
+    std::map<std::string, Duration> longestAtEnd_;
     std::array<double, 3> integral_{};
+    double acceleratorBound_ = 0;
     Resources current_;
+    Resources demand_;
     Duration since_{};
     Duration measured_{};
 };
--- a/tests/benchmarks/placement/workload.cpp
+++ b/tests/benchmarks/placement/workload.cpp
@@ -132,7 +132,7 @@
     return night("tauhere", seed, 20, {32000, 128 * gibibyte, 0}, {64000, 256 * gibibyte, 8});
 }
 
-Workload largeCell(std::uint64_t seed, std::uint32_t workers, Duration length)
+Workload largeCell(std::uint64_t seed, std::uint32_t workers, Duration length, double load)
 {
     constexpr std::uint32_t fullSize = 850;
     constexpr double services = 1320;
@@ -155,7 +155,7 @@
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(length).count();
     for (std::int64_t second = 5; second < seconds; second += 5) {
         const Duration arrival = std::chrono::seconds(second);
-        for (double starts = startsPerSecond * part * 5; starts >= 1;) {
+        for (double starts = startsPerSecond * part * load * 5; starts >= 1;) {
             const auto tasks
                 = static_cast<std::uint32_t>(std::min(starts, 10.0 + static_cast<double>(random.below(60))));
             const bool gang = random.below(12) == 0;
--- a/tests/benchmarks/placement/workload.h
+++ b/tests/benchmarks/placement/workload.h
@@ -50,6 +50,6 @@
 
 /// The two-year scale, or a part of it: 850 workers, 6,600 running tasks, a fifth of them services, 120 starts a
 /// second. \param workers how many; the load is in proportion
-Workload largeCell(std::uint64_t seed, std::uint32_t workers, Duration length);
+Workload largeCell(std::uint64_t seed, std::uint32_t workers, Duration length, double load);
 
 } // namespace Pistachio::Replay
