--- a/src/libs/placement/displacement.cpp
+++ b/src/libs/placement/displacement.cpp
@@ -15,9 +15,9 @@
 constexpr Duration promisedWait = 60s;
 constexpr Duration normalWait = 10min;
 
-/// Chooses the victims on one worker, lowest standing and least progress first.
+/// Chooses the victims on one worker that has \p room already, lowest standing and least progress first.
 std::optional<std::vector<const PlacedTask *>> victimsOn(const Work &work, const Resources &need,
-                                                         const WorkerEntry &worker)
+                                                         const WorkerEntry &worker, Resources room)
 {
     std::vector<const PlacedTask *> candidates;
     for (const PlacedTask &task : worker.tasks) {
@@ -29,7 +29,6 @@
             return left->standing > right->standing;
         return left->startedAt > right->startedAt;
     });
-    Resources room = worker.free();
     std::vector<const PlacedTask *> victims;
     for (const PlacedTask *task : candidates) {
         if (need.fitsIn(room))
@@ -89,7 +88,7 @@
         const WorkerEntry &worker = workers.at(slot);
         if (!reservations.allows(now, unit, priority, worker))
             return false;
-        const auto victims = victimsOn(work, work.resources, worker);
+        const auto victims = victimsOn(work, work.resources, worker, worker.free());
         if (!victims || victims->empty())
             return false;
         const double cost = costOf(*victims, worker, now);
@@ -125,12 +124,18 @@
     std::vector<Option> options;
     for (const WorkerSlot slot : reserved) {
         const WorkerEntry &worker = workers.at(slot);
-        std::int64_t count = countThatFits(work.resources, worker.free(), wanted);
+        // Tasks that were told to stop before, for this unit or otherwise, make room without further victims.
+        Resources room = worker.free();
+        for (const PlacedTask &task : worker.tasks) {
+            if (task.stopping)
+                room += task.resources;
+        }
+        std::int64_t count = countThatFits(work.resources, room, wanted);
         open -= count;
         // Each further task on the worker may need more victims; the cheapest steps are taken first below.
         std::size_t before = 0;
         while (count < wanted) {
-            const auto victims = victimsOn(work, work.resources.times(++count), worker);
+            const auto victims = victimsOn(work, work.resources.times(++count), worker, room);
             if (!victims)
                 break;
             Option option{
--- a/src/libs/placement/planner.cpp
+++ b/src/libs/placement/planner.cpp
@@ -110,17 +110,33 @@
     std::vector<PlannedStep> steps;
     if (reservations_.refresh(now, workers_))
         reservationsDue_ = true;
-    if (workers_.hasGrown()) {
-        serveHolds(now, steps);
-        const std::vector<WorkerSlot> grown = workers_.takeGrown();
-        queue_.wakeFitting(grown, workers_);
-        wakeHolders(grown);
-    }
     wakeByTime(now);
+    // Placing work can make room too: for work that may displace it, or beside accelerators that are taken now.
+    do {
+        wakeGrown(now, steps);
+        placeReady(now, limit, steps);
+    } while (workers_.hasGrown() && steps.size() < limit);
+    if (reservationsDue_ && now >= nextReservation_)
+        reserveForOldest(now, steps);
+    return steps;
+}
+
+void Planner::wakeGrown(TimePoint now, std::vector<PlannedStep> &steps)
+{
+    if (!workers_.hasGrown())
+        return;
+    serveHolds(now, steps);
+    const std::vector<WorkerSlot> grown = workers_.takeGrown();
+    queue_.wakeFitting(grown, workers_);
+    wakeHolders(grown);
+}
+
+void Planner::placeReady(TimePoint now, std::size_t limit, std::vector<PlannedStep> &steps)
+{
     while (steps.size() < limit) {
         WaitQueue::Shape *shape = queue_.first();
         if (shape == nullptr)
-            break;
+            return;
         const Priority priority = shape->units.begin()->first;
         const Unit &head = shape->units.begin()->second;
         if (!quotas_.allows(head.work->team, head.total())) {
@@ -133,9 +149,6 @@
             continue;
         blockHead(now, *shape);
     }
-    if (reservationsDue_ && now >= nextReservation_)
-        reserveForOldest(now, steps);
-    return steps;
 }
 
 bool Planner::tryPlace(TimePoint now, const Unit &unit, const Priority &priority, std::vector<PlannedStep> &steps)
--- a/src/libs/placement/planner.h
+++ b/src/libs/placement/planner.h
@@ -82,6 +82,8 @@
         TimePoint deadline{};
     };
 
+    void wakeGrown(TimePoint now, std::vector<PlannedStep> &steps);
+    void placeReady(TimePoint now, std::size_t limit, std::vector<PlannedStep> &steps);
     bool tryPlace(TimePoint now, const Unit &unit, const Priority &priority, std::vector<PlannedStep> &steps);
     bool tryDisplace(TimePoint now, const Unit &unit, const Priority &priority, std::vector<PlannedStep> &steps);
     void displaceForGang(TimePoint now, const Unit &unit, std::vector<PlannedStep> &steps);
--- a/src/libs/placement/workerindex.cpp
+++ b/src/libs/placement/workerindex.cpp
@@ -99,11 +99,12 @@
         entry.displaceable[1] += task.resources;
     }
     countService(task, entry.rackNumber, true);
-    const bool displaceable = task.displaceable;
+    // Work without accelerators may use what a worker need not keep for accelerators that are taken now.
+    const bool grown = task.displaceable || task.resources.accelerators > 0;
     entry.tasks.push_back(std::move(task));
     if (std::exchange(entry.onlyOne, false))
         entry.accepting = false;
-    refresh(slot, displaceable);
+    refresh(slot, grown);
 }
 
 bool WorkerIndex::release(WorkerSlot slot, const TaskId &task)
--- a/tests/benchmarks/placement/measurements.cpp
+++ b/tests/benchmarks/placement/measurements.cpp
@@ -82,10 +82,11 @@
 {
     std::printf("%s: %s\n", workload_.name.c_str(), title.c_str());
     std::printf("  %-18s %8s %10s %10s %10s\n", "waiting (s)", "starts", "median", "99th", "99.9th");
-    for (const auto &[group, waits] : waits_) {
+    for (const auto &entry : waits_) {
+        const std::string &group = entry.first;
         const auto seconds
             = [&](double percent) { return std::chrono::duration<double>(percentile(group, percent)).count(); };
-        std::printf("  %-18s %8zu %10.2f %10.2f %10.2f\n", group.c_str(), waits.size(), seconds(50), seconds(99),
+        std::printf("  %-18s %8zu %10.2f %10.2f %10.2f\n", group.c_str(), entry.second.size(), seconds(50), seconds(99),
                     seconds(99.9));
     }
     std::printf("  in use: cores %.1f%%, memory %.1f%%, accelerators %.1f%% of the cell, %.1f%% of the "
