--- a/src/libs/placement/planner.cpp
+++ b/src/libs/placement/planner.cpp
@@ -110,15 +110,33 @@
     std::vector<PlannedStep> steps;
     if (reservations_.refresh(now, workers_))
         reservationsDue_ = true;
-    if (workers_.hasGrown()) {
-        serveHolds(now, steps);
-        queue_.wakeFitting(workers_.takeGrown(), workers_);
-    }
     wakeByTime(now);
+    // Placing work can make room too: for work that may displace it, or beside accelerators that are taken now.
+    do {
+        wakeGrown(now, steps);
+        placeReady(now, limit, steps);
+    } while (workers_.hasGrown() && steps.size() < limit);
+    if (reservationsDue_ && now >= nextReservation_)
+        reserveForOldest(now, steps);
+    return steps;
+}
+
+void Planner::wakeGrown(TimePoint now, std::vector<PlannedStep> &steps)
+{
+    if (!workers_.hasGrown())
+        return;
+    serveHolds(now, steps);
+    const std::vector<WorkerSlot> grown = workers_.takeGrown();
+    queue_.wakeFitting(grown, workers_);
+    wakeHolders(grown);
+}
+
+void Planner::placeReady(TimePoint now, std::size_t limit, std::vector<PlannedStep> &steps)
+{
     while (steps.size() < limit) {
         WaitQueue::Shape *shape = queue_.first();
         if (shape == nullptr)
-            break;
+            return;
         const Priority priority = shape->units.begin()->first;
         const Unit &head = shape->units.begin()->second;
         if (!quotas_.allows(head.work->team, head.total())) {
@@ -131,9 +149,6 @@
             continue;
         blockHead(now, *shape);
     }
-    if (reservationsDue_ && now - reservationsTried_ >= reservationRetryInterval)
-        reserveForOldest(now, steps);
-    return steps;
 }
 
 bool Planner::tryPlace(TimePoint now, const Unit &unit, const Priority &priority, std::vector<PlannedStep> &steps)
@@ -238,6 +253,18 @@
     }
 }
 
+void Planner::wakeHolders(const std::vector<WorkerSlot> &grown)
+{
+    std::array<bool, acceleratorClassCount> woken{};
+    for (const WorkerSlot slot : grown) {
+        const auto reservedFor = workers_.at(slot).reservedFor;
+        if (!reservedFor || std::exchange(woken.at(static_cast<std::size_t>(*reservedFor)), true))
+            continue;
+        if (const auto &reservation = reservations_.of(*reservedFor))
+            queue_.wakeShapeOf(reservation->holder);
+    }
+}
+
 void Planner::blockHead(TimePoint now, WaitQueue::Shape &shape)
 {
     const Unit &head = shape.units.begin()->second;
@@ -254,7 +281,6 @@
 void Planner::reserveForOldest(TimePoint now, std::vector<PlannedStep> &steps)
 {
     reservationsDue_ = false;
-    reservationsTried_ = now;
     std::vector<std::pair<Priority, const Unit *>> large;
     for (const WaitQueue::Shape *shape : queue_.blockedShapes()) {
         const auto &[priority, unit] = *shape->units.begin();
@@ -268,6 +294,7 @@
             continue;
         if (!reservations_.reserve(now, *unit, priority, workers_)) {
             reservationsDue_ = true;
+            nextReservation_ = now + reservationRetryInterval;
             continue;
         }
         steps.push_back({PlannedStep::Kind::Reserve,
