Compare rows before their texts, and check rows counted with either line end

Quotas are counted from the time in the command instead of the latest time seen, which one leader with a fast clock could move far ahead.

A trial that left line ends as they are was not found by any test; the test of all errors now compares the rows of both line ends and finds it.

--- a/src/libs/cellstate/cellstate.cpp
+++ b/src/libs/cellstate/cellstate.cpp
@@ -139,7 +139,8 @@
         return refusal(Wire::CELL_RESULT_INVALID, "the sheet is refused as a whole: " + faults.front(), faults);
 
     const auto active = bookings.activeRows(rows, reinstate);
-    if (faults = quotaFaults(quotasOf(configurations.current()), active, latestUnixMs / msPerSecond); !faults.empty())
+    if (faults = quotaFaults(quotasOf(configurations.current()), active, command.proposed_unix_ms() / msPerSecond);
+        !faults.empty())
         return refusal(Wire::CELL_RESULT_QUOTA_EXCEEDED, "the sheet is refused as a whole: " + faults.front(), faults);
     if (faults = capacityFaults(active, zones, sheet); !faults.empty())
         return refusal(Wire::CELL_RESULT_CAPACITY, "the sheet is refused as a whole: " + faults.front(), faults);
@@ -218,8 +219,9 @@
     accepted.set_author(command.author());
     addLines(differences, *accepted.mutable_differences());
     // Lower quotas stop nothing that runs; they bind the next sheet.
-    addLines(quotaFaults(quotasOf(configurations.current()), bookings.active(), latestUnixMs / msPerSecond),
-             *accepted.mutable_notes());
+    addLines(
+        quotaFaults(quotasOf(configurations.current()), bookings.active(), command.proposed_unix_ms() / msPerSecond),
+        *accepted.mutable_notes());
     return accepted;
 }
 
--- a/src/libs/sheet/sheetdifference.cpp
+++ b/src/libs/sheet/sheetdifference.cpp
@@ -62,6 +62,9 @@
             result.added.push_back(*booking);
             continue;
         }
+        // Most rows of a sheet stay as they are; comparing them as text would take most of the time of accepting one.
+        if (*found->second == *booking)
+            continue;
         if (auto fields = fieldChanges(*found->second, *booking); !fields.empty())
             result.changed.push_back({id, std::move(fields)});
     }
--- a/tests/auto/sheet/tst_sheet.cpp
+++ b/tests/auto/sheet/tst_sheet.cpp
@@ -170,13 +170,17 @@
         CPPUNIT_ASSERT(booking.checkpoint && booking.graceSeconds == defaultGraceSeconds);
     }
 
-    // Guards against a planner who has to correct one cell a time, and against a sheet that is accepted in part.
+    // Guards against a planner who has to correct one cell a time, a sheet that is accepted in part, and rows counted
+    // otherwise than in the spreadsheet, whatever ends the lines.
     void allErrorsAreListedAtOnce()
     {
-        const SheetReading reading = readSheet(
-            header + "a,t,batch,1,1,1,,,,normal,,,no,run\n\n" // row 3 is blank
+        std::string text = header + "a,t,batch,1,1,1,,,,normal,,,no,run\n\n" // row 3 is blank
             + "b c,t,job,0,1,1,,2026-02-30T00:00:00Z,,normal,,,no,run\n" + "a,t,batch,1,1,1,,,,normal,,,no,run\n"
-            + "d,t,batch,1,1,1,,2026-12-05T06:00:00Z,2026-12-05T06:00:00Z,normal,,,,x\n" + "e,t,batch,1,1\n");
+            + "d,t,batch,1,1,1,,2026-12-05T06:00:00Z,2026-12-05T06:00:00Z,normal,,,,x\n" + "e,t,batch,1,1\n";
+        const SheetReading reading = readSheet(text);
+        for (std::size_t at = 0; (at = text.find('\n', at)) != std::string::npos; at += 2)
+            text.replace(at, 1, "\r\n");
+        CPPUNIT_ASSERT(reading.errors == readSheet(text).errors);
         CPPUNIT_ASSERT(reading.bookings.empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{7}, reading.errorCount);
         CPPUNIT_ASSERT(hasError(reading, 4, "booking", "b c"));
