--- a/tests/auto/pistachioctl/tst_pistachioctl.cpp
+++ b/tests/auto/pistachioctl/tst_pistachioctl.cpp
@@ -47,7 +47,7 @@
 class FakeCell : public Caller
 {
 public:
-    enum class Fault { None, Refused, LosesAnswer, Unavailable, NamesLeader };
+    enum class Fault { None, Refused, LosesAnswer, DoesNotKnow, Unavailable, NamesLeader };
 
     std::map<std::uint16_t, Fault> faults;
     std::uint16_t leader = 3;
@@ -71,6 +71,8 @@
         case Fault::LosesAnswer:
             (void)answer(request);
             return CallError{failure(ErrorCode::Io, "connection reset"), true};
+        case Fault::DoesNotKnow:
+            return Transport::Response{504, {}, "leadership was lost"};
         case Fault::Unavailable:
             return Transport::Response{503, {}, "no leader"};
         case Fault::NamesLeader:
@@ -225,6 +227,9 @@
         anna.options.expectVersion = 0;
         CPPUNIT_ASSERT_EQUAL(7, anna.run({"sheet", "apply", sheet.path()}));
         CPPUNIT_ASSERT_EQUAL(6, anna.run({"status"}));
+        cell.faults[1] = Fault::DoesNotKnow;
+        CPPUNIT_ASSERT_EQUAL(7, anna.run({"sheet", "apply", sheet.path()}));
+        CPPUNIT_ASSERT_EQUAL(6, anna.run({"status"}));
         cell.faults[1] = Fault::Unavailable;
         CPPUNIT_ASSERT_EQUAL(6, anna.run({"sheet", "apply", sheet.path()}));
         CPPUNIT_ASSERT(anna.says("nothing was changed") && anna.says("127.0.0.1:3: connection refused"));
