--- a/src/libs/controlnode/controlnode.cpp
+++ b/src/libs/controlnode/controlnode.cpp
@@ -35,16 +35,19 @@
 class ControlNode::Private
 {
 public:
-    Private(Settings::ControlSettings controlSettings, std::string token)
+    Private(Settings::ControlSettings controlSettings, std::string token,
+            std::unique_ptr<Storage::FileSystem> fileSystem)
         : settings(std::move(controlSettings))
+        , files(std::move(fileSystem))
         , logger("pistachio-control", settings.instance.value(), settings.log.level, settings.log.file)
         , events(eventCapacity)
         , network(settings, std::move(token), events, metrics)
-        , decisions(settings, events, network, logger, metrics)
+        , decisions(settings, *files, events, network, logger, metrics)
     {
     }
 
     Settings::ControlSettings settings;
+    std::unique_ptr<Storage::FileSystem> files;
     DataLock lock;
     Logging::Logger logger;
     Metrics::Registry metrics;
@@ -53,10 +56,11 @@
     Decisions decisions;
 };
 
-Result<std::unique_ptr<ControlNode>> ControlNode::open(const Settings::ControlSettings &settings)
+Result<std::unique_ptr<ControlNode>> ControlNode::open(const Settings::ControlSettings &settings,
+                                                       std::unique_ptr<Storage::FileSystem> fileSystem)
 {
     BOOST_OUTCOME_TRY(auto token, readToken(settings.operatorTokenFile));
-    auto state = std::make_unique<Private>(settings, std::move(token));
+    auto state = std::make_unique<Private>(settings, std::move(token), std::move(fileSystem));
     BOOST_OUTCOME_TRYV(state->lock.take(settings.dataFolder));
     BOOST_OUTCOME_TRYV(state->decisions.open());
     BOOST_OUTCOME_TRYV(state->network.listen());
--- a/src/libs/controlnode/controlnode.h
+++ b/src/libs/controlnode/controlnode.h
@@ -10,6 +10,11 @@
 struct ControlSettings;
 }
 
+namespace Pistachio::Storage
+{
+class FileSystem;
+}
+
 /// The process `pistachio-control`: replicated groups, scheduler and operators' requests on top of the transport.
 namespace Pistachio::Controlnode
 {
@@ -28,8 +33,10 @@
 public:
     /// Opens the files and the ports.
     /// \param settings checked settings
+    /// \param fileSystem holds the groups' files
     /// \return the node, or what can't be opened.
-    static Result<std::unique_ptr<ControlNode>> open(const Settings::ControlSettings &settings);
+    static Result<std::unique_ptr<ControlNode>> open(const Settings::ControlSettings &settings,
+                                                     std::unique_ptr<Storage::FileSystem> fileSystem);
     ~ControlNode();
     ControlNode(const ControlNode &) = delete;
     ControlNode &operator=(const ControlNode &) = delete;
--- a/src/libs/controlnode/decisions.cpp
+++ b/src/libs/controlnode/decisions.cpp
@@ -40,13 +40,14 @@
 
 } // namespace
 
-Decisions::Decisions(const Settings::ControlSettings &settings, EventRing &events, Network &network,
-                     Logging::Logger &logger, Metrics::Registry &metrics)
+Decisions::Decisions(const Settings::ControlSettings &settings, Storage::FileSystem &fileSystem, EventRing &events,
+                     Network &network, Logging::Logger &logger, Metrics::Registry &metrics)
     : settings_(settings)
     , events_(events)
     , network_(network)
     , logger_(logger)
     , metrics_(metrics)
+    , fileSystem_(fileSystem)
     , directory_(settings)
     , calls_(network)
     , router_(settings.zone, zones_, directory_, calls_)
--- a/src/libs/controlnode/decisions.h
+++ b/src/libs/controlnode/decisions.h
@@ -8,7 +8,6 @@
 #include "controlnode/statemachines.h"
 #include "controlnode/upkeep.h"
 #include "controlnode/zonerouter.h"
-#include "storage/posixfilesystem.h"
 
 #include <memory>
 #include <string>
@@ -38,8 +37,8 @@
 class Decisions
 {
 public:
-    Decisions(const Settings::ControlSettings &settings, EventRing &events, Network &network, Logging::Logger &logger,
-              Metrics::Registry &metrics);
+    Decisions(const Settings::ControlSettings &settings, Storage::FileSystem &fileSystem, EventRing &events,
+              Network &network, Logging::Logger &logger, Metrics::Registry &metrics);
     ~Decisions();
 
     /// Opens the groups that the settings assign to this instance.
@@ -75,7 +74,7 @@
     Network &network_;
     Logging::Logger &logger_;
     Metrics::Registry &metrics_;
-    Storage::PosixFileSystem fileSystem_;
+    Storage::FileSystem &fileSystem_;
     Directory directory_;
     PeerCalls calls_;
     CellMachine cellMachine_;
--- a/src/tools/pistachio-control/main.cpp
+++ b/src/tools/pistachio-control/main.cpp
@@ -1,11 +1,13 @@
 #include "controlnode/controlnode.h"
 #include "settings/controlsettings.h"
+#include "storage/posixfilesystem.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
 #include <cstdio>
+#include <memory>
 #include <string>
 
 ABSL_FLAG(std::string, settings, "", "the settings file (TOML)");
@@ -38,7 +40,7 @@
         std::printf("%s: no errors\n", path.c_str());
         return 0;
     }
-    const auto node = Controlnode::ControlNode::open(settings.value());
+    const auto node = Controlnode::ControlNode::open(settings.value(), std::make_unique<Storage::PosixFileSystem>());
     if (!node)
         return fail(node.error().message);
     return node.value()->run();
