Test a change in doubt and a claimed request across leaders of real processes

A change sent while no majority can answer is reported as refused or in doubt and taken exactly once when it is sent again; a request marked non-idempotent runs once although the zone leader that took its claim is killed.

--- a/tests/auto/endtoend/cluster.cpp
+++ b/tests/auto/endtoend/cluster.cpp
@@ -52,6 +52,8 @@
 
 Cluster::~Cluster()
 {
+    minion_.reset();
+    entry_.reset();
     workers_.clear();
     controls_.clear();
     for (const int descriptor : reserved_)
@@ -143,11 +145,41 @@
     deaths_[worker] = EventLoop::now().time_since_epoch().count();
 }
 
+void Cluster::startEntryAndMinion()
+{
+    callers_ = reservePort();
+    const auto minions = reservePort();
+    const auto settings = folder_ + "/entry-1.toml";
+    std::ofstream file(settings);
+    file << "instance = \"entry-1\"\nzone = \"svealand\"\n[listen]\ncallers = " << address(callers_)
+         << "minions = " << address(minions) << "internal = " << address(reservePort());
+    for (int index = 0; index < size(); ++index) {
+        file << "[[control]]\nid = \"" << name(index)
+             << "\"\nzone = \"svealand\"\ninternal = " << address(controls_[static_cast<std::size_t>(index)].internal);
+    }
+    file.close();
+    entry_ = std::make_unique<Process>(PISTACHIO_ENTRY, std::vector<std::string>{"--settings=" + settings},
+                                       folder_ + "/entry-1.log");
+    minion_ = std::make_unique<Process>(
+        STANDIN_MINION,
+        std::vector<std::string>{"--service=ordering", "--entries=127.0.0.1:" + std::to_string(minions)}, minionLog());
+}
+
+CallResult Cluster::request(Request request)
+{
+    return send(callers_, std::move(request), std::chrono::milliseconds(8000));
+}
+
 CallResult Cluster::call(int index, Request request, std::chrono::milliseconds limit)
 {
-    std::optional<CallResult> result;
     request.headers.push_back({"Authorization", "Bearer " + token});
-    client_.call({"127.0.0.1", controls_[static_cast<std::size_t>(index)].operators}, std::move(request), limit,
+    return send(controls_[static_cast<std::size_t>(index)].operators, std::move(request), limit);
+}
+
+CallResult Cluster::send(std::uint16_t port, Request request, std::chrono::milliseconds limit)
+{
+    std::optional<CallResult> result;
+    client_.call({"127.0.0.1", port}, std::move(request), limit,
                  [&result](CallResult answer) { result = std::move(answer); });
     while (!result)
         loop_.runFor(std::chrono::milliseconds(2));
--- a/tests/auto/endtoend/cluster.h
+++ b/tests/auto/endtoend/cluster.h
@@ -37,6 +37,14 @@
     void startWorker(const std::string &name, std::vector<std::string> arguments = {});
     [[nodiscard]] Process &worker(const std::string &name) { return *workers_.at(name); }
 
+    /// Starts an entry and a minion of the service "ordering".
+    void startEntryAndMinion();
+    [[nodiscard]] Process &minion() { return *minion_; }
+    [[nodiscard]] std::string minionLog() const { return folder_ + "/minion.log"; }
+
+    /// Sends a caller's request to the entry.
+    Transport::CallResult request(Transport::Request request);
+
     /// Kills a worker and remembers when.
     void killWorker(const std::string &name);
 
@@ -75,6 +83,11 @@
     std::vector<int> reserved_;
     std::vector<Control> controls_;
     const int voters_;
+    Transport::CallResult send(std::uint16_t port, Transport::Request request, std::chrono::milliseconds limit);
+
+    std::uint16_t callers_ = 0;
+    std::unique_ptr<Process> entry_;
+    std::unique_ptr<Process> minion_;
     std::map<std::string, std::unique_ptr<Process>> workers_;
     std::map<std::string, std::int64_t> deaths_;
     Transport::EventLoop loop_;
--- a/tests/auto/endtoend/tst_endtoend.cpp
+++ b/tests/auto/endtoend/tst_endtoend.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <set>
 
 using namespace Pistachio;
@@ -33,6 +35,13 @@
             std::move(body)};
 }
 
+/// What a caller sees.
+struct CallResultText {
+    int status = 0;
+    std::string body;
+    std::string outcome;
+};
+
 } // namespace
 
 class EndToEndTest : public CppUnit::TestFixture
@@ -43,6 +52,8 @@
     CPPUNIT_TEST(changesSurviveLeadersOfThreeInstances);
     CPPUNIT_TEST(changesSurviveLeadersOfFiveInstances);
     CPPUNIT_TEST(aSecondLossAfterARepairLeavesAQuorum);
+    CPPUNIT_TEST(aChangeInDoubtIsTakenOnce);
+    CPPUNIT_TEST(aClaimedRequestRunsOnceAcrossLeaders);
     CPPUNIT_TEST(aPlannedStopEndsWithSuccess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -225,6 +236,74 @@
         assertNoOverlap(cluster);
     }
 
+    // Guards against a change that is reported as refused and takes effect later, or that takes effect twice.
+    void aChangeInDoubtIsTakenOnce()
+    {
+        Cluster cluster(3);
+        configure(cluster, 1);
+        const int leader = awaitLeader(cluster, "cell");
+        const auto request = change("POST", "/v1/sheets", "sheet-1", 0, columns + row("web", "service", 2, "serve"));
+        // So that the next request does not have to ask the paused instances first.
+        CPPUNIT_ASSERT(cluster.call(leader, {"GET", "/v1/status", {}, {}}).has_value());
+        for (int index = 0; index < 3; ++index) {
+            if (index != leader)
+                cluster.control(index).signal(SIGSTOP);
+        }
+        const auto first = cluster.call(leader, request, 12000ms);
+        CPPUNIT_ASSERT(first.has_value());
+        CPPUNIT_ASSERT_MESSAGE(first.value().body, first.value().status == 503 || first.value().status == 504);
+        for (int index = 0; index < 3; ++index)
+            cluster.control(index).signal(SIGCONT);
+        if (first.value().status == 503) {
+            awaitLeader(cluster, "cell");
+            CPPUNIT_ASSERT(Cluster::waitFor([&] { return !cluster.get("/v1/sheets").empty(); }));
+            CPPUNIT_ASSERT(cluster.get("/v1/sheets").find("\"version\":0}") != std::string::npos);
+        }
+        const auto body = accept(cluster, request);
+        CPPUNIT_ASSERT_MESSAGE(body, body.find("\"version\":1}") != std::string::npos);
+        assertRunning(cluster, "web/", 2);
+        assertNoOverlap(cluster);
+    }
+
+    // Guards against records of requests that are lost with the leader of the zone: the resend would run again (I5).
+    void aClaimedRequestRunsOnceAcrossLeaders()
+    {
+        Cluster cluster(3);
+        auto services = configuration;
+        services.insert(1, R"("services": [{"service": "ordering", "timeout_ms": 2000, "max_body_bytes": 10000}], )");
+        accept(cluster, change("PUT", "/v1/configuration", "configuration-1", 0, services));
+        cluster.startEntryAndMinion();
+        const auto send = [&](const std::string &body) {
+            return cluster.request({"POST",
+                                    "/s/ordering/print",
+                                    {{"Pistachio-Repeatable", "no"}, {"Idempotency-Key", "svealand~order-1"}},
+                                    body});
+        };
+        const auto sendUntilRun = [&](const std::string &body) {
+            CallResultText text;
+            CPPUNIT_ASSERT(Cluster::waitFor([&] {
+                const auto result = send(body);
+                if (!result)
+                    return false;
+                text = {result.value().status, result.value().body,
+                        std::string(Transport::headerValue(result.value().headers, "Pistachio-Outcome"))};
+                CPPUNIT_ASSERT_MESSAGE(text.body, text.outcome != "unknown");
+                return text.outcome == "run";
+            }));
+            return text.body;
+        };
+        const auto first = sendUntilRun("certificate 1");
+        CPPUNIT_ASSERT_MESSAGE(first, first.find("certificate 1") != std::string::npos);
+        cluster.control(awaitLeader(cluster, "zone")).kill();
+        CPPUNIT_ASSERT_EQUAL(first, sendUntilRun("certificate 1"));
+        CPPUNIT_ASSERT_EQUAL(422, send("certificate 2").value().status);
+        cluster.minion().signal(SIGTERM);
+        CPPUNIT_ASSERT(cluster.minion().wait(20000ms).has_value());
+        std::ifstream log(cluster.minionLog());
+        const std::string counts{std::istreambuf_iterator<char>(log), {}};
+        CPPUNIT_ASSERT_MESSAGE(counts, counts.find("\"runs\":1}") != std::string::npos);
+    }
+
     // Guards against planned stops that fail or take tasks with them.
     void aPlannedStopEndsWithSuccess()
     {
