--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -73,7 +73,7 @@
 
 Scheduler::Moment ZoneHost::moment(TimePoint now) const
 {
-    return {now, unixMs(), host_->group().hasAuthority(now)};
+    return {now, unixMs(), host_->group().hasAuthority(now), host_->group().confirmedAt(now)};
 }
 
 void ZoneHost::cellChanged(TimePoint now, const Cellstate::CellState &cell)
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -127,6 +127,11 @@
     return isLeader() && now - quorumStamp(now) < authorityDuration;
 }
 
+TimePoint Replica::confirmedAt(TimePoint now) const
+{
+    return isLeader() ? quorumStamp(now) : TimePoint();
+}
+
 void Replica::becomeFollower(TimePoint now, Term term)
 {
     if (term > hardState_.term) {
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -95,6 +95,10 @@
     /// \return whether a majority acknowledged what this leader sent in the last 900 ms.
     [[nodiscard]] bool hasAuthority(TimePoint now) const;
 
+    /// \return the newest time for which a majority acknowledged a message that this leader sent then or later, so that
+    /// no other leader had been elected. Unlike hasAuthority() it does not rely on a clock that runs during a pause.
+    [[nodiscard]] TimePoint confirmedAt(TimePoint now) const;
+
     [[nodiscard]] Term term() const { return hardState_.term; }
     [[nodiscard]] const InstanceId &leaderHint() const { return election_.leader(); }
     [[nodiscard]] LogIndex commitIndex() const { return hardState_.commit; }
--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -244,6 +244,11 @@
     return !isStopped() && replica_->hasAuthority(now);
 }
 
+TimePoint ReplicatedGroup::confirmedAt(TimePoint now) const
+{
+    return replica_->confirmedAt(now);
+}
+
 Term ReplicatedGroup::term() const
 {
     return replica_->term();
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -100,6 +100,9 @@
     /// \return whether no other leader can exist at \p now; a leader renews leases only while this holds.
     [[nodiscard]] bool hasAuthority(TimePoint now) const;
 
+    /// \return Replica::confirmedAt().
+    [[nodiscard]] TimePoint confirmedAt(TimePoint now) const;
+
     [[nodiscard]] Replication::Term term() const;
 
     /// \return the leader as last heard of, or an empty id.
--- a/tests/auto/scheduler/simulatedzone.cpp
+++ b/tests/auto/scheduler/simulatedzone.cpp
@@ -162,7 +162,7 @@
 Scheduler::Moment SimulatedZone::moment() const
 {
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch() - 1000s);
-    return {now_, unixStartMs + elapsed.count(), hasLeader_ && now_ >= noAuthorityUntil_};
+    return {now_, unixStartMs + elapsed.count(), hasLeader_ && now_ >= noAuthorityUntil_, now_};
 }
 
 TimePoint SimulatedZone::agentTime() const
--- a/tests/auto/scheduler/tst_scheduler.cpp
+++ b/tests/auto/scheduler/tst_scheduler.cpp
@@ -160,7 +160,7 @@
     {
         ZoneState::ZoneState state;
         Scheduler::ZoneScheduler scheduler("zone", state, 1);
-        Scheduler::Moment now{TimePoint(1000s), 1'800'000'000'000, true};
+        Scheduler::Moment now{TimePoint(1000s), 1'800'000'000'000, true, TimePoint(1000s)};
         scheduler.leadershipChanged(now, 1, true);
         std::vector<Wire::Booking> bookings(1000);
         for (std::size_t i = 0; i < bookings.size(); ++i) {
@@ -290,7 +290,7 @@
         Scheduler::WorkerAgent earlier(WorkerId("w0"), "0", "r0", {8000, 16LL << 30, 2});
         const Wire::WorkerSync delayed = earlier.makeSync(zone.now());
         zone.advance(5s);
-        zone.scheduler().workerSync({zone.now(), 1'800'000'005'000, true}, delayed);
+        zone.scheduler().workerSync({zone.now(), 1'800'000'005'000, true, zone.now()}, delayed);
         zone.advance(5s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, zone.runningOn("service").size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.decisions("end"));
--- a/tests/benchmarks/placement/cellreplay.cpp
+++ b/tests/benchmarks/placement/cellreplay.cpp
@@ -38,7 +38,7 @@
 
 Scheduler::Moment CellReplay::moment() const
 {
-    return {TimePoint(1000s + now_), unixStartMs + now_.count() / 1000, true};
+    return {TimePoint(1000s + now_), unixStartMs + now_.count() / 1000, true, TimePoint(1000s + now_)};
 }
 
 void CellReplay::at(Duration time, std::function<void()> action)
