Close gaps in the lease table, common starts and returning bookings

Delayed syncs of an earlier process are now known after its lease expired too. A start of a gang that the log did not take is proposed again; its workers report that they are prepared only once. A booking that is cancelled and comes back while its tasks are still ending runs again. Work displaced for urgent work gets at most 2.5 s of grace, or the 3.7 s could not be held.

--- a/src/libs/placement/displacement.cpp
+++ b/src/libs/placement/displacement.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t mostDisplacements = 2;
 // Urgent work starts within seconds. Other work first waits for room that appears by itself.
 constexpr Duration promisedWait = 60s;
-constexpr Duration normalWait = 10min;
+constexpr Duration normalWait = 2min;
 
 /// Chooses the victims on one worker that has \p room already, lowest standing and least progress first.
 std::optional<std::vector<const PlacedTask *>> victimsOn(const Work &work, const Resources &need,
--- a/src/libs/scheduler/answers.cpp
+++ b/src/libs/scheduler/answers.cpp
@@ -125,6 +125,7 @@
     health_.forget(entry.id);
     unhealthy_.erase(slot);
     worker(slot) = Worker();
+    leases_.forget(slot);
     planner_->workers().remove(slot);
 }
 
--- a/src/libs/scheduler/bookings.cpp
+++ b/src/libs/scheduler/bookings.cpp
@@ -130,6 +130,7 @@
         wallTimers_.emplace(spec.endUnixMs, spec.id);
     if (spec.startUnixMs > now.unixMs) {
         wallTimers_.emplace(spec.startUnixMs, spec.id);
+        booking.active = false;
         return;
     }
     booking.active = true;
--- a/src/libs/scheduler/ends.cpp
+++ b/src/libs/scheduler/ends.cpp
@@ -124,7 +124,6 @@
     if (end.reason() == Wire::TASK_END_COMPLETED && entry.runningSince)
         estimates_.completed(id.booking, now.time - *entry.runningSince);
     planner_->release(slot, *entry.work, id);
-    const StopCause cause = entry.cause;
     const TimePoint readyAt = entry.readyAt;
     decide("end", id, &entry, std::string(Wire::TaskEndReason_Name(end.reason())) + ' ' + end.detail());
     entry = TaskEntry();
@@ -136,16 +135,16 @@
     else if (booking.spec.kind == Placement::WorkKind::Gang)
         gangMemberEnded(now, booking);
     else
-        endedTaskNext(now, booking, id.index, cause);
+        endedTaskNext(now, booking, id.index);
     updateAccepting(now, slot);
     removeIfGone(slot);
 }
 
-void ZoneScheduler::Private::endedTaskNext(const Moment &now, BookingEntry &booking, std::uint32_t index,
-                                           StopCause cause)
+void ZoneScheduler::Private::endedTaskNext(const Moment &now, BookingEntry &booking, std::uint32_t index)
 {
     const ZoneState::TaskPast *past = state_.tasks().past({booking.spec.id, index});
-    if (past == nullptr || past->completed || cause == StopCause::Ended)
+    // A booking that ended and came back with the next sheet runs again, whatever its tasks were stopped for.
+    if (past == nullptr || past->completed)
         return;
     TaskEntry &entry = booking.tasks[index];
     switch (past->reason) {
--- a/src/libs/scheduler/leasetable.cpp
+++ b/src/libs/scheduler/leasetable.cpp
@@ -58,11 +58,13 @@
         return Verdict::Introduced;
     }
     const bool restarted = !known.bootId.empty();
-    if (restarted) {
-        known.retired.push_back(known.bootId);
+    const std::string &before = restarted ? known.bootId : known.earlier;
+    if (!before.empty() && before != bootId) {
+        known.retired.push_back(before);
         if (known.retired.size() > rememberedProcesses)
             known.retired.erase(known.retired.begin());
     }
+    known.earlier.clear();
     known.bootId = bootId;
     known.sequence = sequence;
     known.candidate.clear();
@@ -131,12 +133,22 @@
         Record &known = records_[worker];
         if (known.outstanding)
             due_.erase({known.outstanding->due, worker});
-        known = Record();
+        // Delayed syncs of earlier processes may still arrive after the lease has expired.
+        Record expired;
+        expired.earlier = known.bootId.empty() ? known.earlier : known.bootId;
+        expired.retired = std::move(known.retired);
+        known = std::move(expired);
         slots.push_back(worker);
     }
     return slots;
 }
 
+void LeaseTable::forget(Slot worker)
+{
+    if (worker < records_.size() && !records_[worker].tracked)
+        records_[worker] = Record();
+}
+
 bool LeaseTable::isConfirmed(Slot worker) const
 {
     return worker < records_.size() && !records_[worker].bootId.empty();
--- a/src/libs/scheduler/leasetable.h
+++ b/src/libs/scheduler/leasetable.h
@@ -55,6 +55,9 @@
     /// \return the workers whose lease has certainly expired. They need a new introduction.
     std::vector<Slot> takeExpired(TimePoint now);
 
+    /// Forgets a worker that is not tracked, with its earlier processes.
+    void forget(Slot worker);
+
     [[nodiscard]] bool isConfirmed(Slot worker) const;
     [[nodiscard]] bool isTracked(Slot worker) const;
     [[nodiscard]] bool hasOutstanding(Slot worker) const;
@@ -74,6 +77,7 @@
         std::uint64_t sequence = 0;
         std::string candidate;
         std::uint64_t candidateSequence = 0;
+        std::string earlier; // confirmed when the lease expired
         std::vector<std::string> retired;
         std::optional<Outstanding> outstanding;
         TimePoint expiry{};
--- a/src/libs/scheduler/planning.cpp
+++ b/src/libs/scheduler/planning.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t stepsPerEvent = 256;
 // A refused assignment is tried again after the state that refused it had time to change.
 constexpr Duration refusalDelay = 200ms;
+// Urgent work starts within 3.7 s, of which commits and messages take a part.
+constexpr Duration graceForUrgent = 2500ms;
 constexpr Duration forgetInterval = 10min;
 constexpr int forgetAtATime = 200;
 constexpr std::int64_t historyRetentionMs = 24LL * 3600 * 1000;
@@ -44,8 +46,12 @@
         record.action = "displace";
         record.task = step.victim;
         record.reason = "makes room for " + step.unit.id().toString();
+        const bool urgent = step.unit.work->standing == Placement::Standing::Urgent;
+        Duration grace = bookings_.at(step.victim.booking).spec.grace;
+        if (urgent)
+            grace = std::min(grace, graceForUrgent);
         if (TaskEntry *victim = find(step.victim))
-            stop(now, step.victim, *victim, StopCause::Displaced, bookings_.at(step.victim.booking).spec.grace);
+            stop(now, step.victim, *victim, StopCause::Displaced, grace);
     }
     commands_.decisions.push_back(std::move(record));
 }
@@ -156,14 +162,27 @@
     if (booking == nullptr)
         return;
     booking->startProposed = false;
-    if (!accepted)
+    if (!accepted) {
+        // The workers report "prepared" only once, so nothing else would bring the start up again.
+        startRetries_.emplace(now.time + refusalDelay, booking->spec.id);
         return;
+    }
     for (const TaskEntry &entry : booking->tasks) {
         if (entry.phase == TaskPhase::Assigned)
             leases_.answerSoon(now.time, entry.slot);
     }
 }
 
+void ZoneScheduler::Private::retryStarts(const Moment &now)
+{
+    while (!startRetries_.empty() && startRetries_.begin()->first <= now.time) {
+        BookingEntry *booking = find(startRetries_.begin()->second);
+        startRetries_.erase(startRetries_.begin());
+        if (booking != nullptr)
+            startGangIfPrepared(now, *booking);
+    }
+}
+
 void ZoneScheduler::Private::forgetOldHistory(const Moment &now)
 {
     if (now.time < forgetDue_)
--- a/src/libs/scheduler/zonescheduler.cpp
+++ b/src/libs/scheduler/zonescheduler.cpp
@@ -139,6 +139,7 @@
     bookings_.clear();
     wallTimers_.clear();
     delays_.clear();
+    startRetries_.clear();
     stopDeadlines_.clear();
     memoryDeadlines_.clear();
     workers_.clear();
@@ -229,6 +230,7 @@
         return;
     runWallTimers(now);
     runDelays(now);
+    retryStarts(now);
     loseExpired(now);
     checkHealth(now);
     checkStopDeadlines(now);
--- a/src/libs/scheduler/zoneschedulerprivate.h
+++ b/src/libs/scheduler/zoneschedulerprivate.h
@@ -69,6 +69,7 @@
     void unplace(const Moment &now, BookingEntry &booking, std::uint32_t index, Duration delay);
     void startGangIfPrepared(const Moment &now, BookingEntry &booking);
     void startApplied(const Moment &now, const std::string &booking, bool accepted);
+    void retryStarts(const Moment &now);
     void forgetOldHistory(const Moment &now);
     void decide(std::string action, const TaskId &task, const TaskEntry *entry, std::string reason);
 
@@ -103,7 +104,7 @@
     void flushEnds(const Moment &now);
     void endsApplied(const Moment &now, const Wire::EndTasks &command);
     void endApplied(const Moment &now, const Wire::TaskEnd &end, TaskEntry &entry);
-    void endedTaskNext(const Moment &now, BookingEntry &booking, std::uint32_t index, StopCause cause);
+    void endedTaskNext(const Moment &now, BookingEntry &booking, std::uint32_t index);
     void failed(const Moment &now, BookingEntry &booking, std::uint32_t index);
     void gangMemberEnded(const Moment &now, BookingEntry &booking);
     void judgeWorker(const Moment &now, const TaskId &id, const TaskEntry &entry, Wire::TaskEndReason reason);
@@ -131,6 +132,7 @@
     std::unordered_map<BookingId, BookingEntry> bookings_;
     std::set<std::pair<std::int64_t, BookingId>> wallTimers_;
     std::set<std::pair<TimePoint, TaskId>> delays_;
+    std::set<std::pair<TimePoint, BookingId>> startRetries_;
     std::set<std::pair<TimePoint, TaskId>> stopDeadlines_;
     std::set<std::pair<TimePoint, TaskId>> memoryDeadlines_;
     std::vector<Worker> workers_;
--- a/tests/auto/scheduler/simulatedzone.cpp
+++ b/tests/auto/scheduler/simulatedzone.cpp
@@ -190,6 +190,10 @@
     Scheduler::Commands commands = scheduler_->takeCommands();
     decisions_.insert(decisions_.end(), commands.decisions.begin(), commands.decisions.end());
     for (const Wire::ZoneCommand &command : commands.proposals) {
+        if (rejectProposals) {
+            scheduler_->proposalRejected(moment(), command);
+            continue;
+        }
         // The log keeps the order: all entries take the same time to commit.
         at(now_ + 10ms, [this, command, term = term_] { applyProposal(command, term); });
     }
--- a/tests/auto/scheduler/simulatedzone.h
+++ b/tests/auto/scheduler/simulatedzone.h
@@ -60,6 +60,7 @@
     [[nodiscard]] TimePoint now() const { return now_; }
 
     Wire::Configuration configuration;
+    bool rejectProposals = false;
     std::size_t endCommands = 0; ///< log entries that end tasks
     std::map<std::string, Duration> runTime; ///< by booking; others run until stopped
     std::map<std::string, std::int64_t> memoryUse; ///< by booking
--- a/tests/auto/scheduler/tst_scheduler.cpp
+++ b/tests/auto/scheduler/tst_scheduler.cpp
@@ -1,3 +1,4 @@
+#include "scheduler/leasetable.h"
 #include "simulatedzone.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -17,6 +18,8 @@
     CPPUNIT_TEST(urgentWorkDisplacesOnlyWhatAllowsIt);
     CPPUNIT_TEST(noTaskIsDisplacedAgainAndAgain);
     CPPUNIT_TEST(datesAndCancellationsEndWork);
+    CPPUNIT_TEST(cancelledBookingThatComesBackRuns);
+    CPPUNIT_TEST(rejectedProposalsAreMadeAgain);
     CPPUNIT_TEST(cancellationWaveIsOneLogEntry);
     CPPUNIT_TEST(taskAboveItsMemoryIsThrottledThenStopped);
     CPPUNIT_TEST(faultyWorkerIsQuarantinedAndProbed);
@@ -155,6 +158,43 @@
         CPPUNIT_ASSERT(zone.state().tasks().assignments().empty());
     }
 
+    // Guards against a booking that stays stopped because its tasks were still ending when it returned.
+    void cancelledBookingThatComesBackRuns()
+    {
+        SimulatedZone zone({});
+        zone.book("service", Wire::WORK_KIND_SERVICE, 3, 1000);
+        zone.advance(4s);
+        zone.cancel("service");
+        zone.advance(50ms);
+        zone.book("service", Wire::WORK_KIND_SERVICE, 3, 1000);
+        zone.publish();
+        zone.advance(10s);
+        CPPUNIT_ASSERT(zone.stateOf("service") == BookingState::Running);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, zone.runningOn("service").size());
+    }
+
+    // Guards against work that waits for ever for an entry that the log never took.
+    void rejectedProposalsAreMadeAgain()
+    {
+        SimulatedZone zone({});
+        zone.rejectProposals = true;
+        zone.book("gang", Wire::WORK_KIND_TOGETHER, 2, 1000);
+        zone.book("batch", Wire::WORK_KIND_BATCH, 2, 1000);
+        zone.runTime = {{"batch", 2s}};
+        zone.advance(3s);
+        CPPUNIT_ASSERT(zone.state().tasks().assignments().empty());
+        zone.rejectProposals = false;
+        while (zone.state().tasks().assignmentsOf(BookingId("gang")).empty())
+            zone.advance(10ms);
+        zone.rejectProposals = true; // now the common start and the ends
+        zone.advance(4s);
+        CPPUNIT_ASSERT(zone.runningOn("gang").empty());
+        zone.rejectProposals = false;
+        zone.advance(3s);
+        CPPUNIT_ASSERT(zone.stateOf("gang") == BookingState::Running);
+        CPPUNIT_ASSERT(zone.stateOf("batch") == BookingState::Completed);
+    }
+
     // Guards against a cost for each cancelled task in the log.
     void cancellationWaveIsOneLogEntry()
     {
@@ -294,6 +334,25 @@
         zone.advance(5s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, zone.runningOn("service").size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, zone.decisions("end"));
+
+        // The same after the earlier process's lease expired, with two of its syncs delayed.
+        using Verdict = Scheduler::LeaseTable::Verdict;
+        Scheduler::LeaseTable leases;
+        TimePoint now(1000s);
+        leases.reset(now, 7);
+        CPPUNIT_ASSERT(leases.sync(now, 0, "a", 1, 0, true) == Verdict::Introduced);
+        CPPUNIT_ASSERT(leases.sync(now, 0, "a", 2, 0, true) == Verdict::Introduced); // has not seen this term
+        leases.answered(now, 0);
+        CPPUNIT_ASSERT(leases.sync(now, 0, "a", 3, 7, true) == Verdict::Accepted);
+        CPPUNIT_ASSERT(leases.sync(now, 0, "a", 3, 7, true) == Verdict::Ignored);
+        CPPUNIT_ASSERT(leases.takeExpired(now + Scheduler::lossTimeout - 1ms).empty());
+        now += Scheduler::lossTimeout;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leases.takeExpired(now).size());
+        leases.sync(now, 0, "b", 1, 0, true);
+        CPPUNIT_ASSERT(leases.sync(now, 0, "b", 2, 7, true) == Verdict::Accepted);
+        CPPUNIT_ASSERT(leases.sync(now, 0, "a", 4, 7, true) == Verdict::Ignored);
+        CPPUNIT_ASSERT(leases.sync(now, 0, "a", 5, 7, true) == Verdict::Ignored);
+        CPPUNIT_ASSERT(leases.isConfirmed(0));
     }
 };
 
