Search plain work in an index of what accelerators leave free

Plain work visited and refused every worker with free accelerators, which made a decision in a crowded cell costlier with more such workers.

--- a/src/libs/placement/batchpolicy.cpp
+++ b/src/libs/placement/batchpolicy.cpp
@@ -24,25 +24,20 @@
     {
         std::optional<Choice> best;
         std::uint32_t compared = 0;
-        const bool leaveShare = mustLeaveAcceleratorShare(unit, context);
         const auto compare = [&](WorkerSlot slot, std::uint32_t limit) {
             const WorkerEntry &worker = context.workers.at(slot);
             if (!context.reservations.allows(context.now, unit, priority, worker))
                 return false;
-            if (leaveShare && !context.reservations.isHolder(unit, worker)
-                && !leavesAcceleratorShare(worker, unit.work->resources))
-                return false;
             const double score = scoreOf(unit, worker, context.packingPercent);
             if (!best || score > best->score)
                 best = Choice{{slot}, score, 0};
             return ++compared >= limit;
         };
-        context.workers.visitFree(unit.work->resources, LevelGrid::Order::Tight,
-                                  [&](WorkerSlot slot) { return compare(slot, candidatesFromEachEnd); });
+        visitRoom(unit, context, LevelGrid::Order::Tight,
+                  [&](WorkerSlot slot) { return compare(slot, candidatesFromEachEnd); });
         if (best && context.packingPercent < 100) {
             const std::uint32_t limit = compared + candidatesFromEachEnd;
-            context.workers.visitFree(unit.work->resources, LevelGrid::Order::Loose,
-                                      [&](WorkerSlot slot) { return compare(slot, limit); });
+            visitRoom(unit, context, LevelGrid::Order::Loose, [&](WorkerSlot slot) { return compare(slot, limit); });
         }
         if (best)
             best->candidates = compared;
@@ -79,20 +74,9 @@
         + (1 - acceleratorWeight) * plain;
 }
 
-bool leavesAcceleratorShare(const WorkerEntry &worker, const Resources &added)
-{
-    if (worker.capacity.accelerators == 0)
-        return true;
-    const Resources free = worker.free();
-    const std::int64_t idle = std::max<std::int64_t>(free.accelerators, 0);
-    const std::int64_t all = worker.capacity.accelerators;
-    return (free.milliCores - added.milliCores) * all >= worker.capacity.milliCores * idle
-        && (free.memoryBytes - added.memoryBytes) * all >= worker.capacity.memoryBytes * idle;
-}
-
 bool mustLeaveAcceleratorShare(const Unit &unit, const PlacementContext &context)
 {
-    if (unit.work->resources.accelerators > 0)
+    if (unit.work->resources.accelerators > 0 || context.reservations.isHolder(unit))
         return false;
     bool fitsPlain = false;
     // The first worker visited has the fewest accelerators.
--- a/src/libs/placement/gangpolicy.cpp
+++ b/src/libs/placement/gangpolicy.cpp
@@ -29,9 +29,8 @@
                 return false;
             Resources used = need;
             ++choice.candidates;
-            while (choice.workers.size() < wanted && used.fitsIn(worker.free())) {
-                if (leaveShare && !context.reservations.isHolder(unit, worker) && !leavesAcceleratorShare(worker, used))
-                    break;
+            const Resources room = leaveShare ? worker.freeBesideAccelerators() : worker.free();
+            while (choice.workers.size() < wanted && used.fitsIn(room)) {
                 choice.workers.push_back(slot);
                 sum += fullness(worker, used);
                 used += need;
@@ -39,9 +38,9 @@
             return choice.workers.size() >= wanted;
         };
         const auto order = context.packingPercent >= 50 ? LevelGrid::Order::Tight : LevelGrid::Order::Loose;
-        context.workers.visitFree(need, order, [&](WorkerSlot slot) { return take(slot, false); });
+        visitRoom(unit, context, order, [&](WorkerSlot slot) { return take(slot, false); });
         if (choice.workers.size() < wanted && !unit.avoided.empty())
-            context.workers.visitFree(need, order, [&](WorkerSlot slot) { return take(slot, true); });
+            visitRoom(unit, context, order, [&](WorkerSlot slot) { return take(slot, true); });
         if (choice.workers.size() < wanted)
             return std::nullopt;
         choice.score = sum / static_cast<double>(wanted);
--- a/src/libs/placement/placementpolicy.h
+++ b/src/libs/placement/placementpolicy.h
@@ -57,12 +57,20 @@
 /// \return how full the worker would be with \p added, from 0 to 1; by accelerators where it has some.
 double fullness(const WorkerEntry &worker, const Resources &added);
 
-/// \return whether work without accelerators leaves the cores and the memory that the worker's free accelerators need.
-bool leavesAcceleratorShare(const WorkerEntry &worker, const Resources &added);
-
-/// \return whether the unit has to leave that share: it needs no accelerators and fits on workers without them.
+/// \return whether the unit has to leave the cores and the memory that free accelerators need: it needs no
+/// accelerators, fits on workers without them, and has no workers reserved.
 bool mustLeaveAcceleratorShare(const Unit &unit, const PlacementContext &context);
 
+/// Visits the workers with room for one task of the unit.
+template<class Visit>
+void visitRoom(const Unit &unit, const PlacementContext &context, LevelGrid::Order order, Visit visit)
+{
+    if (mustLeaveAcceleratorShare(unit, context))
+        context.workers.visitFreeBesideAccelerators(unit.work->resources, order, visit);
+    else
+        context.workers.visitFree(unit.work->resources, order, visit);
+}
+
 /// \return whether the unit failed on the worker before.
 bool isAvoided(const Unit &unit, const WorkerEntry &worker);
 
--- a/src/libs/placement/reservations.cpp
+++ b/src/libs/placement/reservations.cpp
@@ -162,11 +162,9 @@
     return false;
 }
 
-bool Reservations::isHolder(const Unit &unit, const WorkerEntry &worker) const
+bool Reservations::isHolder(const Unit &unit) const
 {
-    if (!worker.reservedFor)
-        return false;
-    const std::optional<Reservation> &reservation = of(*worker.reservedFor);
+    const auto &reservation = of(acceleratorClassOf(unit.work->resources));
     return reservation && reservation->holder == unit.id();
 }
 
--- a/src/libs/placement/reservations.h
+++ b/src/libs/placement/reservations.h
@@ -42,8 +42,8 @@
         return reservations_[static_cast<std::size_t>(acceleratorClass)];
     }
 
-    /// \return whether the worker is reserved for the unit.
-    [[nodiscard]] bool isHolder(const Unit &unit, const WorkerEntry &worker) const;
+    /// \return whether workers are reserved for the unit.
+    [[nodiscard]] bool isHolder(const Unit &unit) const;
 
     /// \return whether the unit may use the worker: it holds the reservation, goes before the holder, is expected to
     /// end before the reserved start, or can be displaced by the holder.
--- a/src/libs/placement/workerindex.cpp
+++ b/src/libs/placement/workerindex.cpp
@@ -11,6 +11,18 @@
     return end > now ? end : now + std::max<Duration>(now - startedAt, 1s);
 }
 
+Resources WorkerEntry::freeBesideAccelerators() const
+{
+    Resources rest = free();
+    const std::int64_t idle = std::max<std::int64_t>(rest.accelerators, 0);
+    const std::int64_t all = capacity.accelerators;
+    if (idle == 0 || all == 0)
+        return rest;
+    rest.milliCores -= (capacity.milliCores * idle + all - 1) / all;
+    rest.memoryBytes -= (capacity.memoryBytes * idle + all - 1) / all;
+    return rest;
+}
+
 WorkerSlot WorkerIndex::slotOf(const WorkerId &worker)
 {
     const auto found = slots_.find(worker);
@@ -176,6 +188,7 @@
         capacity_.remove(slot);
     if (!entry.accepting) {
         free_.remove(slot);
+        beside_.remove(slot);
         unpinned_.remove(slot);
         for (LevelGrid &grid : displaceable_)
             grid.remove(slot);
@@ -183,6 +196,7 @@
     }
     const Resources free = entry.free();
     free_.set(slot, free);
+    beside_.set(slot, entry.freeBesideAccelerators());
     unpinned_.set(slot, entry.capacity - entry.pinned);
     for (std::size_t i = 0; i < displaceable_.size(); ++i)
         displaceable_[i].set(slot, free + entry.displaceable[i]);
--- a/src/libs/placement/workerindex.h
+++ b/src/libs/placement/workerindex.h
@@ -47,6 +47,8 @@
     std::vector<PlacedTask> tasks;
 
     [[nodiscard]] Resources free() const { return capacity - allocated - held; }
+    /// \return what is free for work without accelerators: the rest is kept for the accelerators that are free.
+    [[nodiscard]] Resources freeBesideAccelerators() const;
 };
 
 /// The workers by what they have left. Every search costs little more with many workers than with few.
@@ -85,6 +87,12 @@
     {
         free_.visit(need, order, visit);
     }
+    /// Visits workers that accept work and have \p need left beside what is kept for their free accelerators.
+    template<class Visit>
+    void visitFreeBesideAccelerators(const Resources &need, LevelGrid::Order order, Visit visit) const
+    {
+        beside_.visit(need, order, visit);
+    }
     /// Visits workers that accept work and would have \p need left without the tasks that \p standing may displace.
     template<class Visit> void visitDisplaceable(const Resources &need, Standing standing, Visit visit) const
     {
@@ -118,6 +126,7 @@
     std::unordered_map<std::string, std::uint32_t> rackNumbers_;
     std::unordered_map<BookingId, std::vector<std::pair<std::uint32_t, std::uint32_t>>> serviceRacks_;
     LevelGrid free_;
+    LevelGrid beside_;
     std::array<LevelGrid, 2> displaceable_;
     LevelGrid unpinned_;
     LevelGrid capacity_;
