Answer a worker's sync only after a majority confirmed the leader since its arrival

Cause: the authority window is measured on the leader's clock, which stands still while a machine is suspended. Ruled out: lease length and epochs, since the worker had not yet met the successor and its own lease had ended as it should.

Change: a sync stays outstanding until a majority has acknowledged a message sent after it arrived. Before: tst_staleleader found the task on two workers. After: on one, and the order still goes out once a majority confirms.

--- a/src/libs/scheduler/answers.cpp
+++ b/src/libs/scheduler/answers.cpp
@@ -15,7 +15,7 @@
 
 void ZoneScheduler::Private::answerDue(const Moment &now)
 {
-    for (const Slot slot : leases_.takeDue(now.time))
+    for (const Slot slot : leases_.takeDue(now.time, now.confirmed))
         answer(now, slot);
 }
 
--- a/src/libs/scheduler/leasetable.cpp
+++ b/src/libs/scheduler/leasetable.cpp
@@ -43,7 +43,7 @@
             return Verdict::Ignored;
         known.sequence = sequence;
         known.lastSync = now;
-        setOutstanding(worker, bootId, sequence, now + pollInterval);
+        setOutstanding(worker, bootId, sequence, now, now + pollInterval);
         return Verdict::Accepted;
     }
     if (known.candidate == bootId && sequence <= known.candidateSequence)
@@ -54,7 +54,7 @@
         known.candidate = bootId;
         known.candidateSequence = sequence;
         track(now, worker);
-        setOutstanding(worker, bootId, sequence, now);
+        setOutstanding(worker, bootId, sequence, now, now);
         return Verdict::Introduced;
     }
     const bool restarted = !known.bootId.empty();
@@ -69,16 +69,17 @@
     known.sequence = sequence;
     known.candidate.clear();
     track(now, worker);
-    setOutstanding(worker, bootId, sequence, now + pollInterval);
+    setOutstanding(worker, bootId, sequence, now, now + pollInterval);
     return restarted ? Verdict::Restarted : Verdict::Accepted;
 }
 
-void LeaseTable::setOutstanding(Slot worker, const std::string &bootId, std::uint64_t sequence, TimePoint due)
+void LeaseTable::setOutstanding(Slot worker, const std::string &bootId, std::uint64_t sequence, TimePoint now,
+                                TimePoint due)
 {
     Record &known = records_[worker];
     if (known.outstanding)
         due_.erase({known.outstanding->due, worker});
-    known.outstanding = Outstanding{bootId, sequence, due};
+    known.outstanding = Outstanding{bootId, sequence, now, due};
     due_.emplace(due, worker);
 }
 
@@ -104,13 +105,14 @@
     due_.emplace(now, worker);
 }
 
-std::vector<LeaseTable::Slot> LeaseTable::takeDue(TimePoint now)
+std::vector<LeaseTable::Slot> LeaseTable::takeDue(TimePoint now, TimePoint confirmed)
 {
     std::vector<Slot> slots;
     for (const auto &[due, worker] : due_) {
         if (due > now)
             break;
-        slots.push_back(worker);
+        if (records_[worker].outstanding->arrived <= confirmed)
+            slots.push_back(worker);
     }
     return slots;
 }
--- a/src/libs/scheduler/leasetable.h
+++ b/src/libs/scheduler/leasetable.h
@@ -47,8 +47,9 @@
 
     /// Makes the outstanding sync of a worker due.
     void answerSoon(TimePoint now, Slot worker);
+    /// \param confirmed syncs that arrived later stay due, since another leader may exist by now
     /// \return the workers whose outstanding sync is due. Each has to be answered or made due again.
-    std::vector<Slot> takeDue(TimePoint now);
+    std::vector<Slot> takeDue(TimePoint now, TimePoint confirmed);
     /// Renews the lease: the outstanding sync is answered now.
     void answered(TimePoint now, Slot worker);
 
@@ -69,6 +70,7 @@
     struct Outstanding {
         std::string bootId;
         std::uint64_t sequence = 0;
+        TimePoint arrived{};
         TimePoint due{};
     };
     struct Record {
@@ -85,7 +87,7 @@
     };
 
     Record &record(Slot worker);
-    void setOutstanding(Slot worker, const std::string &bootId, std::uint64_t sequence, TimePoint due);
+    void setOutstanding(Slot worker, const std::string &bootId, std::uint64_t sequence, TimePoint now, TimePoint due);
     void setExpiry(Slot worker, TimePoint expiry);
 
     std::uint64_t term_ = 0;
