Don't probe a follower that lost its files without end, and sharpen the schedules

A follower with an empty folder refused each probe of what it had acknowledged, and the leader sent the next probe at once, so both kept the link busy until the follower was removed. It now gets heartbeats only.

The schedules also cut followers off from a healthy leader, crash leaders with changes under way and use syncs slower than a round trip. Tests: a voter that restarts under a leader with authority, lost files.

--- a/src/libs/replication/leader.cpp
+++ b/src/libs/replication/leader.cpp
@@ -131,11 +131,11 @@
         // Last, since the leader's own removal may be committed by this, which ends the office and frees `progress`.
         return commitByQuorum(now);
     }
-    // A refusal of anything else is older than an answer that came before it.
+    // A refusal of another entry is older than an answer that came before it. One of an acknowledged entry comes from a
+    // follower that lost its files; probing again at once would repeat without end, so it gets heartbeats only.
     const bool isCurrent = progress.state() == Progress::State::Replicate
-        ? answer.logIndex > progress.match()
-        : progress.state() == Progress::State::Probe && answer.logIndex + 1 == progress.next();
-    if (!isCurrent)
+        || (progress.state() == Progress::State::Probe && answer.logIndex + 1 == progress.next());
+    if (!isCurrent || answer.logIndex <= progress.match())
         return;
     progress.probeFrom(log_.lastNotAbove(answer.hintIndex, answer.hintTerm) + 1);
     sendAppend(now, answer.from, progress, {});
--- a/tests/auto/replication/schedule.cpp
+++ b/tests/auto/replication/schedule.cpp
@@ -9,12 +9,16 @@
 namespace
 {
 constexpr std::array<Duration, 3> linkDelays{1000us, 1500us, 8000us};
+
+/// Slower than a round trip as well, so that followers answer before the leader's own write is durable.
+constexpr std::array<Duration, 3> syncDurations{1ms, 5ms, 30ms};
 } // namespace
 
 Schedule::Schedule(std::uint64_t seed)
     : cluster(seed, seed % 4 == 3 ? 5 : 3, seed % 2, 1)
 {
     cluster.network.delay = linkDelays[seed % linkDelays.size()];
+    cluster.syncDuration = syncDurations[seed / linkDelays.size() % syncDurations.size()];
 }
 
 void Schedule::runFaults(Duration duration)
@@ -33,7 +37,7 @@
 {
     Network &network = cluster.network;
     RandomSource &random = cluster.random;
-    switch (random.below(12)) {
+    switch (random.below(14)) {
     case 0:
         network.lossPercent = random.below(40);
         network.duplicatePercent = random.below(30);
@@ -69,8 +73,23 @@
         }
         break;
     case 9:
+    case 10:
         changeMembers();
         break;
+    case 11: // a follower that no longer hears a leader whom the others hear
+        if (const Cluster::Node *leader = cluster.leader()) {
+            network.cuts.emplace(leader->id, anyNode().id);
+            cluster.run(2500ms);
+        }
+        break;
+    case 12:
+        if (Cluster::Node *leader = cluster.leader()) {
+            cluster.propose("c" + std::to_string(++proposals_));
+            cluster.run(Duration(static_cast<Duration::rep>(random.below(20'000))));
+            if (leader->group)
+                cluster.crash(*leader);
+        }
+        break;
     default:
         cluster.healAll();
         break;
--- a/tests/auto/replication/tst_replication.cpp
+++ b/tests/auto/replication/tst_replication.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(secondLossRightAfterRepair);
     CPPUNIT_TEST(memberCutOffForAnHour);
     CPPUNIT_TEST(pausedLeaderDoesNothingOnItsOldAuthority);
+    CPPUNIT_TEST(restartedVoterWaitsForTheOldAuthority);
+    CPPUNIT_TEST(followerThatLostItsFilesIsNotCounted);
     CPPUNIT_TEST(rejoinAfterManyMissedChanges);
     CPPUNIT_TEST(silentFollowerIsNotFlooded);
     CPPUNIT_TEST(learnerNeverLeads);
@@ -154,6 +156,47 @@
         assertSound(cluster);
     }
 
+    // Guards against a voter that forgets at a restart that it has just confirmed the leader's authority, and elects
+    // another.
+    void restartedVoterWaitsForTheOldAuthority()
+    {
+        Cluster cluster(20, 3);
+        const Cluster::Node &leader = cluster.awaitLeader();
+        Cluster::Node &voter = follower(cluster);
+        for (const auto &node : cluster.nodes)
+            cluster.network.cuts.emplace(leader.id, &voter == node.get() ? leader.id : node->id);
+        for (int i = 0; i < 20; ++i) {
+            cluster.run(300ms);
+            cluster.crash(voter);
+            cluster.start(voter);
+        }
+        assertSound(cluster);
+        CPPUNIT_ASSERT(cluster.leader() == &leader);
+    }
+
+    // Guards against a follower whose files were replaced by an empty folder: what it acknowledged before is gone, so
+    // it must be removed and added anew, and must not keep the leader busy until then.
+    void followerThatLostItsFilesIsNotCounted()
+    {
+        Cluster cluster(21, 3);
+        cluster.proposeAndWait("one");
+        cluster.run(1s);
+        Cluster::Node &lost = follower(cluster);
+        cluster.crash(lost);
+        lost.files.files.clear();
+        cluster.start(lost);
+        const auto before = cluster.messages;
+        cluster.run(10s);
+        CPPUNIT_ASSERT(lost.machine->commands.empty());
+        CPPUNIT_ASSERT(cluster.messages - before < 200);
+        change(cluster, MembershipChange::Kind::Remove, lost);
+        change(cluster, MembershipChange::Kind::AddLearner, lost);
+        change(cluster, MembershipChange::Kind::Promote, lost);
+        CPPUNIT_ASSERT(cluster.runUntil([&] { return cluster.isConverged(); }, 2s));
+        CPPUNIT_ASSERT(!lost.machine->commands.empty());
+        assertSound(cluster);
+    }
+
     // Guards against a rejoin that gets stuck or starts from the beginning, by log and by a snapshot in many chunks, on
     // good links and on bad ones.
     void rejoinAfterManyMissedChanges()
