--- a/src/libs/replication/leader.cpp
+++ b/src/libs/replication/leader.cpp
@@ -113,10 +113,10 @@
     const bool isNewest = progress.acknowledgedStamp(TimePoint(Duration(answer.stamp)));
     if (answer.kind == MessageKind::SnapshotAnswer)
         return receiveSnapshotAnswer(now, answer, progress, isNewest);
-    receiveAppendAnswer(now, answer, progress);
+    receiveAppendAnswer(now, answer, progress, isNewest);
 }
 
-void Replica::receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress)
+void Replica::receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress, bool isNewest)
 {
     if (answer.accepted) {
         // Only a follower whose files are wrong can hold what the leader lacks; it must not count for anything.
@@ -135,8 +135,13 @@
     // follower that lost its files; probing again at once would repeat without end, so it gets heartbeats only.
     const bool isCurrent = progress.state() == Progress::State::Replicate
         || (progress.state() == Progress::State::Probe && answer.logIndex + 1 == progress.next());
-    if (!isCurrent || answer.logIndex <= progress.match())
+    if (!isCurrent)
         return;
+    if (answer.logIndex <= progress.match()) {
+        if (isNewest)
+            progress.noteLostFiles();
+        return;
+    }
     progress.probeFrom(log_.lastNotAbove(answer.hintIndex, answer.hintTerm) + 1);
     sendAppend(now, answer.from, progress, {});
 }
@@ -221,6 +226,20 @@
     next_.messages.push_back(std::move(request));
 }
 
+std::vector<MemberStatus> Replica::memberStatus(TimePoint now) const
+{
+    std::vector<MemberStatus> members;
+    for (const auto &[instance, progress] : followers_) {
+        MemberStatus status{instance, contains(membership().voters, instance), progress.match(), {}, false, false};
+        if (progress.ackedStamp())
+            status.sinceAnswered = now - *progress.ackedStamp();
+        status.isReceivingSnapshot = progress.state() == Progress::State::Snapshot;
+        status.hasLostFiles = progress.hasLostFiles();
+        members.push_back(std::move(status));
+    }
+    return members;
+}
+
 void Replica::commitByQuorum(TimePoint now)
 {
     std::vector<LogIndex> matches;
--- a/src/libs/replication/progress.cpp
+++ b/src/libs/replication/progress.cpp
@@ -38,7 +38,7 @@
 
 bool Progress::acknowledgedStamp(TimePoint stamp)
 {
-    if (ackedStamp_ && *ackedStamp_ > stamp)
+    if (ackedStamp_ && *ackedStamp_ >= stamp)
         return false;
     ackedStamp_ = stamp;
     return true;
@@ -46,6 +46,8 @@
 
 void Progress::acknowledged(TimePoint now, LogIndex index)
 {
+    if (index >= match_)
+        hasLostFiles_ = false; // the refusal was an old one that came late
     if (index <= match_)
         return;
     match_ = index;
--- a/src/libs/replication/progress.h
+++ b/src/libs/replication/progress.h
@@ -59,12 +59,16 @@
     void sentEntries(TimePoint now, LogIndex last, std::uint64_t bytes);
 
     /// \param stamp the stamp of an answered message
-    /// \return whether no newer stamp was answered before.
+    /// \return whether it is newer than all answered before.
     bool acknowledgedStamp(TimePoint stamp);
 
     /// \param index the last entry known to be equal to the leader's and durable
     void acknowledged(TimePoint now, LogIndex index);
 
+    /// Notes that the follower refused an entry that it had acknowledged.
+    void noteLostFiles() { hasLostFiles_ = true; }
+    [[nodiscard]] bool hasLostFiles() const { return hasLostFiles_; }
+
     /// Forgets what is under way and asks again from \p next on.
     void probeFrom(LogIndex next);
     void startReplicating(TimePoint now);
@@ -91,6 +95,7 @@
     SnapshotPointer snapshot_;
     std::uint64_t snapshotSent_ = 0;
     std::uint64_t snapshotAcked_ = 0;
+    bool hasLostFiles_ = false;
 };
 
 } // namespace Pistachio::Replication
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -101,6 +101,9 @@
     [[nodiscard]] LogIndex lastIndex() const { return log_.lastIndex(); }
     [[nodiscard]] const Membership &membership() const { return log_.membership(); }
 
+    /// \return what this leader knows of the other members; empty when it does not lead.
+    [[nodiscard]] std::vector<MemberStatus> memberStatus(TimePoint now) const;
+
     /// \return the first index of this leader's term; what earlier leaders committed lies before it.
     [[nodiscard]] LogIndex termStart() const { return termStart_; }
 
@@ -133,7 +136,7 @@
     void checkQuorum(TimePoint now);
     [[nodiscard]] TimePoint quorumStamp(TimePoint now) const;
     void receiveFromFollower(TimePoint now, const Message &answer);
-    void receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress);
+    void receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress, bool isNewest);
     void receiveSnapshotAnswer(TimePoint now, const Message &answer, Progress &progress, bool isNewest);
     LogIndex appendAsLeader(TimePoint now, EntryKind kind, std::string payload);
     void followMembers(TimePoint now);
--- a/src/libs/replication/types.h
+++ b/src/libs/replication/types.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/identifier.h"
+#include "core/time.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,4 +69,15 @@
     InstanceId instance;
 };
 
+/// What a leader knows of another member.
+struct MemberStatus {
+    InstanceId instance;
+    bool isVoter = false;
+    LogIndex match = 0; ///< durable there and equal to the leader's log
+    std::optional<Duration> sinceAnswered; ///< age of the newest message that it answered; empty: none in this term
+    bool isReceivingSnapshot = false;
+    /// It refused what it had acknowledged, so its files are gone or old: it must be removed and added anew.
+    bool hasLostFiles = false;
+};
+
 } // namespace Pistachio::Replication
--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -269,6 +269,11 @@
     return replica_->membership();
 }
 
+std::vector<MemberStatus> ReplicatedGroup::memberStatus(TimePoint now) const
+{
+    return isLeader() ? replica_->memberStatus(now) : std::vector<MemberStatus>();
+}
+
 const std::optional<Error> &ReplicatedGroup::failure() const
 {
     return failure_;
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -109,6 +109,9 @@
     [[nodiscard]] Replication::LogIndex commitIndex() const;
     [[nodiscard]] const Replication::Membership &membership() const;
 
+    /// \return what this leader knows of the other members; empty when it does not lead.
+    [[nodiscard]] std::vector<Replication::MemberStatus> memberStatus(TimePoint now) const;
+
     /// \return the failure that stopped this replica for good; the state machine stays readable.
     [[nodiscard]] const std::optional<Error> &failure() const;
 
