--- a/tests/auto/replication/tst_replication.cpp
+++ b/tests/auto/replication/tst_replication.cpp
@@ -1,4 +1,5 @@
 #include "replication/progress.h"
+#include "replication/replica.h"
 #include "replication/schedule.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -38,6 +39,7 @@
     CPPUNIT_TEST(pausedLeaderDoesNothingOnItsOldAuthority);
     CPPUNIT_TEST(restartedVoterWaitsForTheOldAuthority);
     CPPUNIT_TEST(followerThatLostItsFilesIsNotCounted);
+    CPPUNIT_TEST(onlyDurableEntriesOfTheTermCommit);
     CPPUNIT_TEST(rejoinAfterManyMissedChanges);
     CPPUNIT_TEST(silentFollowerIsNotFlooded);
     CPPUNIT_TEST(learnerNeverLeads);
@@ -199,6 +201,40 @@
         assertSound(cluster);
     }
 
+    // Guards against two commits too early that random schedules hardly ever reach: of an earlier term's entry, which
+    // another leader could still replace, and of one that the leader has sent but not yet made durable.
+    void onlyDurableEntriesOfTheTermCommit()
+    {
+        const InstanceId a("a");
+        const InstanceId b("b");
+        RestoredState restored{{4, {}, 0}, {}, {{1, 2, EntryKind::Noop, ""}, {2, 4, EntryKind::Noop, ""}}};
+        Replica replica(TimePoint(0s), a, GroupId("g"), {{a, b, InstanceId("c")}, {}}, restored, RandomSource(1));
+        const TimePoint now(2s);
+        const auto answer = [&](MessageKind kind, LogIndex index) {
+            Message message;
+            message.kind = kind;
+            message.group = GroupId("g");
+            message.from = b;
+            message.to = a;
+            message.term = 5;
+            message.logIndex = index;
+            message.accepted = true;
+            replica.receive(now, message);
+        };
+        replica.tick(now);
+        answer(MessageKind::PreVoteAnswer, 0);
+        replica.persisted(now, replica.takeReady().token);
+        answer(MessageKind::VoteAnswer, 0);
+        CPPUNIT_ASSERT(replica.isLeader() && replica.term() == 5 && replica.lastIndex() == 3);
+        const std::uint64_t token = replica.takeReady().token;
+        answer(MessageKind::AppendAnswer, 2);
+        CPPUNIT_ASSERT_EQUAL(LogIndex{0}, replica.commitIndex());
+        answer(MessageKind::AppendAnswer, 3);
+        CPPUNIT_ASSERT_EQUAL(LogIndex{0}, replica.commitIndex());
+        replica.persisted(now, token);
+        CPPUNIT_ASSERT_EQUAL(LogIndex{3}, replica.commitIndex());
+    }
+
     // Guards against a rejoin that gets stuck or starts from the beginning, by log and by a snapshot in many chunks, on
     // good links and on bad ones.
     void rejoinAfterManyMissedChanges()
