Bound the content an entry holds and forget replaced peers

A full queue of the largest requests would not fit into a small instance, so requests above 256 MiB in total are refused as not run. Entries that the zone leader has not listed for 10 min are no longer contacted. A home zone without control instances in the settings is reached through those of the own zone.

--- a/src/libs/entrynode/network.cpp
+++ b/src/libs/entrynode/network.cpp
@@ -128,6 +128,8 @@
         return reject(responder, "callers", 413, "the body is larger than configured for the service");
     if (const std::string_view reason = configuration_.obstacle(); !reason.empty())
         return responder.respond(notNow(reason));
+    if (!proxy_.hasRoomFor(request.body.size()))
+        return responder.respond(notNow("the entry holds too much content"));
     Duration timeout = rules.timeout > Duration::zero() ? rules.timeout : settings_.limits.defaultRequestTimeout;
     if (parsed.timeout > Duration::zero())
         timeout = std::min(timeout, parsed.timeout);
@@ -200,6 +202,8 @@
         return reject(responder, "internal", 400, "not a forwarded request");
     if (const std::string_view reason = configuration_.obstacle(); !reason.empty())
         return responder.respond(notNow(reason));
+    if (!proxy_.hasRoomFor(forwarded.body().size()))
+        return responder.respond(notNow("the entry holds too much content"));
     const Routing::RequestId id = nextRequest();
     if (!offer(proxy_.acceptForwarded(id, forwarded, responder)))
         proxy_.refuse(id);
--- a/src/libs/entrynode/networklifecycle.cpp
+++ b/src/libs/entrynode/networklifecycle.cpp
@@ -96,7 +96,7 @@
         // the others wait before they use them.
         if (!draining_)
             deliver(std::move(changed));
-        peers_.viewChanged(entries);
+        peers_.viewChanged(EventLoop::now(), entries);
     }
     if (draining_)
         pause = pollPauseWhenDraining;
--- a/src/libs/entrynode/peerlinks.cpp
+++ b/src/libs/entrynode/peerlinks.cpp
@@ -16,6 +16,8 @@
 /// Reports to other zones cross billed links.
 constexpr Duration otherZoneInterval = 1s;
 constexpr Duration announceTimeout = 1s;
+/// An entry that restarts keeps its place; one that was replaced by another instance is forgotten.
+constexpr Duration forgetAfter = 10min;
 } // namespace
 
 struct PeerLinks::Peer {
@@ -28,6 +30,8 @@
     ZoneId zone;
     std::string minions;
     bool announcing = false;
+    bool isConfigured = false; ///< named in the settings
+    TimePoint listed; ///< by the zone leader
     Http2Client client; // the last member: its calls end on destruction and use the others
 };
 
@@ -38,6 +42,8 @@
 {
     for (const auto &peer : settings.peers)
         add(peer.id, peer.zone, peer.internal.toString(), peer.minions.toString());
+    for (const auto &[id, peer] : peers_)
+        peer->isConfigured = true;
 }
 
 PeerLinks::~PeerLinks()
@@ -56,13 +62,21 @@
         peer->minions = minions;
         return;
     }
+    const bool wasConfigured = peer && peer->isConfigured;
     peer = std::make_unique<Peer>(loop_, zone, endpoint.value(), minions, std::hash<InstanceId>{}(id));
+    peer->isConfigured = wasConfigured;
 }
 
-void PeerLinks::viewChanged(const std::vector<Wire::EntryInstance> &entries)
+void PeerLinks::viewChanged(TimePoint now, const std::vector<Wire::EntryInstance> &entries)
 {
-    for (const Wire::EntryInstance &entry : entries)
+    for (const Wire::EntryInstance &entry : entries) {
         add(InstanceId(entry.id()), ZoneId(entry.zone()), entry.internal(), entry.minions());
+        if (const auto peer = peers_.find(InstanceId(entry.id())); peer != peers_.end())
+            peer->second->listed = now;
+    }
+    std::erase_if(peers_, [now](const auto &peer) {
+        return !peer.second->isConfigured && now - peer.second->listed > forgetAfter;
+    });
 }
 
 void PeerLinks::announce(TimePoint now, const Wire::EntryAnnounce &announce)
--- a/src/libs/entrynode/peerlinks.h
+++ b/src/libs/entrynode/peerlinks.h
@@ -39,8 +39,9 @@
     PeerLinks(Transport::EventLoop &loop, const Settings::EntrySettings &settings);
     ~PeerLinks();
 
+    /// Adds the listed entries and forgets those that were not listed for long.
     /// \param entries the live entries of the own zone
-    void viewChanged(const std::vector<Wire::EntryInstance> &entries);
+    void viewChanged(TimePoint now, const std::vector<Wire::EntryInstance> &entries);
     /// Tells the peers what this entry can take over; those of other zones less often.
     void announce(TimePoint now, const Wire::EntryAnnounce &announce);
     /// Tells all peers at once.
--- a/src/libs/entrynode/requestproxy.cpp
+++ b/src/libs/entrynode/requestproxy.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t connectionsPerMinion = 16;
 /// The other entry answers before this one gives up.
 constexpr Duration forwardMargin = 20ms;
+/// A full queue of the largest requests would not fit into the memory of a small instance.
+constexpr std::size_t mostHeldBytes = std::size_t{256} << 20;
 
 AttemptEnd endOf(const Transport::CallError &error)
 {
@@ -121,6 +123,7 @@
     pending.arrived = EventLoop::now();
     pending.deadline = pending.arrived + timeout;
     event.deadline = pending.deadline;
+    heldBytes_ += pending.request.body.size();
     pending_.emplace(id, std::move(pending));
     return event;
 }
@@ -141,6 +144,11 @@
     return event;
 }
 
+bool RequestProxy::hasRoomFor(std::size_t bytes) const
+{
+    return heldBytes_ + bytes <= mostHeldBytes;
+}
+
 void RequestProxy::refuse(const RequestId &id)
 {
     answer({id, Outcome::NotRun, AnswerReason::QueueFull, {}, 1s});
@@ -327,6 +335,7 @@
         return;
     Pending pending = std::move(position->second);
     pending_.erase(position);
+    heldBytes_ -= pending.request.body.size();
 
     Transport::Response response;
     const auto answered = pending.answers.find(command.answeredBy);
--- a/src/libs/entrynode/requestproxy.h
+++ b/src/libs/entrynode/requestproxy.h
@@ -59,6 +59,9 @@
     /// Keeps a request that another entry handed over.
     Routing::Request acceptForwarded(const Routing::RequestId &id, const Wire::ForwardedRequest &forwarded,
                                      Transport::Responder responder);
+    /// \param bytes the size of a new request's content
+    /// \return whether the content of all open requests stays within the limit.
+    [[nodiscard]] bool hasRoomFor(std::size_t bytes) const;
     /// Drops a request that the decisions did not get.
     void refuse(const Routing::RequestId &id);
 
@@ -88,6 +91,7 @@
     ZoneId zone_;
     Deliver deliver_;
     std::unordered_map<Routing::RequestId, Pending> pending_;
+    std::size_t heldBytes_ = 0; ///< content of the requests in pending_
     bool closing_ = false;
     bool stopped_ = false;
     std::unique_ptr<Transport::HttpClient> minions_;
--- a/src/libs/entrynode/zoneclient.cpp
+++ b/src/libs/entrynode/zoneclient.cpp
@@ -93,14 +93,16 @@
 void ZoneClient::call(const ZoneId &zone, std::string path, std::string body, Duration timeout,
                       std::function<void(CallResult)> done)
 {
-    const auto known = zones_.find(zone);
+    // Control instances hand requests on to the zone named in the header, so those of the own zone can stand in.
+    const ZoneId &asked = zones_.contains(zone) ? zone : ownZone_;
+    const auto known = zones_.find(asked);
     if (known == zones_.end()) {
-        done(CallError{failure(ErrorCode::Unavailable, "no control instance of zone " + zone.value() + " is set"),
+        done(CallError{failure(ErrorCode::Unavailable, "no control instance of zone " + asked.value() + " is set"),
                        false});
         return;
     }
     Request request{"POST", std::move(path), {{"pistachio-zone", zone.value()}}, std::move(body)};
-    post(zone, std::move(request), EventLoop::now() + timeout, known->second.instances.size(), std::move(done));
+    post(asked, std::move(request), EventLoop::now() + timeout, known->second.instances.size(), std::move(done));
 }
 
 void ZoneClient::post(const ZoneId &zone, Request request, TimePoint deadline, std::size_t tries,
