--- a/src/libs/cellstate/cellstate.cpp
+++ b/src/libs/cellstate/cellstate.cpp
@@ -76,7 +76,8 @@
 {
     latestUnixMs = std::max(latestUnixMs, command.proposed_unix_ms());
     requests.expire(latestUnixMs);
-    if (command.request_id().empty())
+    // Releases repeat harmlessly, and there may be thousands a day: they must not push out the requests of operators.
+    if (command.request_id().empty() || command.has_release_bookings())
         return change(command);
     const std::uint64_t fingerprint = fingerprintOf(command);
     if (const Wire::StoredRequest *stored = requests.find(command.request_id())) {
@@ -138,7 +139,8 @@
         return refusal(Wire::CELL_RESULT_INVALID, "the sheet is refused as a whole: " + faults.front(), faults);
 
     const auto active = bookings.activeRows(rows, reinstate);
-    if (faults = quotaFaults(quotasOf(configurations.current()), active, latestUnixMs / msPerSecond); !faults.empty())
+    if (faults = quotaFaults(quotasOf(configurations.current()), active, command.proposed_unix_ms() / msPerSecond);
+        !faults.empty())
         return refusal(Wire::CELL_RESULT_QUOTA_EXCEEDED, "the sheet is refused as a whole: " + faults.front(), faults);
     if (faults = capacityFaults(active, zones, sheet); !faults.empty())
         return refusal(Wire::CELL_RESULT_CAPACITY, "the sheet is refused as a whole: " + faults.front(), faults);
@@ -217,8 +219,9 @@
     accepted.set_author(command.author());
     addLines(differences, *accepted.mutable_differences());
     // Lower quotas stop nothing that runs; they bind the next sheet.
-    addLines(quotaFaults(quotasOf(configurations.current()), bookings.active(), latestUnixMs / msPerSecond),
-             *accepted.mutable_notes());
+    addLines(
+        quotaFaults(quotasOf(configurations.current()), bookings.active(), command.proposed_unix_ms() / msPerSecond),
+        *accepted.mutable_notes());
     return accepted;
 }
 
--- a/src/libs/controlnode/decisions.cpp
+++ b/src/libs/controlnode/decisions.cpp
@@ -40,13 +40,14 @@
 
 } // namespace
 
-Decisions::Decisions(const Settings::ControlSettings &settings, EventRing &events, Network &network,
-                     Logging::Logger &logger, Metrics::Registry &metrics)
+Decisions::Decisions(const Settings::ControlSettings &settings, Storage::FileSystem &fileSystem, EventRing &events,
+                     Network &network, Logging::Logger &logger, Metrics::Registry &metrics)
     : settings_(settings)
     , events_(events)
     , network_(network)
     , logger_(logger)
     , metrics_(metrics)
+    , fileSystem_(fileSystem)
     , directory_(settings)
     , calls_(network)
     , router_(settings.zone, zones_, directory_, calls_)
@@ -63,6 +64,7 @@
     BOOST_OUTCOME_TRYV(openZones());
     operators_
         = std::make_unique<OperatorRequests>(cellMachine_.state(), *cell_, reports_, router_, directory_, calls_);
+    upkeep_ = std::make_unique<Upkeep>(*cell_, zones_, directory_, calls_);
     return success();
 }
 
@@ -163,6 +165,8 @@
         Wire::ControlReport report;
         fillReport(report);
         incoming.responder.respond({200, {}, report.SerializeAsString()});
+    } else if (request.target == "/cell/propose") {
+        upkeep_->serve(now, request, incoming.responder);
     } else if (request.target.starts_with("/zone/")) {
         router_.serveInternal(now, std::move(request), incoming.responder);
     } else if (request.target.starts_with(operatorPrefix)) {
@@ -204,6 +208,7 @@
     cell_->tick(now);
     for (const auto &[id, zone] : zones_)
         zone->tick(now, cellMachine_.state());
+    upkeep_->tick(now, cellMachine_.state());
 }
 
 void Decisions::flushGroups()
@@ -278,11 +283,17 @@
     metrics_.set("cell_term", static_cast<double>(cell_->group().term()));
     metrics_.set("cell_applied_index", static_cast<double>(cell_->group().appliedIndex()));
     metrics_.set("cell_is_leader", cell_->group().isLeader() ? 1 : 0);
+    const auto &cellVoters = cell_->group().membership().voters;
+    metrics_.set("cell_voters", static_cast<double>(cellVoters.size()));
+    metrics_.set("cell_is_voter", contains(cellVoters, settings_.instance) ? 1 : 0);
     for (const auto &[id, zone] : zones_) {
         const auto label = "{zone=\"" + id.value() + "\"}";
         metrics_.set("zone_term" + label, static_cast<double>(zone->host().group().term()));
         metrics_.set("zone_applied_index" + label, static_cast<double>(zone->host().group().appliedIndex()));
         metrics_.set("zone_is_leader" + label, zone->host().group().isLeader() ? 1 : 0);
+        const auto &voters = zone->host().group().membership().voters;
+        metrics_.set("zone_voters" + label, static_cast<double>(voters.size()));
+        metrics_.set("zone_is_voter" + label, contains(voters, settings_.instance) ? 1 : 0);
     }
 }
 
--- a/src/libs/controlnode/decisions.h
+++ b/src/libs/controlnode/decisions.h
@@ -6,8 +6,8 @@
 #include "controlnode/operatorrequests.h"
 #include "controlnode/peercalls.h"
 #include "controlnode/statemachines.h"
+#include "controlnode/upkeep.h"
 #include "controlnode/zonerouter.h"
-#include "storage/posixfilesystem.h"
 
 #include <memory>
 #include <string>
@@ -37,8 +37,8 @@
 class Decisions
 {
 public:
-    Decisions(const Settings::ControlSettings &settings, EventRing &events, Network &network, Logging::Logger &logger,
-              Metrics::Registry &metrics);
+    Decisions(const Settings::ControlSettings &settings, Storage::FileSystem &fileSystem, EventRing &events,
+              Network &network, Logging::Logger &logger, Metrics::Registry &metrics);
     ~Decisions();
 
     /// Opens the groups that the settings assign to this instance.
@@ -74,7 +74,7 @@
     Network &network_;
     Logging::Logger &logger_;
     Metrics::Registry &metrics_;
-    Storage::PosixFileSystem fileSystem_;
+    Storage::FileSystem &fileSystem_;
     Directory directory_;
     PeerCalls calls_;
     CellMachine cellMachine_;
@@ -83,6 +83,7 @@
     ZoneRouter router_;
     ClusterReports reports_;
     std::unique_ptr<OperatorRequests> operators_;
+    std::unique_ptr<Upkeep> upkeep_;
     TimePoint statusUpdated_;
     std::size_t seenInstances_ = 0;
     std::string loggedLeaders_;
--- a/src/libs/placement/planner.cpp
+++ b/src/libs/placement/planner.cpp
@@ -17,14 +17,6 @@
 // A single task is large from a quarter of the largest worker on: several usual tasks have to end before it fits.
 constexpr std::int64_t largeShare = 4;
 
-std::int64_t countThatFits(const Resources &need, const Resources &room, std::int64_t most)
-{
-    std::int64_t count = 0;
-    while (count < most && need.times(count + 1).fitsIn(room))
-        ++count;
-    return count;
-}
-
 } // namespace
 
 Planner::Planner(std::function<std::uint32_t(const TaskId &)> displacements)
@@ -41,6 +33,7 @@
 
 void Planner::enqueue(Unit unit)
 {
+    unit.displacements = displacements_(unit.id());
     queue_.add(std::move(unit), packingPercent_);
 }
 
@@ -117,15 +110,33 @@
     std::vector<PlannedStep> steps;
     if (reservations_.refresh(now, workers_))
         reservationsDue_ = true;
-    if (workers_.hasGrown()) {
-        serveHolds(now, steps);
-        queue_.wakeFitting(workers_.takeGrown(), workers_);
-    }
     wakeByTime(now);
+    // Placing work can make room too: for work that may displace it, or beside accelerators that are taken now.
+    do {
+        wakeGrown(now, steps);
+        placeReady(now, limit, steps);
+    } while (workers_.hasGrown() && steps.size() < limit);
+    if (reservationsDue_ && now >= nextReservation_)
+        reserveForOldest(now, steps);
+    return steps;
+}
+
+void Planner::wakeGrown(TimePoint now, std::vector<PlannedStep> &steps)
+{
+    if (!workers_.hasGrown())
+        return;
+    serveHolds(now, steps);
+    const std::vector<WorkerSlot> grown = workers_.takeGrown();
+    queue_.wakeFitting(grown, workers_);
+    wakeHolders(grown);
+}
+
+void Planner::placeReady(TimePoint now, std::size_t limit, std::vector<PlannedStep> &steps)
+{
     while (steps.size() < limit) {
         WaitQueue::Shape *shape = queue_.first();
         if (shape == nullptr)
-            break;
+            return;
         const Priority priority = shape->units.begin()->first;
         const Unit &head = shape->units.begin()->second;
         if (!quotas_.allows(head.work->team, head.total())) {
@@ -138,9 +149,6 @@
             continue;
         blockHead(now, *shape);
     }
-    if (reservationsDue_ && now - reservationsTried_ >= reservationRetryInterval)
-        reserveForOldest(now, steps);
-    return steps;
 }
 
 bool Planner::tryPlace(TimePoint now, const Unit &unit, const Priority &priority, std::vector<PlannedStep> &steps)
@@ -164,6 +172,10 @@
     const std::optional<Duration> wait = waitBeforeDisplacing(*unit.work);
     if (!wait || now < unit.readyAt + *wait)
         return false;
+    if (unit.work->kind == WorkKind::Gang) {
+        displaceForGang(now, unit, steps);
+        return false; // it starts once the room is there
+    }
     const auto found = findDisplacement(unit, priority, now, workers_, reservations_);
     if (!found)
         return false;
@@ -180,6 +192,31 @@
     return true;
 }
 
+void Planner::displaceForGang(TimePoint now, const Unit &unit, std::vector<PlannedStep> &steps)
+{
+    // Only the holder of a reservation displaces: no other work can take the room before all of it is there.
+    const AcceleratorClass acceleratorClass = acceleratorClassOf(unit.work->resources);
+    const auto &reservation = reservations_.of(acceleratorClass);
+    if (!reservation || reservation->holder != unit.id())
+        return;
+    const std::vector<Displacement> found = findDisplacementsFor(unit, reservation->workers, workers_);
+    if (found.empty())
+        return;
+    reservations_.startNow(now, acceleratorClass);
+    for (const Displacement &displacement : found) {
+        for (const TaskId &victim : displacement.victims) {
+            workers_.setStopping(displacement.worker, victim);
+            steps.push_back({PlannedStep::Kind::Displace,
+                             unit,
+                             {displacement.worker},
+                             victim,
+                             policyFor(WorkKind::Gang).name(),
+                             0,
+                             static_cast<std::uint32_t>(reservation->workers.size())});
+        }
+    }
+}
+
 void Planner::serveHolds(TimePoint now, std::vector<PlannedStep> &steps)
 {
     for (auto hold = holds_.begin(); hold != holds_.end();) {
@@ -216,6 +253,18 @@
     }
 }
 
+void Planner::wakeHolders(const std::vector<WorkerSlot> &grown)
+{
+    std::array<bool, acceleratorClassCount> woken{};
+    for (const WorkerSlot slot : grown) {
+        const auto reservedFor = workers_.at(slot).reservedFor;
+        if (!reservedFor || std::exchange(woken.at(static_cast<std::size_t>(*reservedFor)), true))
+            continue;
+        if (const auto &reservation = reservations_.of(*reservedFor))
+            queue_.wakeShapeOf(reservation->holder);
+    }
+}
+
 void Planner::blockHead(TimePoint now, WaitQueue::Shape &shape)
 {
     const Unit &head = shape.units.begin()->second;
@@ -232,7 +281,6 @@
 void Planner::reserveForOldest(TimePoint now, std::vector<PlannedStep> &steps)
 {
     reservationsDue_ = false;
-    reservationsTried_ = now;
     std::vector<std::pair<Priority, const Unit *>> large;
     for (const WaitQueue::Shape *shape : queue_.blockedShapes()) {
         const auto &[priority, unit] = *shape->units.begin();
@@ -246,6 +294,7 @@
             continue;
         if (!reservations_.reserve(now, *unit, priority, workers_)) {
             reservationsDue_ = true;
+            nextReservation_ = now + reservationRetryInterval;
             continue;
         }
         steps.push_back({PlannedStep::Kind::Reserve,
--- a/src/libs/placement/waitqueue.cpp
+++ b/src/libs/placement/waitqueue.cpp
@@ -22,6 +22,7 @@
     return {work.kind,
             work.standing,
             static_cast<std::uint8_t>(runClass - runClassEnds.begin()),
+            isDisplaceable(work, unit.displacements),
             static_cast<std::uint32_t>(unit.tasks.size()),
             work.resources.milliCores,
             work.resources.memoryBytes,
@@ -110,7 +111,9 @@
 
 void WaitQueue::wakeFitting(const std::vector<WorkerSlot> &slots, const WorkerIndex &workers)
 {
-    for (auto &[key, shape] : shapes_) {
+    for (auto &entry : shapes_) {
+        const ShapeKey &key = entry.first;
+        Shape *shape = entry.second.get();
         // A gang needs room on several workers and is tried by time instead, see Planner.
         if (!shape->blocked || key.kind == WorkKind::Gang)
             continue;
@@ -140,12 +143,11 @@
     updateReady(*found->second);
 }
 
-void WaitQueue::wakeAll()
+void WaitQueue::wakeShapeOf(const TaskId &id)
 {
-    for (auto &[key, shape] : shapes_) {
-        shape->blocked = false;
-        updateReady(*shape);
-    }
+    const auto place = places_.find(id);
+    if (place != places_.end() && place->second.shape != nullptr)
+        wake(place->second.shape->key);
 }
 
 void WaitQueue::parkForQuota(Shape &shape)
--- a/src/libs/placement/waitqueue.h
+++ b/src/libs/placement/waitqueue.h
@@ -25,6 +25,7 @@
         WorkKind kind = WorkKind::Batch;
         Standing standing = Standing::Normal;
         std::uint8_t runClass = 0; ///< run times that backfill treats alike
+        bool displaceable = false; ///< may use reserved workers until the holder starts
         std::uint32_t count = 1;
         std::int64_t milliCores = 0;
         std::int64_t memoryBytes = 0;
@@ -57,7 +58,7 @@
     void wakeFitting(const std::vector<WorkerSlot> &slots, const WorkerIndex &workers);
     /// Makes one blocked shape ready, if it still exists.
     void wake(const ShapeKey &key);
-    void wakeAll();
+    void wakeShapeOf(const TaskId &id);
 
     /// Moves the first unit of a shape aside until its team uses less.
     void parkForQuota(Shape &shape);
--- a/src/libs/placement/work.h
+++ b/src/libs/placement/work.h
@@ -36,6 +36,7 @@
     std::vector<std::uint32_t> tasks; ///< indexes, at least one
     TimePoint readyAt{}; ///< since when it could run
     std::vector<WorkerId> avoided; ///< workers where it failed
+    std::uint32_t displacements = 0; ///< of its first task
 
     [[nodiscard]] TaskId id() const { return {work->booking, tasks.front()}; }
     [[nodiscard]] Resources total() const { return work->resources.times(static_cast<std::int64_t>(tasks.size())); }
@@ -58,6 +59,9 @@
 /// \return its place in the order.
 Priority priorityOf(const Unit &unit, unsigned packingPercent, std::uint64_t sequence);
 
+/// \return how many tasks with this need fit into the room, at most \p most.
+std::int64_t countThatFits(const Resources &need, const Resources &room, std::int64_t most);
+
 /// Work with and without accelerators competes for different workers and is reserved for separately.
 enum class AcceleratorClass : std::uint8_t { Without, With };
 constexpr std::size_t acceleratorClassCount = 2;
--- a/tests/auto/endtoend/cluster.cpp
+++ b/tests/auto/endtoend/cluster.cpp
@@ -36,16 +36,14 @@
 
 Cluster::Cluster(int controls)
     : controls_(static_cast<std::size_t>(controls))
+    , voters_(controls)
     , client_(loop_, {})
 {
     auto pattern = (std::filesystem::temp_directory_path() / "pistachio-endtoend-XXXXXX").string();
     folder_ = ::mkdtemp(pattern.data());
     std::ofstream(folder_ + "/token") << token << '\n';
-    for (auto &control : controls_) {
-        control.internal = reservePort();
-        control.operators = reservePort();
-        control.worker = reservePort();
-    }
+    for (auto &control : controls_)
+        reservePorts(control);
     for (int index = 0; index < controls; ++index) {
         writeSettings(index);
         startControl(index);
@@ -54,6 +52,8 @@
 
 Cluster::~Cluster()
 {
+    minion_.reset();
+    entry_.reset();
     workers_.clear();
     controls_.clear();
     for (const int descriptor : reserved_)
@@ -80,6 +80,25 @@
     return ntohs(loopback.sin_port);
 }
 
+void Cluster::reservePorts(Control &control)
+{
+    control.internal = reservePort();
+    control.operators = reservePort();
+    control.worker = reservePort();
+}
+
+std::string Cluster::addControl()
+{
+    const int index = size();
+    auto &control = controls_.emplace_back();
+    reservePorts(control);
+    writeSettings(index);
+    startControl(index);
+    const auto quoted = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + '"'; };
+    return R"({"id": ")" + name(index) + R"(", "zone": "svealand", "internal": )" + quoted(control.internal)
+        + R"(, "operator": )" + quoted(control.operators) + R"(, "worker": )" + quoted(control.worker) + '}';
+}
+
 void Cluster::writeSettings(int index)
 {
     auto &control = controls_[static_cast<std::size_t>(index)];
@@ -95,10 +114,12 @@
         file << "[[instance_address]]\nid = \"" << name(other)
              << "\"\nzone = \"svealand\"\ninternal = " << address(peer.internal)
              << "operator = " << address(peer.operators) << "worker = " << address(peer.worker);
-        voters += (other > 0 ? ", \"" : "\"") + name(other) + '"';
+        if (other < voters_)
+            voters += (other > 0 ? ", \"" : "\"") + name(other) + '"';
     }
+    const auto learner = index < voters_ ? std::string() : '"' + name(index) + '"';
     for (const auto *group : {"cell", "zone:svealand"})
-        file << "[[group]]\nname = \"" << group << "\"\nvoters = [" << voters << "]\nlearners = []\n";
+        file << "[[group]]\nname = \"" << group << "\"\nvoters = [" << voters << "]\nlearners = [" << learner << "]\n";
 }
 
 void Cluster::startControl(int index)
@@ -124,11 +145,41 @@
     deaths_[worker] = EventLoop::now().time_since_epoch().count();
 }
 
+void Cluster::startEntryAndMinion()
+{
+    callers_ = reservePort();
+    const auto minions = reservePort();
+    const auto settings = folder_ + "/entry-1.toml";
+    std::ofstream file(settings);
+    file << "instance = \"entry-1\"\nzone = \"svealand\"\n[listen]\ncallers = " << address(callers_)
+         << "minions = " << address(minions) << "internal = " << address(reservePort());
+    for (int index = 0; index < size(); ++index) {
+        file << "[[control]]\nid = \"" << name(index)
+             << "\"\nzone = \"svealand\"\ninternal = " << address(controls_[static_cast<std::size_t>(index)].internal);
+    }
+    file.close();
+    entry_ = std::make_unique<Process>(PISTACHIO_ENTRY, std::vector<std::string>{"--settings=" + settings},
+                                       folder_ + "/entry-1.log");
+    minion_ = std::make_unique<Process>(
+        STANDIN_MINION,
+        std::vector<std::string>{"--service=ordering", "--entries=127.0.0.1:" + std::to_string(minions)}, minionLog());
+}
+
+CallResult Cluster::request(Request request)
+{
+    return send(callers_, std::move(request), std::chrono::milliseconds(8000));
+}
+
 CallResult Cluster::call(int index, Request request, std::chrono::milliseconds limit)
 {
-    std::optional<CallResult> result;
     request.headers.push_back({"Authorization", "Bearer " + token});
-    client_.call({"127.0.0.1", controls_[static_cast<std::size_t>(index)].operators}, std::move(request), limit,
+    return send(controls_[static_cast<std::size_t>(index)].operators, std::move(request), limit);
+}
+
+CallResult Cluster::send(std::uint16_t port, Request request, std::chrono::milliseconds limit)
+{
+    std::optional<CallResult> result;
+    client_.call({"127.0.0.1", port}, std::move(request), limit,
                  [&result](CallResult answer) { result = std::move(answer); });
     while (!result)
         loop_.runFor(std::chrono::milliseconds(2));
--- a/tests/auto/endtoend/cluster.h
+++ b/tests/auto/endtoend/cluster.h
@@ -25,6 +25,10 @@
     Cluster &operator=(const Cluster &) = delete;
 
     void startControl(int index);
+
+    /// Starts one more control instance, which learns from the others.
+    /// \return the operator's request body that names it.
+    std::string addControl();
     [[nodiscard]] Process &control(int index) { return *controls_[static_cast<std::size_t>(index)].process; }
     [[nodiscard]] int size() const { return static_cast<int>(controls_.size()); }
 
@@ -33,6 +37,14 @@
     void startWorker(const std::string &name, std::vector<std::string> arguments = {});
     [[nodiscard]] Process &worker(const std::string &name) { return *workers_.at(name); }
 
+    /// Starts an entry and a minion of the service "ordering".
+    void startEntryAndMinion();
+    [[nodiscard]] Process &minion() { return *minion_; }
+    [[nodiscard]] std::string minionLog() const { return folder_ + "/minion.log"; }
+
+    /// Sends a caller's request to the entry.
+    Transport::CallResult request(Transport::Request request);
+
     /// Kills a worker and remembers when.
     void killWorker(const std::string &name);
 
@@ -64,11 +76,18 @@
     };
 
     std::uint16_t reservePort();
+    void reservePorts(Control &control);
     void writeSettings(int index);
 
     std::string folder_;
     std::vector<int> reserved_;
     std::vector<Control> controls_;
+    const int voters_;
+    Transport::CallResult send(std::uint16_t port, Transport::Request request, std::chrono::milliseconds limit);
+
+    std::uint16_t callers_ = 0;
+    std::unique_ptr<Process> entry_;
+    std::unique_ptr<Process> minion_;
     std::map<std::string, std::unique_ptr<Process>> workers_;
     std::map<std::string, std::int64_t> deaths_;
     Transport::EventLoop loop_;
--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -7,12 +7,6 @@
 namespace Pistachio::Replication
 {
 
-namespace
-{
-constexpr Duration tickInterval = 50ms;
-constexpr Duration syncDuration = 1ms;
-} // namespace
-
 void Checker::noteLeader(Term term, const InstanceId &leader)
 {
     const auto [known, isNew] = leaders_.emplace(term, leader);
@@ -155,6 +149,14 @@
     scheduleTick(node);
 }
 
+void Cluster::restartAll()
+{
+    for (auto &node : nodes) {
+        crash(*node);
+        start(*node);
+    }
+}
+
 void Cluster::crash(Node &node)
 {
     node.group.reset();
@@ -169,6 +171,13 @@
         deliver(message);
 }
 
+void Cluster::setClockRate(Node &node, double rate)
+{
+    const TimePoint before = local(node);
+    node.clockRate = rate;
+    node.clockOffset += before - local(node);
+}
+
 void Cluster::isolate(const Node &node)
 {
     for (const auto &other : nodes) {
@@ -232,9 +241,9 @@
     }
 }
 
-void Cluster::send(std::vector<Message> sent)
+void Cluster::send(const std::vector<Message> &sent)
 {
-    for (Message &message : sent) {
+    for (const Message &message : sent) {
         ++messages;
         if (countBytes)
             bytes += encodedSize(message);
@@ -323,18 +332,17 @@
         limit);
 }
 
-bool Cluster::isConverged() const
+bool Cluster::isConverged()
 {
-    const Node *first = nullptr;
-    for (const auto &node : nodes) {
-        if (!node->group || node->group->appliedIndex() == 0)
-            continue;
-        if (!first)
-            first = node.get();
-        if (node->group->appliedIndex() != first->group->appliedIndex())
-            return false;
-    }
-    return first != nullptr;
+    const Node *leading = leader();
+    if (!leading || !leading->group->isLeaderWithState())
+        return false;
+    const Membership &members = leading->group->membership();
+    return std::ranges::all_of(nodes, [&](const auto &node) {
+        const bool isMember = std::ranges::binary_search(members.voters, node->id)
+            || std::ranges::binary_search(members.learners, node->id);
+        return !isMember || (node->group && node->group->appliedIndex() == leading->group->appliedIndex());
+    });
 }
 
 } // namespace Pistachio::Replication
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -103,7 +103,9 @@
 
     void crash(Node &node);
     void start(Node &node);
+    void restartAll(); ///< for settings that count from the start
     void pause(Node &node, bool isPaused);
+    void setClockRate(Node &node, double rate);
     void isolate(const Node &node);
     void healAll(); ///< restarts, resumes and connects everything
 
@@ -122,8 +124,8 @@
     /// \return false when that took longer than \p limit.
     bool proposeAndWait(const std::string &command, Duration limit = 10s);
 
-    /// \return whether all running members applied the same.
-    [[nodiscard]] bool isConverged() const;
+    /// \return whether there is a leader with its state, and all its members run and applied the same.
+    [[nodiscard]] bool isConverged();
 
     /// Hands a node's outgoing messages to the network and has it flushed.
     void afterEvent(Node &node);
@@ -139,6 +141,8 @@
     std::uint64_t bytes = 0;
     bool countBytes = false;
     std::set<std::string> acceptedCommands;
+    Duration tickInterval = 50ms;
+    Duration syncDuration = 1ms;
     std::uint64_t snapshotAfterEntries = 60;
     bool hasLyingDisks = false; ///< what running replicas sync is lost at a crash
 
@@ -154,7 +158,7 @@
     void scheduleTick(Node &node);
     void deliver(const Message &message);
     void flush(Node &node);
-    void send(std::vector<Message> sent);
+    void send(const std::vector<Message> &sent);
     void check();
 
     Membership initial_;
