--- a/src/libs/routing/minionhealth.h
+++ b/src/libs/routing/minionhealth.h
@@ -18,7 +18,7 @@
     /// \param latency from sending to the end of the answer
     void succeeded(Duration latency);
     void failed();
-    /// The minion had no free slot although this entry's share had one; it gets nothing for a while that doubles.
+    /// The minion took nothing on: it had no free slot or can't be reached. It gets nothing for a while that doubles.
     void refused(TimePoint now);
 
     /// \param serviceLatency the smoothed mean of the service; zero when unknown
--- a/src/libs/routing/miniontable.h
+++ b/src/libs/routing/miniontable.h
@@ -40,7 +40,7 @@
     void begin(const MinionId &minion);
     /// Frees the slot of an attempt that is over, without judging the minion.
     void end(const MinionId &minion);
-    /// The minion refused an attempt for want of a slot.
+    /// The minion refused an attempt for want of a slot or can't be reached.
     void refused(TimePoint now, const MinionId &minion);
     void succeeded(TimePoint now, const MinionId &minion, Duration latency);
     /// \return why the minion was ejected, or an empty view.
--- a/src/libs/routing/routerlifecycle.cpp
+++ b/src/libs/routing/routerlifecycle.cpp
@@ -123,6 +123,13 @@
         minions_.refused(now, open.minion);
         nextHousekeeping_ = now;
         break;
+    case AttemptEnd::NotWritten:
+        // A minion that can't be reached fails at once and would draw all load to it, also when no more minions may be
+        // ejected.
+        minions_.refused(now, open.minion);
+        nextHousekeeping_ = now;
+        ejection = minions_.failed(now, open.minion);
+        break;
     default:
         ejection = minions_.failed(now, open.minion);
     }
--- a/tests/auto/routing/tst_routing.cpp
+++ b/tests/auto/routing/tst_routing.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(answersReachTheirOwnRequestInAnyOrder);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(ejectsAtMostAThirdAndReturnsCarefully);
+    CPPUNIT_TEST(unreachableMinionDoesNotDrawTheLoad);
     CPPUNIT_TEST(nearerEntriesAreAskedFirst);
     CPPUNIT_TEST(drainingFinishesWhatWasAccepted);
     CPPUNIT_TEST(abandonedRequestIsNotSent);
@@ -292,6 +293,30 @@
         CPPUNIT_ASSERT_EQUAL(2, single);
     }
 
+    // Guards against a minion that fails faster than others work and can't be ejected, as another one already is.
+    void unreachableMinionDoesNotDrawTheLoad()
+    {
+        Bench bench;
+        std::size_t ended = 0;
+        std::map<MinionId, int> attempts;
+        for (int index = 0; index < 500; ++index) {
+            for (const char *minion : {"a", "b", "c"})
+                bench.announce(minion);
+            bench.ask();
+            for (; ended < bench.sent.size(); ++ended) {
+                const SendCommand send = bench.sent[ended];
+                ++attempts[send.minion];
+                bench.advance(2ms);
+                bench.end(send.attempt, send.minion == MinionId("a") ? AttemptEnd::Answered : AttemptEnd::NotWritten);
+            }
+        }
+        CPPUNIT_ASSERT(attempts[MinionId("b")] + attempts[MinionId("c")] <= 30);
+        std::size_t run = 0;
+        for (const AnswerCommand &answer : bench.answers)
+            run += answer.outcome == Outcome::Run ? 1 : 0;
+        CPPUNIT_ASSERT(run >= 490);
+    }
+
     // Guards against traffic between regions while the own region can do the work.
     void nearerEntriesAreAskedFirst()
     {
