Settle the claims of a previous start before an entry claims anew

The zone leader makes the claims of an entry unknown once it is silent for 12 s. An entry that crashes and restarts at once under the same identity is never silent, so its keys would have stayed claimed and each resend would have got 409. Before it serves, an entry now has what it claimed earlier made unknown. Other zones in which it claims keys hear from it every few seconds, so that their leaders notice its death.

--- a/src/libs/entrynode/network.cpp
+++ b/src/libs/entrynode/network.cpp
@@ -67,8 +67,9 @@
                 [this](const std::string &key) {
                     logger_.write(LogLevel::Error, "finish-lost", {{"key", key}});
                 })
+    , settlement_(loop_, zones_, settings.instance)
     , peers_(loop_, settings)
-    , proxy_({loop_, peers_, zones_, finishes_, configuration_, metrics}, settings.instance, settings.zone,
+    , proxy_({loop_, peers_, zones_, finishes_, settlement_, configuration_, metrics}, settings.instance, settings.zone,
              settings.limits.maxBodyBytes, [this](Event event) { deliver(std::move(event)); })
     , callers_(loop_, callerLimits(settings),
                [this](Request request, const Responder &responder) { handleCaller(std::move(request), responder); })
@@ -276,6 +277,8 @@
         return "draining";
     if (const std::string_view reason = configuration_.obstacle(); !reason.empty())
         return reason;
+    if (!settlement_.isSettled(settings_.zone))
+        return "waits until the claims of its previous start are settled";
     if (status_.usableMinions == 0 && EventLoop::now() - started_ < warmUpLimit)
         return "waits for the announcements of the minions";
     return {};
--- a/src/libs/entrynode/network.h
+++ b/src/libs/entrynode/network.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entrynode/claimsettlement.h"
 #include "entrynode/configurationstate.h"
 #include "entrynode/entrynode.h"
 #include "entrynode/events.h"
@@ -14,6 +15,7 @@
 #include <atomic>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -74,6 +76,9 @@
 
     void poll();
     void polled(const Result<Wire::ConfigurationPush> &push);
+    [[nodiscard]] Wire::ConfigurationPoll configurationPoll() const;
+    void startHeartbeats();
+    void heartbeat(const ZoneId &zone);
     void announceToPeers();
     [[nodiscard]] Wire::EntryAnnounce announcement() const;
     [[nodiscard]] Wire::EntryInstance self() const;
@@ -95,6 +100,7 @@
     ConfigurationState configuration_;
     ZoneClient zones_;
     FinishQueue finishes_;
+    ClaimSettlement settlement_;
     PeerLinks peers_;
     RequestProxy proxy_;
     Transport::HttpServer callers_;
@@ -118,6 +124,7 @@
     Transport::Timer flushTimer_;
     Transport::Timer pollTimer_;
     Transport::Timer announceTimer_;
+    std::map<ZoneId, Transport::Timer> heartbeats_; ///< to the other zones that hold claims of this entry
     Transport::Timer drainTimer_;
 };
 
--- a/src/libs/entrynode/networklifecycle.cpp
+++ b/src/libs/entrynode/networklifecycle.cpp
@@ -21,6 +21,8 @@
 
 constexpr Duration pollPause = 20ms; ///< bounds the polls when each one is answered at once
 constexpr Duration pollRetryPause = 500ms;
+/// Well below the 12 s after which an entry counts as silent, also with the 3 s of the poll.
+constexpr Duration heartbeatPause = 2s;
 constexpr Duration pollPauseWhenDraining = 2s;
 constexpr std::uint64_t pollsPerWarning = 10;
 constexpr Duration announceInterval = 250ms;
@@ -36,6 +38,7 @@
     started_ = EventLoop::now();
     loop_.onSignals({SIGTERM, SIGINT}, [this](int) { beginDrain(); });
     deliver(Tick{});
+    settlement_.ensure(settings_.zone);
     poll();
     announceToPeers();
     loop_.run();
@@ -56,15 +59,39 @@
     return result;
 }
 
+Wire::ConfigurationPoll Network::configurationPoll() const
+{
+    Wire::ConfigurationPoll result;
+    result.set_entry(settings_.instance.value());
+    result.set_zone(settings_.zone.value());
+    result.set_version_in_force(configuration_.version());
+    *result.mutable_self() = self();
+    result.set_leaving(draining_);
+    return result;
+}
+
 void Network::poll()
 {
-    Wire::ConfigurationPoll request;
-    request.set_entry(settings_.instance.value());
-    request.set_zone(settings_.zone.value());
-    request.set_version_in_force(configuration_.version());
-    *request.mutable_self() = self();
-    request.set_leaving(draining_);
-    zones_.poll(request, [this](const Result<Wire::ConfigurationPush> &push) { polled(push); });
+    zones_.poll(settings_.zone, configurationPoll(),
+                [this](const Result<Wire::ConfigurationPush> &push) { polled(push); });
+}
+
+// The leader of a key's home zone must hear from the entry, or it would take its claims for those of a dead one; and it
+// must notice when the entry dies.
+void Network::startHeartbeats()
+{
+    for (const ZoneId &zone : settlement_.settledZones()) {
+        if (zone != settings_.zone && heartbeats_.try_emplace(zone).second)
+            heartbeat(zone);
+    }
+}
+
+void Network::heartbeat(const ZoneId &zone)
+{
+    zones_.poll(zone, configurationPoll(), [this, zone](const Result<Wire::ConfigurationPush> &push) {
+        const Duration pause = push && !draining_ ? heartbeatPause : pollRetryPause;
+        heartbeats_[zone] = loop_.callAfter(pause, [this, zone] { heartbeat(zone); });
+    });
 }
 
 void Network::polled(const Result<Wire::ConfigurationPush> &push)
@@ -122,6 +149,7 @@
 void Network::announceToPeers()
 {
     peers_.announce(EventLoop::now(), announcement());
+    startHeartbeats();
     const std::string_view current = obstacle();
     if (current != lastObstacle_) {
         lastObstacle_ = current;
--- a/src/libs/entrynode/requestproxy.cpp
+++ b/src/libs/entrynode/requestproxy.cpp
@@ -1,6 +1,7 @@
 #include "entrynode/requestproxy.h"
 
 #include "entrynode/answers.h"
+#include "entrynode/claimsettlement.h"
 #include "entrynode/configurationstate.h"
 #include "entrynode/finishqueue.h"
 #include "entrynode/peerlinks.h"
@@ -267,13 +268,17 @@
 
 void RequestProxy::claim(const ClaimCommand &command)
 {
+    const ZoneId home = links_.configuration.homeZone(command.key, zone_);
+    if (!links_.settlement.ensure(home)) {
+        deliver_(ClaimResult{command.request, command.attempt, ClaimState::Unavailable});
+        return;
+    }
     Wire::ZoneCommand proposal;
     Wire::ClaimRequest &request = *proposal.mutable_claim_request();
     request.set_key(command.key);
     request.set_fingerprint(command.fingerprint);
     request.set_entry(entry_.value());
     request.set_attempt(command.attempt.value());
-    const ZoneId home = links_.configuration.homeZone(command.key, zone_);
     links_.zones.propose(home, proposal, command.timeout, [this, command](const Result<Wire::ZoneResult> &result) {
         if (!stopped_)
             claimAnswered(command, result);
--- a/src/libs/entrynode/requestproxy.h
+++ b/src/libs/entrynode/requestproxy.h
@@ -24,6 +24,7 @@
 namespace Pistachio::Entrynode
 {
 
+class ClaimSettlement;
 class ConfigurationState;
 class FinishQueue;
 class PeerLinks;
@@ -42,6 +43,7 @@
         PeerLinks &peers;
         ZoneClient &zones;
         FinishQueue &finishes;
+        ClaimSettlement &settlement;
         const ConfigurationState &configuration;
         Metrics::Registry &metrics;
     };
--- a/src/libs/entrynode/zoneclient.cpp
+++ b/src/libs/entrynode/zoneclient.cpp
@@ -77,9 +77,9 @@
          [done](const CallResult &answer) { done(toZoneResult(answer)); });
 }
 
-void ZoneClient::poll(const Wire::ConfigurationPoll &poll, const PollDone &done)
+void ZoneClient::poll(const ZoneId &zone, const Wire::ConfigurationPoll &poll, const PollDone &done)
 {
-    call(ownZone_, "/zone/subscribe", poll.SerializeAsString(), pollTimeout, [done](const CallResult &answer) {
+    call(zone, "/zone/subscribe", poll.SerializeAsString(), pollTimeout, [done](const CallResult &answer) {
         Wire::ConfigurationPush push;
         if (!answer)
             done(answer.error().error);
--- a/src/libs/entrynode/zoneclient.h
+++ b/src/libs/entrynode/zoneclient.h
@@ -49,8 +49,8 @@
 
     void propose(const ZoneId &zone, const Wire::ZoneCommand &command, Duration timeout, const ProposeDone &done);
     void askOutcome(const ZoneId &zone, const std::string &key, const ProposeDone &done);
-    /// Asks the own zone for the configuration; answered within 3 s when there is no change.
-    void poll(const Wire::ConfigurationPoll &poll, const PollDone &done);
+    /// Asks a zone for its view and the configuration; answered within 3 s when there is no change.
+    void poll(const ZoneId &zone, const Wire::ConfigurationPoll &poll, const PollDone &done);
 
 private:
     struct Instance;
--- a/tests/auto/entrynode/tst_restart.cpp
+++ b/tests/auto/entrynode/tst_restart.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST_SUITE(RestartTest);
     CPPUNIT_TEST(rollingRestartAndLeavingMinionFailNoRequest);
     CPPUNIT_TEST(killedEntryIsNoticed);
+    CPPUNIT_TEST(claimOfAKilledEntryIsSettledByItsRestart);
     CPPUNIT_TEST(entryWithoutControlStaysUnready);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +92,31 @@
         CPPUNIT_ASSERT_MESSAGE(report.dump(), count(report, "broken") > 0);
     }
 
+    // Guards against a key that stays claimed for ever because the entry that held it restarts before it counts as
+    // silent.
+    void claimOfAKilledEntryIsSettledByItsRestart()
+    {
+        ZoneFixture zone;
+        zone.startEntry(0);
+        zone.startEntry(1);
+        const auto minion = zone.startMinions("minion", 1, 3000);
+        CPPUNIT_ASSERT(zone.waitReady(0) && zone.waitReady(1));
+        const auto load = zone.startLoad({"--requests=1", "--non_idempotent_percent=100"});
+        const Transport::Request same{
+            "POST", "/s/ordering/item/1", {{"Pistachio-Repeatable", "no"}, {"Idempotency-Key", "load-1"}}, "body of 1"};
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        const auto during = zone.call(1, true, same);
+        CPPUNIT_ASSERT(during && during.value().status == 409);
+        zone.entry(0).kill();
+        zone.startEntry(0);
+        CPPUNIT_ASSERT_MESSAGE(zone.log(0), zone.waitReady(0));
+        const auto resent = zone.call(1, true, same);
+        CPPUNIT_ASSERT(resent && resent.value().status == 504);
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                             std::string(headerValue(resent.value().headers, "Pistachio-Outcome")));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, count(zone.stopAndRead(*minion, "minion").front(), "runs"));
+    }
+
     // Guards against an entry that serves without a configuration, and against malformed requests without a 4xx.
     void entryWithoutControlStaysUnready()
     {
--- a/tests/auto/entrynode/zonefixture.cpp
+++ b/tests/auto/entrynode/zonefixture.cpp
@@ -116,11 +116,12 @@
     });
 }
 
-std::unique_ptr<Process> ZoneFixture::startMinions(const std::string &minion, int count)
+std::unique_ptr<Process> ZoneFixture::startMinions(const std::string &minion, int count, int workMs)
 {
     return std::make_unique<Process>(
         STANDIN_MINION,
         std::vector<std::string>{"--minion=" + minion, "--count=" + std::to_string(count),
+                                 "--work_ms=" + std::to_string(workMs),
                                  "--entries=" + address(entries_[0].minions) + ',' + address(entries_[1].minions)},
         file(minion + ".log"));
 }
--- a/tests/auto/entrynode/zonefixture.h
+++ b/tests/auto/entrynode/zonefixture.h
@@ -28,7 +28,7 @@
     /// \return whether the entry becomes ready.
     bool waitReady(std::size_t index);
 
-    std::unique_ptr<Process> startMinions(const std::string &name, int count);
+    std::unique_ptr<Process> startMinions(const std::string &name, int count, int workMs = 10);
     std::unique_ptr<Process> startLoad(const std::vector<std::string> &arguments);
     /// Sends SIGTERM, waits, and reads what the program printed.
     /// \return one JSON object for each line; empty when the program did not exit with \p exitCode.
