--- a/src/libs/entrynode/network.cpp
+++ b/src/libs/entrynode/network.cpp
@@ -67,8 +67,9 @@
                 [this](const std::string &key) {
                     logger_.write(LogLevel::Error, "finish-lost", {{"key", key}});
                 })
+    , settlement_(loop_, zones_, settings.instance)
     , peers_(loop_, settings)
-    , proxy_({loop_, peers_, zones_, finishes_, configuration_, metrics}, settings.instance, settings.zone,
+    , proxy_({loop_, peers_, zones_, finishes_, settlement_, configuration_, metrics}, settings.instance, settings.zone,
              settings.limits.maxBodyBytes, [this](Event event) { deliver(std::move(event)); })
     , callers_(loop_, callerLimits(settings),
                [this](Request request, const Responder &responder) { handleCaller(std::move(request), responder); })
@@ -128,6 +129,8 @@
         return reject(responder, "callers", 413, "the body is larger than configured for the service");
     if (const std::string_view reason = configuration_.obstacle(); !reason.empty())
         return responder.respond(notNow(reason));
+    if (!proxy_.hasRoomFor(request.body.size()))
+        return responder.respond(notNow("the entry holds too much content"));
     Duration timeout = rules.timeout > Duration::zero() ? rules.timeout : settings_.limits.defaultRequestTimeout;
     if (parsed.timeout > Duration::zero())
         timeout = std::min(timeout, parsed.timeout);
@@ -200,6 +203,8 @@
         return reject(responder, "internal", 400, "not a forwarded request");
     if (const std::string_view reason = configuration_.obstacle(); !reason.empty())
         return responder.respond(notNow(reason));
+    if (!proxy_.hasRoomFor(forwarded.body().size()))
+        return responder.respond(notNow("the entry holds too much content"));
     const Routing::RequestId id = nextRequest();
     if (!offer(proxy_.acceptForwarded(id, forwarded, responder)))
         proxy_.refuse(id);
@@ -272,6 +277,8 @@
         return "draining";
     if (const std::string_view reason = configuration_.obstacle(); !reason.empty())
         return reason;
+    if (!settlement_.isSettled(settings_.zone))
+        return "waits until the claims of its previous start are settled";
     if (status_.usableMinions == 0 && EventLoop::now() - started_ < warmUpLimit)
         return "waits for the announcements of the minions";
     return {};
--- a/src/libs/entrynode/requestproxy.cpp
+++ b/src/libs/entrynode/requestproxy.cpp
@@ -1,6 +1,7 @@
 #include "entrynode/requestproxy.h"
 
 #include "entrynode/answers.h"
+#include "entrynode/claimsettlement.h"
 #include "entrynode/configurationstate.h"
 #include "entrynode/finishqueue.h"
 #include "entrynode/peerlinks.h"
@@ -28,6 +29,8 @@
 constexpr std::size_t connectionsPerMinion = 16;
 /// The other entry answers before this one gives up.
 constexpr Duration forwardMargin = 20ms;
+/// A full queue of the largest requests would not fit into the memory of a small instance.
+constexpr std::size_t mostHeldBytes = std::size_t{256} << 20;
 
 AttemptEnd endOf(const Transport::CallError &error)
 {
@@ -121,6 +124,7 @@
     pending.arrived = EventLoop::now();
     pending.deadline = pending.arrived + timeout;
     event.deadline = pending.deadline;
+    heldBytes_ += pending.request.body.size();
     pending_.emplace(id, std::move(pending));
     return event;
 }
@@ -141,6 +145,11 @@
     return event;
 }
 
+bool RequestProxy::hasRoomFor(std::size_t bytes) const
+{
+    return heldBytes_ + bytes <= mostHeldBytes;
+}
+
 void RequestProxy::refuse(const RequestId &id)
 {
     answer({id, Outcome::NotRun, AnswerReason::QueueFull, {}, 1s});
@@ -259,13 +268,17 @@
 
 void RequestProxy::claim(const ClaimCommand &command)
 {
+    const ZoneId home = links_.configuration.homeZone(command.key, zone_);
+    if (!links_.settlement.ensure(home)) {
+        deliver_(ClaimResult{command.request, command.attempt, ClaimState::Unavailable});
+        return;
+    }
     Wire::ZoneCommand proposal;
     Wire::ClaimRequest &request = *proposal.mutable_claim_request();
     request.set_key(command.key);
     request.set_fingerprint(command.fingerprint);
     request.set_entry(entry_.value());
     request.set_attempt(command.attempt.value());
-    const ZoneId home = links_.configuration.homeZone(command.key, zone_);
     links_.zones.propose(home, proposal, command.timeout, [this, command](const Result<Wire::ZoneResult> &result) {
         if (!stopped_)
             claimAnswered(command, result);
@@ -327,6 +340,7 @@
         return;
     Pending pending = std::move(position->second);
     pending_.erase(position);
+    heldBytes_ -= pending.request.body.size();
 
     Transport::Response response;
     const auto answered = pending.answers.find(command.answeredBy);
--- a/src/libs/entrynode/requestproxy.h
+++ b/src/libs/entrynode/requestproxy.h
@@ -24,6 +24,7 @@
 namespace Pistachio::Entrynode
 {
 
+class ClaimSettlement;
 class ConfigurationState;
 class FinishQueue;
 class PeerLinks;
@@ -42,6 +43,7 @@
         PeerLinks &peers;
         ZoneClient &zones;
         FinishQueue &finishes;
+        ClaimSettlement &settlement;
         const ConfigurationState &configuration;
         Metrics::Registry &metrics;
     };
@@ -59,6 +61,9 @@
     /// Keeps a request that another entry handed over.
     Routing::Request acceptForwarded(const Routing::RequestId &id, const Wire::ForwardedRequest &forwarded,
                                      Transport::Responder responder);
+    /// \param bytes the size of a new request's content
+    /// \return whether the content of all open requests stays within the limit.
+    [[nodiscard]] bool hasRoomFor(std::size_t bytes) const;
     /// Drops a request that the decisions did not get.
     void refuse(const Routing::RequestId &id);
 
@@ -88,6 +93,7 @@
     ZoneId zone_;
     Deliver deliver_;
     std::unordered_map<Routing::RequestId, Pending> pending_;
+    std::size_t heldBytes_ = 0; ///< content of the requests in pending_
     bool closing_ = false;
     bool stopped_ = false;
     std::unique_ptr<Transport::HttpClient> minions_;
