Bound the size of kept results

A conflict lists up to 20 differences with their values, and a command may have 4 KiB, so that 8,192 kept results could have taken more than 1 GB. Values in results are cut at 60 bytes, and the log of requests keeps at most 16 MiB. pistachioctl sheet diff still shows whole values.

--- a/src/libs/cellstate/cellstate.cpp
+++ b/src/libs/cellstate/cellstate.cpp
@@ -15,7 +15,9 @@
 namespace
 {
 
+// Results are kept for repeats, so their size is bounded.
 constexpr std::size_t listedLines = 20;
+constexpr std::size_t listedValueBytes = 60;
 constexpr std::int64_t msPerSecond = 1000;
 
 template<class Lines> void addLines(const std::vector<std::string> &lines, Lines &target)
@@ -153,7 +155,7 @@
     Wire::CellResult accepted = result(Wire::CELL_RESULT_ACCEPTED, "the sheet is accepted");
     accepted.set_version(sheets.version());
     accepted.set_author(origin.author);
-    addLines(changes.toLines(listedLines), *accepted.mutable_differences());
+    addLines(changes.toLines(listedLines, listedValueBytes), *accepted.mutable_differences());
     addLines(notes, *accepted.mutable_notes());
     return accepted;
 }
@@ -191,7 +193,7 @@
     conflict.set_author(sheets.author());
     const auto seen = sheets.sheet(expected);
     if (seen.has_value())
-        addLines(Sheet::difference(seen.value(), listOf(sheets.rows())).toLines(listedLines),
+        addLines(Sheet::difference(seen.value(), listOf(sheets.rows())).toLines(listedLines, listedValueBytes),
                  *conflict.mutable_differences());
     else
         conflict.add_notes(seen.error().message);
--- a/src/libs/cellstate/requestlog.cpp
+++ b/src/libs/cellstate/requestlog.cpp
@@ -25,7 +25,8 @@
 
 void RequestLog::add(Wire::StoredRequest request)
 {
-    if (requests_.size() == keptRequests)
+    bytes_ += request.ByteSizeLong();
+    while (!requests_.empty() && (requests_.size() >= keptRequests || bytes_ > keptRequestBytes))
         dropOldest();
     numberOf_.emplace(request.request_id(), firstNumber_ + requests_.size());
     requests_.push_back(std::move(request));
@@ -39,6 +40,7 @@
 
 void RequestLog::dropOldest()
 {
+    bytes_ -= requests_.front().ByteSizeLong();
     numberOf_.erase(requests_.front().request_id());
     requests_.pop_front();
     ++firstNumber_;
--- a/src/libs/sheet/sheetdifference.cpp
+++ b/src/libs/sheet/sheetdifference.cpp
@@ -1,6 +1,7 @@
 #include "sheet/sheetdifference.h"
 
 #include "sheet/columns.h"
+#include "sheet/utf8.h"
 
 #include <map>
 
@@ -32,18 +33,18 @@
     return changes;
 }
 
-std::string quoted(const std::string &value)
+std::string quoted(const std::string &value, std::size_t bytes)
 {
-    return value.empty() ? "nothing" : "'" + value + "'";
+    return value.empty() ? "nothing" : "'" + shortened(value, bytes) + "'";
 }
 
-std::string changeLine(const BookingChange &change)
+std::string changeLine(const BookingChange &change, std::size_t valueBytes)
 {
     std::string line = "changed " + change.booking.value() + ':';
     const char *separator = " ";
     for (const FieldChange &field : change.fields) {
-        line.append(separator).append(field.column).append(" from ").append(quoted(field.before));
-        line.append(" to ").append(quoted(field.after));
+        line.append(separator).append(field.column).append(" from ").append(quoted(field.before, valueBytes));
+        line.append(" to ").append(quoted(field.after, valueBytes));
         separator = ", ";
     }
     return line;
@@ -75,7 +76,7 @@
     return result;
 }
 
-std::vector<std::string> SheetDifference::toLines(std::size_t limit) const
+std::vector<std::string> SheetDifference::toLines(std::size_t limit, std::size_t valueBytes) const
 {
     std::vector<std::string> lines;
     const std::size_t total = added.size() + changed.size() + ended.size();
@@ -84,7 +85,7 @@
         if (i < added.size())
             lines.push_back("added " + added[i].id.value());
         else if (i < added.size() + changed.size())
-            lines.push_back(changeLine(changed[i - added.size()]));
+            lines.push_back(changeLine(changed[i - added.size()], valueBytes));
         else
             lines.push_back("ended " + ended[i - added.size() - changed.size()].id.value());
     }
--- a/src/libs/sheet/sheetdifference.h
+++ b/src/libs/sheet/sheetdifference.h
@@ -36,8 +36,9 @@
     [[nodiscard]] bool isEmpty() const { return added.empty() && changed.empty() && ended.empty(); }
 
     /// \param limit the most lines, above zero
+    /// \param valueBytes longer values are cut
     /// \return one line for each difference; a last line counts those left out.
-    [[nodiscard]] std::vector<std::string> toLines(std::size_t limit) const;
+    [[nodiscard]] std::vector<std::string> toLines(std::size_t limit, std::size_t valueBytes) const;
 };
 
 /// An empty zone in \p after is no difference: the booking keeps its home zone.
--- a/src/libs/sheet/sheetreader.cpp
+++ b/src/libs/sheet/sheetreader.cpp
@@ -28,17 +28,6 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
-// Cuts between characters, since the rest of one is not valid text.
-std::string shortened(std::string_view value)
-{
-    if (value.size() <= listedValueBytes)
-        return std::string(value);
-    std::size_t size = listedValueBytes;
-    while (size > 0 && (static_cast<unsigned char>(value[size]) & 0xC0U) == 0x80)
-        --size;
-    return std::string(value.substr(0, size)) + "...";
-}
-
 class Reader
 {
 public:
@@ -149,7 +138,7 @@
     {
         ++reading_.errorCount;
         if (reading_.errors.size() < limits_.listedErrors)
-            reading_.errors.push_back({row, std::move(column), shortened(value), std::move(reason)});
+            reading_.errors.push_back({row, std::move(column), shortened(value, listedValueBytes), std::move(reason)});
     }
 
     const SheetLimits &limits_;
--- a/src/libs/sheet/utf8.cpp
+++ b/src/libs/sheet/utf8.cpp
@@ -55,4 +55,13 @@
     return std::nullopt;
 }
 
+std::string shortened(std::string_view text, std::size_t bytes)
+{
+    if (text.size() <= bytes)
+        return std::string(text);
+    while (bytes > 0 && (static_cast<unsigned char>(text[bytes]) & 0xC0U) == 0x80)
+        --bytes;
+    return std::string(text.substr(0, bytes)) + "...";
+}
+
 } // namespace Pistachio::Sheet
--- a/src/libs/sheet/utf8.h
+++ b/src/libs/sheet/utf8.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Pistachio::Sheet
@@ -11,4 +12,9 @@
 /// \return the offset of the first byte that is not valid UTF-8, or nothing. Protobuf strings and JSON need valid text.
 std::optional<std::size_t> firstInvalidUtf8(std::string_view text);
 
+/// \param text valid UTF-8
+/// \param bytes the most bytes to keep
+/// \return \p text, or its start up to a whole character followed by "...".
+std::string shortened(std::string_view text, std::size_t bytes);
+
 } // namespace Pistachio::Sheet
--- a/src/tools/pistachioctl/sheetcommands.cpp
+++ b/src/tools/pistachioctl/sheetcommands.cpp
@@ -17,6 +17,8 @@
 
 using nlohmann::json;
 
+constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+
 void printErrors(const Invocation &invocation, const std::string &path, const Sheet::SheetReading &reading)
 {
     json errors = json::array();
@@ -83,7 +85,7 @@
     }
     const std::string version(Transport::headerValue(response->headers, "Sheet-Version"));
     const auto changes = Sheet::difference(current.bookings, reading->bookings);
-    const auto lines = changes.toLines(std::numeric_limits<std::size_t>::max());
+    const auto lines = changes.toLines(unlimited, unlimited);
     if (invocation.options.isJson) {
         invocation.out << json{{"version", std::stoull(version.empty() ? "0" : version)}, {"differences", lines}}.dump()
                        << '\n';
--- a/tests/auto/cellstate/tst_cellstate.cpp
+++ b/tests/auto/cellstate/tst_cellstate.cpp
@@ -135,6 +135,17 @@
         CPPUNIT_ASSERT(cell.apply(sheet("r2", "anna", 1, {booking("b")})).repeated_request());
         cell.apply(cancel("one more", {"none"}));
         assertCode(Wire::CELL_RESULT_VERSION_CONFLICT, cell.apply(sheet("r2", "anna", 1, {booking("b")})));
+
+        // The size counts too, however few the requests are.
+        Internal::RequestLog log;
+        Wire::StoredRequest request;
+        request.mutable_result()->set_message(std::string(Internal::keptRequestBytes / 4, 'x'));
+        for (const char *id : {"1", "2", "3", "4"}) {
+            request.set_request_id(id);
+            log.add(request);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, log.requests().size());
+        CPPUNIT_ASSERT(log.find("1") == nullptr && log.find("4")->request_id() == "4");
     }
 
     // Guards against a cancelled booking that the next morning's export starts again.
--- a/tests/auto/sheet/tst_sheet.cpp
+++ b/tests/auto/sheet/tst_sheet.cpp
@@ -3,6 +3,7 @@
 #include "sheet/sheetdifference.h"
 #include "sheet/sheetreader.h"
 #include "sheet/sheetwriter.h"
+#include "sheet/utf8.h"
 #include "sheet/wirebooking.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -235,8 +236,11 @@
         CPPUNIT_ASSERT(expected == changes.changed.front().fields);
         const std::vector<std::string> lines{
             "added c", "changed a: tasks from '1' to '3', standing from 'normal' to 'spare'", "ended b"};
-        CPPUNIT_ASSERT(lines == changes.toLines(3));
-        CPPUNIT_ASSERT_EQUAL(std::string("and 2 more"), changes.toLines(2).back());
+        CPPUNIT_ASSERT(lines == changes.toLines(3, 100));
+        CPPUNIT_ASSERT_EQUAL(std::string("and 2 more"), changes.toLines(2, 100).back());
+        CPPUNIT_ASSERT_EQUAL(std::string("changed a: tasks from '1' to '3', standing from 'norm...' to 'spar...'"),
+                             changes.toLines(3, 4)[1]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a..."), shortened("a\xC3\xA5", 2)); // never half a character
     }
 
     // Guards against a command that bypasses the sheet's checks and overflows sums of resources.
