Survive answers of another program in pistachioctl

A JSON answer of another form than expected ended the program with an exception. A change that is answered with something unreadable counts as unknown, not as refused. The test runs 14 commands against four odd bodies and two statuses.

--- a/src/tools/pistachioctl/bookingcommands.cpp
+++ b/src/tools/pistachioctl/bookingcommands.cpp
@@ -45,7 +45,7 @@
                        << "): " << cellText(body.value("summary", json())) << '\n';
         for (const json &reason : body.value("reasons", json::array()))
             invocation.out << "  " << cellText(reason) << '\n';
-        if (body.value("stale", false))
+        if (body.value("stale", json()) == true)
             invocation.out << "  the zone can't be reached; this is what it last reported\n";
     });
 }
--- a/src/tools/pistachioctl/changerequest.cpp
+++ b/src/tools/pistachioctl/changerequest.cpp
@@ -103,11 +103,11 @@
     invocation.out << cellText(body.value("result", json()));
     if (body.contains("version"))
         invocation.out << " as version " << cellText(body["version"]);
-    if (body.value("repeated_request", false))
+    if (body.value("repeated_request", json()) == true)
         invocation.out << " (the first result of this request id)";
     invocation.out << '\n';
     if (body.contains("instances"))
-        invocation.out << "in force on " << cellText(body["in_force_instances"]) << " of "
+        invocation.out << "in force on " << cellText(body.value("in_force_instances", json())) << " of "
                        << cellText(body["instances"])
                        << " instances; 'pistachioctl status' shows when it is in force everywhere\n";
     printDetails(
@@ -180,14 +180,18 @@
     request.body = std::move(change.body);
 
     ControlClient client(invocation.caller, options.controls);
-    const Reply reply = client.send(request);
+    Reply reply = client.send(request);
+    constexpr int ok = 200;
+    const json body = json::parse(reply.response.body, nullptr, false);
+    if (reply.outcome == Reply::Outcome::Answered && reply.response.status == ok && !body.is_object()) {
+        reply.outcome = Reply::Outcome::Unknown;
+        reply.attempts.emplace_back("the answer is not JSON; check that --control names operator ports");
+    }
     if (reply.outcome == Reply::Outcome::Unknown && !options.isDryRun)
         return printUnknown(invocation, reply, requestId);
     if (reply.outcome != Reply::Outcome::Answered)
         return printUnavailable(invocation, reply);
-    constexpr int ok = 200;
-    const json body = json::parse(reply.response.body, nullptr, false);
-    if (reply.response.status != ok || !body.is_object())
+    if (reply.response.status != ok)
         return printRefusal(invocation, reply.response);
     if (options.isJson)
         invocation.out << reply.response.body;
--- a/src/tools/pistachioctl/clustercommands.cpp
+++ b/src/tools/pistachioctl/clustercommands.cpp
@@ -16,8 +16,8 @@
 
 std::string amounts(const json &resources)
 {
-    return cellText(resources.value("cores", json(0))) + " cores, " + cellText(resources.value("memory_mb", json(0)))
-        + " MB, " + cellText(resources.value("accelerators", json(0))) + " acc.";
+    return cellText(member(resources, "cores")) + " cores, " + cellText(member(resources, "memory_mb")) + " MB, "
+        + cellText(member(resources, "accelerators")) + " acc.";
 }
 
 ExitCode sendInstance(const Invocation &invocation, const std::string &method, const std::string &target,
@@ -36,9 +36,9 @@
 
 void printSpread(const Invocation &invocation, const std::string &subject, const json &spread)
 {
-    invocation.out << subject << ": version " << cellText(spread.value("version", json())) << ", in force on "
-                   << cellText(spread.value("in_force_instances", json())) << " of "
-                   << cellText(spread.value("instances", json())) << " instances\n";
+    invocation.out << subject << ": version " << cellText(member(spread, "version")) << ", in force on "
+                   << cellText(member(spread, "in_force_instances")) << " of " << cellText(member(spread, "instances"))
+                   << " instances\n";
 }
 
 } // namespace
@@ -51,8 +51,10 @@
     return fetchAndPrint(invocation, target, [&](const json &body) {
         json workers = body.value("workers", json::array());
         for (json &worker : workers) {
+            if (!worker.is_object())
+                continue;
             for (const char *key : {"capacity", "allocated"})
-                worker[key] = amounts(worker.value(key, json::object()));
+                worker[key] = amounts(member(worker, key));
         }
         invocation.out << tableText(workers,
                                     {"worker", "zone", "rack", "state", "tasks", "allocated", "capacity", "reason"});
@@ -104,9 +106,9 @@
         printSpread(invocation, "sheet", body.value("sheet", json::object()));
         printSpread(invocation, "configuration", body.value("configuration", json::object()));
         const json bookings = body.value("bookings", json::object());
-        invocation.out << "bookings: " << cellText(bookings.value("active", json(0))) << " active, "
-                       << cellText(bookings.value("cancelled", json(0))) << " cancelled, "
-                       << cellText(bookings.value("ended", json(0))) << " ended and not yet released\n\n"
+        invocation.out << "bookings: " << cellText(member(bookings, "active")) << " active, "
+                       << cellText(member(bookings, "cancelled")) << " cancelled, "
+                       << cellText(member(bookings, "ended")) << " ended and not yet released\n\n"
                        << tableText(body.value("zones", json::array()),
                                     {"zone", "leader", "reachable", "workers", "running_tasks", "waiting_tasks"});
     });
--- a/src/tools/pistachioctl/sheetcommands.cpp
+++ b/src/tools/pistachioctl/sheetcommands.cpp
@@ -87,7 +87,10 @@
     const auto changes = Sheet::difference(current.bookings, reading->bookings);
     const auto lines = changes.toLines(unlimited, unlimited);
     if (invocation.options.isJson) {
-        invocation.out << json{{"version", std::stoull(version.empty() ? "0" : version)}, {"differences", lines}}.dump()
+        invocation.out << json{{"version",
+                                json::parse(version, nullptr, false).is_number() ? json::parse(version) : json()},
+                               {"differences", lines}}
+                              .dump()
                        << '\n';
         return code;
     }
--- a/src/tools/pistachioctl/table.cpp
+++ b/src/tools/pistachioctl/table.cpp
@@ -64,12 +64,17 @@
         std::vector<std::string> row;
         row.reserve(title.size());
         for (const std::string &key : title)
-            row.push_back(cellText(object.value(key, nlohmann::json())));
+            row.push_back(cellText(member(object, key)));
         rows.push_back(std::move(row));
     }
     return tableText(title, rows);
 }
 
+nlohmann::json member(const nlohmann::json &object, const std::string &key)
+{
+    return object.is_object() ? object.value(key, nlohmann::json()) : nlohmann::json();
+}
+
 std::string cellText(const nlohmann::json &value)
 {
     if (value.is_null())
--- a/tests/auto/pistachioctl/tst_pistachioctl.cpp
+++ b/tests/auto/pistachioctl/tst_pistachioctl.cpp
@@ -107,6 +107,16 @@
 
 using Fault = FakeCell::Fault;
 
+// Something else that listens at the address.
+class OtherProgram : public Caller
+{
+public:
+    CallResult call(const Endpoint &, const Transport::Request &) override { return response; }
+    void pause(Duration) override { }
+
+    Transport::Response response;
+};
+
 class File
 {
 public:
@@ -166,6 +176,7 @@
     CPPUNIT_TEST(invalidSheetIsNotSent);
     CPPUNIT_TEST(dryRunAndCommandLineFaults);
     CPPUNIT_TEST(bookingsAndConfiguration);
+    CPPUNIT_TEST(answersOfAnotherProgramAreSurvived);
     CPPUNIT_TEST(settingsFilesAreChecked);
     CPPUNIT_TEST(networkCallerTellsWhetherTheRequestWasSent);
     CPPUNIT_TEST_SUITE_END();
@@ -339,6 +350,50 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a\nx [2J\n"), tableText(nlohmann::json{{{"a", "x\x1B[2J"}}}, {"a"}));
     }
 
+    // Guards against a crash, or a change taken for done or refused, when --control names the port of another program.
+    void answersOfAnotherProgramAreSurvived()
+    {
+        OtherProgram other;
+        Operator anna(other);
+        anna.options.expectVersion = 0;
+        const File sheet("sheet", header);
+        const File configuration("configuration", "{}");
+        std::string odd = "{";
+        for (const char *key :
+             {"code", "details", "result", "version", "instances", "repeated_request", "differences", "notes",
+              "history", "bookings", "stale", "reasons", "task_list", "workers", "sheet", "zones"})
+            odd.append(odd.size() > 1 ? "," : "").append("\"").append(key).append("\": [1, [2], null]");
+        for (const int status : {200, 404}) {
+            for (const std::string &body : {std::string(), std::string("[]"), std::string("{}"), odd + "}"}) {
+                other.response = {status, {{"Sheet-Version", "x"}}, body};
+                for (const std::vector<std::string> &words :
+                     std::vector<std::vector<std::string>>{{"sheet", "diff", sheet.path()},
+                                                           {"sheet", "apply", sheet.path()},
+                                                           {"sheet", "show"},
+                                                           {"sheet", "history"},
+                                                           {"booking", "list"},
+                                                           {"booking", "show", "a"},
+                                                           {"booking", "explain", "a"},
+                                                           {"booking", "cancel", "a"},
+                                                           {"worker", "list"},
+                                                           {"worker", "drain", "w"},
+                                                           {"instance", "list"},
+                                                           {"configuration", "show"},
+                                                           {"configuration", "apply", configuration.path()},
+                                                           {"status"}}) {
+                    const int code = anna.run(words);
+                    const std::string verb = words.size() > 1 ? words[1] : "";
+                    const bool isChange = verb == "apply" || verb == "cancel" || verb == "drain";
+                    const bool isReadable
+                        = verb != "diff" && (body.starts_with('{') || words.front() + verb == "sheetshow");
+                    const int unreadable = isChange ? 7 : 6;
+                    const int expected = status != 200 ? 5 : isReadable ? 0 : unreadable;
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(body, expected, code);
+                }
+            }
+        }
+    }
+
     void settingsFilesAreChecked()
     {
         FakeCell cell;
