--- a/tests/auto/scheduler/simulatedzone.cpp
+++ b/tests/auto/scheduler/simulatedzone.cpp
@@ -162,7 +162,7 @@
 Scheduler::Moment SimulatedZone::moment() const
 {
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch() - 1000s);
-    return {now_, unixStartMs + elapsed.count(), hasLeader_ && now_ >= noAuthorityUntil_};
+    return {now_, unixStartMs + elapsed.count(), hasLeader_ && now_ >= noAuthorityUntil_, now_};
 }
 
 TimePoint SimulatedZone::agentTime() const
@@ -190,6 +190,10 @@
     Scheduler::Commands commands = scheduler_->takeCommands();
     decisions_.insert(decisions_.end(), commands.decisions.begin(), commands.decisions.end());
     for (const Wire::ZoneCommand &command : commands.proposals) {
+        if (rejectProposals) {
+            scheduler_->proposalRejected(moment(), command);
+            continue;
+        }
         // The log keeps the order: all entries take the same time to commit.
         at(now_ + 10ms, [this, command, term = term_] { applyProposal(command, term); });
     }
