--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -262,7 +262,7 @@
 {
     if (!ledTerm_ || !host_->canAnswer(now))
         return;
-    fillZoneReport(zone_, cell, machine_.state(), *scheduler_, report);
+    fillZoneReport(now, zone_, cell, machine_.state(), *scheduler_, report);
     report.set_workers_known(now - ledSince_ > introductionTime);
     for (const auto &entry : feed_.versions()) {
         auto &item = *report.add_entries();
--- a/src/libs/controlnode/zonereport.cpp
+++ b/src/libs/controlnode/zonereport.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr Duration silenceLimit = 6s; ///< two long polls; operators see it before the lease has expired
+
 std::string_view endName(ZoneState::EndReason reason)
 {
     switch (reason) {
@@ -32,8 +34,10 @@
     return {};
 }
 
-std::string_view stateName(const Scheduler::WorkerView &worker)
+std::string_view stateName(TimePoint now, const Scheduler::WorkerView &worker)
 {
+    if (now - worker.lastSync > silenceLimit)
+        return "lost";
     if (worker.quarantined)
         return "quarantined";
     if (worker.leaving)
@@ -62,8 +66,9 @@
 
 } // namespace
 
-void fillZoneReport(const ZoneId &zone, const Cellstate::CellState &cell, const ZoneState::ZoneState &state,
-                    const Scheduler::ZoneScheduler &scheduler, Wire::ZoneReport &report)
+void fillZoneReport(TimePoint now, const ZoneId &zone, const Cellstate::CellState &cell,
+                    const ZoneState::ZoneState &state, const Scheduler::ZoneScheduler &scheduler,
+                    Wire::ZoneReport &report)
 {
     report.set_zone(zone.value());
     for (const auto &worker : scheduler.workers()) {
@@ -73,7 +78,7 @@
         Sheet::toWire(worker.capacity, *item.mutable_capacity());
         Sheet::toWire(worker.allocated, *item.mutable_allocated());
         item.set_tasks(worker.tasks);
-        item.set_state(std::string(stateName(worker)));
+        item.set_state(std::string(stateName(now, worker)));
     }
     for (const auto &[id, record] : cell.bookings()) {
         if (record.booking.zone != zone)
--- a/src/libs/controlnode/zonereport.h
+++ b/src/libs/controlnode/zonereport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/identifier.h"
+#include "core/time.h"
 
 namespace Pistachio::Cellstate
 {
@@ -25,12 +26,14 @@
 namespace Pistachio::Controlnode
 {
 
+/// \param now the time of the report
 /// \param zone the zone to report
 /// \param cell the bookings
 /// \param state where the tasks are
 /// \param scheduler the workers, and why tasks wait
 /// \param report gets the workers, and the bookings with their tasks
-void fillZoneReport(const ZoneId &zone, const Cellstate::CellState &cell, const ZoneState::ZoneState &state,
-                    const Scheduler::ZoneScheduler &scheduler, Wire::ZoneReport &report);
+void fillZoneReport(TimePoint now, const ZoneId &zone, const Cellstate::CellState &cell,
+                    const ZoneState::ZoneState &state, const Scheduler::ZoneScheduler &scheduler,
+                    Wire::ZoneReport &report);
 
 } // namespace Pistachio::Controlnode
