Let a cell state take effect in a zone only once the zone's log holds it as the floor

Cause, found by reading: the zone leader pushed a configuration to its entries and acted on a sheet before the floor was committed, and a leader with an older copy of the cell state treated bookings that it did not know as ended. A later leader or a restarted entry could therefore go back behind a sheet or a configuration that had been in force.

--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -53,6 +53,7 @@
 ZoneHost::ZoneHost(ZoneId zone, std::uint64_t seed, LogDecision logDecision)
     : zone_(std::move(zone))
     , logDecision_(std::move(logDecision))
+    , cell_(zone_)
     , scheduler_(std::make_unique<Scheduler::ZoneScheduler>(zone_.value(), machine_.state(), seed))
 {
 }
@@ -76,21 +77,15 @@
     return {now, unixMs(), host_->group().hasAuthority(now), host_->group().confirmedAt(now)};
 }
 
-void ZoneHost::cellChanged(TimePoint now, const Cellstate::CellState &cell)
+CellFloor ZoneHost::floor() const
 {
-    const auto revision = cell.bookingsRevision();
-    const auto version = cell.configuration().version();
-    if (seenCell_ && revision == seenRevision_ && version == seenConfiguration_)
-        return;
-    seenCell_ = true;
-    seenRevision_ = revision;
-    seenConfiguration_ = version;
-    std::vector<Wire::Booking> bookings;
-    for (const auto &[id, record] : cell.bookings()) {
-        if (record.state == Cellstate::BookingState::Active && record.booking.zone == zone_)
-            Sheet::toWire(record.booking, bookings.emplace_back());
-    }
-    scheduler_->bookingsChanged(moment(now), bookings, cell.configuration());
+    return {machine_.state().configurationFloor(), machine_.state().bookingsFloor()};
+}
+
+void ZoneHost::followCell(TimePoint now, const Cellstate::CellState &cell)
+{
+    if (cell_.update(cell, floor()))
+        scheduler_->bookingsChanged(moment(now), cell_.bookings(), cell_.configuration());
 }
 
 void ZoneHost::workerSync(TimePoint now, const std::string &body, const Transport::Responder &responder)
@@ -158,13 +153,13 @@
 void ZoneHost::tick(TimePoint now, const Cellstate::CellState &cell)
 {
     host_->tick(now);
+    followCell(now, cell);
     followLeadership(now);
-    cellChanged(now, cell);
     scheduler_->tick(moment(now));
     if (ledTerm_) {
-        keepFloor(now, cell);
+        keepFloor(now);
         reportSilentEntries(now);
-        feed_.answer(now, {machine_.state().configurationFloor(), &cell.configuration()});
+        feed_.answer(now, {machine_.state().configurationFloor(), &cell_.configuration()});
     }
     carryOut(now);
 }
@@ -177,10 +172,11 @@
         scheduler_->leadershipChanged(moment(now), term, false);
         releaseWaiting();
     }
-    if (!ledTerm_ && group.isLeaderWithState()) {
+    // A leader behind the floor would end or restart work by a sheet that was replaced.
+    if (!ledTerm_ && group.isLeaderWithState() && cell_.isCurrent(floor())) {
         ledTerm_ = group.term();
         ledSince_ = now;
-        proposedFloor_ = 0;
+        isFloorProposed_ = false;
         release_.reset();
         const auto claiming = machine_.state().requests().claimingEntries();
         feed_.start(now, {claiming.begin(), claiming.end()});
@@ -202,18 +198,16 @@
     releaseWaiting();
 }
 
-void ZoneHost::keepFloor(TimePoint now, const Cellstate::CellState &cell)
+void ZoneHost::keepFloor(TimePoint now)
 {
-    const auto version = cell.configuration().version();
-    if (version <= machine_.state().configurationFloor() || version <= proposedFloor_)
+    const auto wanted = cell_.wanted();
+    if (!wanted || isFloorProposed_)
         return;
-    proposedFloor_ = version;
+    isFloorProposed_ = true;
     Wire::ZoneCommand command;
-    command.mutable_configuration_floor()->set_version(version);
-    propose(now, std::move(command), [this](const Wire::ZoneResult &result) {
-        if (result.code() != Wire::ZONE_RESULT_ACCEPTED)
-            proposedFloor_ = 0;
-    });
+    command.mutable_configuration_floor()->set_version(wanted->configuration);
+    command.mutable_configuration_floor()->set_bookings_revision(wanted->bookings);
+    propose(now, std::move(command), [this](const Wire::ZoneResult &) { isFloorProposed_ = false; });
 }
 
 void ZoneHost::reportSilentEntries(TimePoint now)
@@ -231,7 +225,8 @@
 
 std::vector<BookingId> ZoneHost::releasable(TimePoint now, const Cellstate::CellState &cell)
 {
-    if (!ledTerm_ || !host_->canAnswer(now))
+    // The scheduler may still act on a sheet that has the booking.
+    if (!ledTerm_ || !host_->canAnswer(now) || !cell_.isLatest(cell))
         return {};
     return release_.find(zone_, cell, machine_.state().tasks(), host_->lastProposed(), host_->group().appliedIndex());
 }
--- a/src/libs/controlnode/zonehost.h
+++ b/src/libs/controlnode/zonehost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controlnode/bookingrelease.h"
+#include "controlnode/cellinforce.h"
 #include "controlnode/configurationfeed.h"
 #include "controlnode/grouphost.h"
 #include "controlnode/statemachines.h"
@@ -56,9 +57,6 @@
     [[nodiscard]] const GroupHost &host() const { return *host_; }
     [[nodiscard]] const ZoneState::ZoneState &state() const { return machine_.state(); }
 
-    /// Takes over bookings and configuration when they changed.
-    void cellChanged(TimePoint now, const Cellstate::CellState &cell);
-
     void workerSync(TimePoint now, const std::string &body, const Transport::Responder &responder);
     void configurationPoll(TimePoint now, const std::string &body, const Transport::Responder &responder);
 
@@ -94,11 +92,14 @@
     void releaseWaiting();
     void answerWorkers(Scheduler::Commands &commands);
     void proposeOwn(TimePoint now, Wire::ZoneCommand command);
-    void keepFloor(TimePoint now, const Cellstate::CellState &cell);
+    [[nodiscard]] CellFloor floor() const;
+    void followCell(TimePoint now, const Cellstate::CellState &cell);
+    void keepFloor(TimePoint now);
     void reportSilentEntries(TimePoint now);
 
     const ZoneId zone_;
     LogDecision logDecision_;
+    CellInForce cell_;
     ZoneMachine machine_;
     std::unique_ptr<Scheduler::ZoneScheduler> scheduler_;
     std::unique_ptr<GroupHost> host_;
@@ -107,10 +108,7 @@
     std::map<std::string, WaitingSync> waiting_;
     std::optional<std::uint64_t> ledTerm_;
     TimePoint ledSince_;
-    std::uint64_t seenRevision_ = 0;
-    std::uint64_t seenConfiguration_ = 0;
-    bool seenCell_ = false;
-    std::uint64_t proposedFloor_ = 0;
+    bool isFloorProposed_ = false;
     bool draining_ = false;
 };
 
--- a/src/libs/zonestate/zonestate.cpp
+++ b/src/libs/zonestate/zonestate.cpp
@@ -1,5 +1,6 @@
 #include "zonestate/zonestate.h"
 
+#include <algorithm>
 #include <zone.pb.h>
 
 namespace Pistachio::ZoneState
@@ -73,11 +74,7 @@
         return accepted();
     }
     case Wire::ZoneCommand::kConfigurationFloor:
-        // A proposal of an earlier leader may arrive late; the floor never falls.
-        if (command.configuration_floor().version() < configurationFloor_)
-            return refused("the configuration floor is " + std::to_string(configurationFloor_));
-        configurationFloor_ = command.configuration_floor().version();
-        return accepted();
+        return raiseFloor(command.configuration_floor());
     case Wire::ZoneCommand::kClaimRequest:
         return requests_.claim(command.claim_request(), unixMs);
     case Wire::ZoneCommand::kFinishRequest:
@@ -98,12 +95,23 @@
     return refused("unknown command");
 }
 
+Wire::ZoneResult ZoneState::raiseFloor(const Wire::ConfigurationFloor &floor)
+{
+    // A proposal of an earlier leader may arrive late; neither part of the floor ever falls.
+    if (floor.version() < configurationFloor_ && floor.bookings_revision() <= bookingsFloor_)
+        return refused("the configuration floor is " + std::to_string(configurationFloor_));
+    configurationFloor_ = std::max<std::uint64_t>(configurationFloor_, floor.version());
+    bookingsFloor_ = std::max<std::uint64_t>(bookingsFloor_, floor.bookings_revision());
+    return accepted();
+}
+
 std::string ZoneState::snapshot() const
 {
     Wire::ZoneSnapshot snapshot;
     tasks_.save(snapshot);
     requests_.save(snapshot);
     snapshot.set_configuration_floor(configurationFloor_);
+    snapshot.set_bookings_floor(bookingsFloor_);
     for (const WorkerId &worker : draining_)
         snapshot.add_draining_workers(worker.value());
     return snapshot.SerializeAsString();
@@ -118,6 +126,7 @@
     BOOST_OUTCOME_TRYV(loaded.tasks_.load(message));
     BOOST_OUTCOME_TRYV(loaded.requests_.load(message));
     loaded.configurationFloor_ = message.configuration_floor();
+    loaded.bookingsFloor_ = message.bookings_floor();
     for (const std::string &worker : message.draining_workers())
         loaded.draining_.emplace(worker);
     *this = std::move(loaded);
--- a/src/libs/zonestate/zonestate.h
+++ b/src/libs/zonestate/zonestate.h
@@ -14,6 +14,7 @@
 
 namespace Pistachio::Wire
 {
+class ConfigurationFloor;
 class ZoneCommand;
 class ZoneResult;
 } // namespace Pistachio::Wire
@@ -40,15 +41,20 @@
     [[nodiscard]] const TaskTable &tasks() const { return tasks_; }
     [[nodiscard]] const RequestTable &requests() const { return requests_; }
     [[nodiscard]] std::uint64_t configurationFloor() const { return configurationFloor_; }
+
+    /// \return the oldest revision of the cell's bookings that a leader of the zone may act on.
+    [[nodiscard]] std::uint64_t bookingsFloor() const { return bookingsFloor_; }
     [[nodiscard]] bool isDraining(const WorkerId &worker) const { return draining_.contains(worker); }
     [[nodiscard]] const std::set<WorkerId> &drainingWorkers() const { return draining_; }
 
 private:
+    Wire::ZoneResult raiseFloor(const Wire::ConfigurationFloor &floor);
     Wire::ZoneResult applyTaskCommand(const Wire::ZoneCommand &command);
 
     TaskTable tasks_;
     RequestTable requests_;
     std::uint64_t configurationFloor_ = 0;
+    std::uint64_t bookingsFloor_ = 0;
     std::set<WorkerId> draining_;
 };
 
--- a/tests/auto/controlnode/tst_controlnode.cpp
+++ b/tests/auto/controlnode/tst_controlnode.cpp
@@ -1,5 +1,6 @@
 #include "cellstate/cellstate.h"
 #include "controlnode/bookingrelease.h"
+#include "controlnode/cellinforce.h"
 #include "controlnode/configurationfeed.h"
 #include "controlnode/controlnode.h"
 #include "controlnode/membershipdriver.h"
@@ -116,12 +117,48 @@
     return steps;
 }
 
+void applyConfiguration(Cellstate::CellState &cell, const char *request)
+{
+    Wire::CellCommand command;
+    command.set_request_id(request);
+    command.set_author("a");
+    command.mutable_set_configuration()->set_expected_version(cell.configuration().version());
+    auto &configuration = *command.mutable_set_configuration()->mutable_configuration();
+    configuration.add_zones("z");
+    configuration.set_packing_weight_percent(static_cast<std::uint32_t>(cell.configuration().version()));
+    configuration.add_quotas()->set_team("t");
+    configuration.mutable_quotas(0)->mutable_limit()->set_milli_cores(10'000);
+    configuration.mutable_quotas(0)->mutable_limit()->set_memory_bytes(1 << 30);
+    const auto applied = cell.apply(command);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(applied.message(), Wire::CELL_RESULT_ACCEPTED, applied.code());
+}
+
+void applySheet(Cellstate::CellState &cell, const char *request)
+{
+    Wire::CellCommand command;
+    command.set_request_id(request);
+    command.set_author("a");
+    auto &booking = *command.mutable_apply_sheet()->add_bookings();
+    booking.set_id("b");
+    booking.set_team("t");
+    booking.set_kind(Wire::WORK_KIND_SERVICE);
+    booking.set_standing(Wire::STANDING_NORMAL);
+    booking.set_tasks(1);
+    booking.set_zone("z");
+    booking.set_command("serve");
+    booking.mutable_resources()->set_milli_cores(1000);
+    booking.mutable_resources()->set_memory_bytes(1 << 20);
+    const auto applied = cell.apply(command);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(applied.message(), Wire::CELL_RESULT_ACCEPTED, applied.code());
+}
+
 } // namespace
 
 class ControlnodeTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ControlnodeTest);
     CPPUNIT_TEST(entriesNeverGetAConfigurationBelowTheFloor);
+    CPPUNIT_TEST(aCellStateIsInForceOnlyWithItsFloor);
     CPPUNIT_TEST(silentAndLeavingEntriesDropOutOfTheView);
     CPPUNIT_TEST(membersFollowTheAddedInstances);
     CPPUNIT_TEST(aBookingIsReleasedOnlyAfterItsLastAssignment);
@@ -156,6 +193,41 @@
         CPPUNIT_ASSERT(!idle.push().has_configuration());
     }
 
+    // Guards against a sheet or a configuration that a later zone leader or a restarted entry reverts (I8): it must not
+    // take effect before the zone's log holds it as the floor, and a leader must not act on one behind the floor.
+    void aCellStateIsInForceOnlyWithItsFloor()
+    {
+        Cellstate::CellState cell;
+        CellInForce inForce(ZoneId("z"));
+        CPPUNIT_ASSERT(inForce.isCurrent({}));
+        applyConfiguration(cell, "1");
+        applySheet(cell, "2");
+        const CellFloor first{cell.configuration().version(), cell.bookingsRevision()};
+        CPPUNIT_ASSERT(!inForce.update(cell, {}));
+        CPPUNIT_ASSERT(inForce.wanted() == first);
+        CPPUNIT_ASSERT(inForce.bookings().empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, std::uint64_t{inForce.configuration().version()});
+
+        // A newer configuration arrives while the floor is being committed: the older state takes effect first.
+        applyConfiguration(cell, "3");
+        CPPUNIT_ASSERT(inForce.update(cell, first));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, inForce.bookings().size());
+        CPPUNIT_ASSERT_EQUAL(first.configuration, std::uint64_t{inForce.configuration().version()});
+        CPPUNIT_ASSERT(!inForce.isLatest(cell));
+        const CellFloor second{cell.configuration().version(), cell.bookingsRevision()};
+        CPPUNIT_ASSERT(inForce.wanted() == second);
+        CPPUNIT_ASSERT(inForce.isCurrent(first) && !inForce.isCurrent(second));
+        CPPUNIT_ASSERT(inForce.update(cell, second));
+        CPPUNIT_ASSERT(inForce.isLatest(cell) && inForce.isCurrent(second) && !inForce.wanted());
+
+        // An instance that missed the changes must not lead, and takes nothing over until it has caught up.
+        CellInForce behind(ZoneId("z"));
+        CPPUNIT_ASSERT(!behind.update(Cellstate::CellState(), second));
+        CPPUNIT_ASSERT(!behind.isCurrent(second));
+        CPPUNIT_ASSERT(behind.update(cell, second));
+        CPPUNIT_ASSERT(behind.isCurrent(second));
+    }
+
     // Guards against slots of minions that are kept for entries which are gone, and claims that stay open for ever.
     void silentAndLeavingEntriesDropOutOfTheView()
     {
@@ -204,32 +276,14 @@
     {
         const ZoneId zone("z");
         Cellstate::CellState cell;
-        Wire::CellCommand command;
-        command.set_request_id("1");
-        command.set_author("a");
-        auto &configuration = *command.mutable_set_configuration()->mutable_configuration();
-        configuration.add_zones("z");
-        configuration.add_quotas()->set_team("t");
-        configuration.mutable_quotas(0)->mutable_limit()->set_milli_cores(10'000);
-        configuration.mutable_quotas(0)->mutable_limit()->set_memory_bytes(1 << 30);
-        CPPUNIT_ASSERT_EQUAL(Wire::CELL_RESULT_ACCEPTED, cell.apply(command).code());
-        command.set_request_id("2");
-        auto &booking = *command.mutable_apply_sheet()->add_bookings();
-        booking.set_id("b");
-        booking.set_team("t");
-        booking.set_kind(Wire::WORK_KIND_SERVICE);
-        booking.set_standing(Wire::STANDING_NORMAL);
-        booking.set_tasks(1);
-        booking.set_zone("z");
-        booking.set_command("serve");
-        booking.mutable_resources()->set_milli_cores(1000);
-        booking.mutable_resources()->set_memory_bytes(1 << 20);
-        const auto applied = cell.apply(command);
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(applied.message(), Wire::CELL_RESULT_ACCEPTED, applied.code());
+        applyConfiguration(cell, "1");
+        applySheet(cell, "2");
         BookingRelease release;
         ZoneState::ZoneState state;
         CPPUNIT_ASSERT(release.find(zone, cell, state.tasks(), 7, 5).empty());
 
+        Wire::CellCommand command;
+        command.set_author("a");
         command.set_request_id("3");
         command.mutable_cancel_bookings()->add_bookings("b");
         CPPUNIT_ASSERT_EQUAL(Wire::CELL_RESULT_ACCEPTED, cell.apply(command).code());
