Let simulated workers report to a new leader at once

A poll held by the old leader was given up only after 6 s, longer than it takes when the connection is refused, so a new leader that declares workers lost too early met no worker to place their tasks on. The test of the leases of an earlier leader now also changes the leader while one worker is cut off.

--- a/tests/auto/scheduler/simulatedzone.cpp
+++ b/tests/auto/scheduler/simulatedzone.cpp
@@ -112,6 +112,9 @@
     ++term_;
     scheduler_->leadershipChanged(moment(), oldTerm, false);
     scheduler_->takeCommands();
+    // The old leader's instance refuses the polls that it held.
+    for (Host &host : hosts_)
+        host.outstanding = host.outstanding && now_ < host.cutUntil;
     at(now_ + vacancy, [this, oldTerm, keepsProposals] {
         // Entries of the old term that reached a majority are applied before the new leader decides.
         if (!keepsProposals)
@@ -249,9 +252,11 @@
     host.sequence = sync.sequence();
     const int copies = lossRate_ > 0 && random_.below(5) == 0 ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
-        send(worker, [this, sync] {
+        send(worker, [this, worker, sync] {
             if (hasLeader_)
                 scheduler_->workerSync(moment(), sync);
+            else
+                hosts_[worker].outstanding = false; // refused, and sent again
         });
     }
 }
--- a/tests/auto/scheduler/tst_scheduler.cpp
+++ b/tests/auto/scheduler/tst_scheduler.cpp
@@ -305,6 +305,10 @@
         zone.partition(0, 60s);
         zone.advance(20s);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, zone.runningOn("service").size());
+        CPPUNIT_ASSERT(zone.decisions("lost") > 0);
+        zone.partition(1, 60s);
+        zone.changeLeader(100ms, true);
+        zone.advance(20s);
         CPPUNIT_ASSERT(zone.violations().empty());
     }
 
