Let the leader of a zone group raise the floor before it leads the zone

Ruled out: elections and leases, which went as they should.

Change: the floor is proposed by the leader of the zone group whether or not it leads the zone yet.

--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -154,10 +154,10 @@
 {
     host_->tick(now);
     followCell(now, cell);
+    keepFloor(now);
     followLeadership(now);
     scheduler_->tick(moment(now));
     if (ledTerm_) {
-        keepFloor(now);
         reportSilentEntries(now);
         feed_.answer(now, {machine_.state().configurationFloor(), &cell_.configuration()});
     }
@@ -176,7 +176,6 @@
     if (!ledTerm_ && group.isLeaderWithState() && cell_.isCurrent(floor())) {
         ledTerm_ = group.term();
         ledSince_ = now;
-        isFloorProposed_ = false;
         release_.reset();
         const auto claiming = machine_.state().requests().claimingEntries();
         feed_.start(now, {claiming.begin(), claiming.end()});
@@ -200,14 +199,18 @@
 
 void ZoneHost::keepFloor(TimePoint now)
 {
+    // This comes before followLeadership() lets the instance lead: what it holds may skip the state of the floor, and
+    // then only a newer floor brings it into force.
     const auto wanted = cell_.wanted();
-    if (!wanted || isFloorProposed_)
+    if (!wanted || isFloorProposed_ || !host_->canAnswer(now))
         return;
     isFloorProposed_ = true;
     Wire::ZoneCommand command;
+    command.set_proposed_unix_ms(unixMs());
     command.mutable_configuration_floor()->set_version(wanted->configuration);
     command.mutable_configuration_floor()->set_bookings_revision(wanted->bookings);
-    propose(now, std::move(command), [this](const Wire::ZoneResult &) { isFloorProposed_ = false; });
+    host_->propose(now, command.SerializeAsString(), proposalLimit,
+                   [this](const Result<std::string> &) { isFloorProposed_ = false; });
 }
 
 void ZoneHost::reportSilentEntries(TimePoint now)
--- a/tests/auto/controlnode/tst_controlnode.cpp
+++ b/tests/auto/controlnode/tst_controlnode.cpp
@@ -226,6 +226,13 @@
         CPPUNIT_ASSERT(!behind.isCurrent(second));
         CPPUNIT_ASSERT(behind.update(cell, second));
         CPPUNIT_ASSERT(behind.isCurrent(second));
+
+        // An instance that learned several changes at once skips the one of the floor. It asks for a newer floor, which
+        // its zone group may commit although it does not lead the zone yet.
+        CellInForce skipping(ZoneId("z"));
+        CPPUNIT_ASSERT(!skipping.update(cell, first) && !skipping.isCurrent(first));
+        CPPUNIT_ASSERT(skipping.wanted() == second);
+        CPPUNIT_ASSERT(skipping.update(cell, second) && skipping.isCurrent(second));
     }
 
     // Guards against slots of minions that are kept for entries which are gone, and claims that stay open for ever.
