Refuse to start a voter that lost its data

Cause: a voter restarted on an empty folder looked like a first start and could vote again in a term in which it had voted, or elect a leader without changes that it had acknowledged (open point of the replication library). Ruled out: telling both cases apart by the group's state, since a new cell and a wiped one look the same from inside.

Change: the data folder holds the instance's identity.

--- a/scripts/lib/cell.sh
+++ b/scripts/lib/cell.sh
@@ -80,7 +80,7 @@
             done
         } >"$cell_folder/control-$((i + 1)).toml"
         cell_start_process "control-$((i + 1))" "$cell_bin/pistachio-control" \
-            "--settings=$cell_folder/control-$((i + 1)).toml"
+            "--settings=$cell_folder/control-$((i + 1)).toml" --bootstrap
         cell_control_pids+=("$cell_pid")
     done
     cell_operator="127.0.0.1:${cell_control_ports[1]}"
--- a/src/libs/controlnode/controlnode.cpp
+++ b/src/libs/controlnode/controlnode.cpp
@@ -57,11 +57,12 @@
 };
 
 Result<std::unique_ptr<ControlNode>> ControlNode::open(const Settings::ControlSettings &settings,
-                                                       std::unique_ptr<Storage::FileSystem> fileSystem)
+                                                       std::unique_ptr<Storage::FileSystem> fileSystem, StartMode mode)
 {
     BOOST_OUTCOME_TRY(auto token, readToken(settings.operatorTokenFile));
     auto state = std::make_unique<Private>(settings, std::move(token), std::move(fileSystem));
     BOOST_OUTCOME_TRYV(state->lock.take(settings.dataFolder));
+    BOOST_OUTCOME_TRYV(claimDataFolder(*state->files, settings, mode));
     BOOST_OUTCOME_TRYV(state->decisions.open());
     BOOST_OUTCOME_TRYV(state->network.listen());
     const auto ports = state->network.ports();
--- a/src/libs/controlnode/controlnode.h
+++ b/src/libs/controlnode/controlnode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controlnode/identity.h"
 #include "core/result.h"
 
 #include <cstdint>
@@ -34,9 +35,10 @@
     /// Opens the files and the ports.
     /// \param settings checked settings
     /// \param fileSystem holds the groups' files
+    /// \param mode whether this is the first start of the cell
     /// \return the node, or what can't be opened.
     static Result<std::unique_ptr<ControlNode>> open(const Settings::ControlSettings &settings,
-                                                     std::unique_ptr<Storage::FileSystem> fileSystem);
+                                                     std::unique_ptr<Storage::FileSystem> fileSystem, StartMode mode);
     ~ControlNode();
     ControlNode(const ControlNode &) = delete;
     ControlNode &operator=(const ControlNode &) = delete;
--- a/src/tools/pistachio-control/main.cpp
+++ b/src/tools/pistachio-control/main.cpp
@@ -11,6 +11,8 @@
 #include <string>
 
 ABSL_FLAG(std::string, settings, "", "the settings file (TOML)");
+ABSL_FLAG(bool, bootstrap, false,
+          "allow an initial voter to start on an empty data folder; only for the first start of the cell");
 ABSL_FLAG(bool, check_config, false, "check the settings file and exit");
 
 namespace
@@ -28,7 +30,7 @@
 {
     using namespace Pistachio;
     absl::SetProgramUsageMessage("Runs one control instance of a Pistachioworks cell.\n"
-                                 "  pistachio-control --settings=<file> [--check-config]");
+                                 "  pistachio-control --settings=<file> [--bootstrap] [--check-config]");
     absl::ParseCommandLine(argc, argv);
     const auto path = absl::GetFlag(FLAGS_settings);
     if (path.empty())
@@ -40,7 +42,10 @@
         std::printf("%s: no errors\n", path.c_str());
         return 0;
     }
-    const auto node = Controlnode::ControlNode::open(settings.value(), std::make_unique<Storage::PosixFileSystem>());
+    const auto mode
+        = absl::GetFlag(FLAGS_bootstrap) ? Controlnode::StartMode::Bootstrap : Controlnode::StartMode::Normal;
+    const auto node
+        = Controlnode::ControlNode::open(settings.value(), std::make_unique<Storage::PosixFileSystem>(), mode);
     if (!node)
         return fail(node.error().message);
     return node.value()->run();
--- a/tests/auto/controlnode/tst_controlnode.cpp
+++ b/tests/auto/controlnode/tst_controlnode.cpp
@@ -3,6 +3,7 @@
 #include "controlnode/cellinforce.h"
 #include "controlnode/configurationfeed.h"
 #include "controlnode/controlnode.h"
+#include "controlnode/identity.h"
 #include "controlnode/membershipdriver.h"
 #include "settings/controlsettings.h"
 #include "storage/posixfilesystem.h"
@@ -162,6 +163,7 @@
     CPPUNIT_TEST(silentAndLeavingEntriesDropOutOfTheView);
     CPPUNIT_TEST(membersFollowTheAddedInstances);
     CPPUNIT_TEST(aBookingIsReleasedOnlyAfterItsLastAssignment);
+    CPPUNIT_TEST(aVoterWithoutItsDataDoesNotStart);
     CPPUNIT_TEST(aFailedSyncStopsTheProcess);
     CPPUNIT_TEST_SUITE_END();
 
@@ -315,6 +317,29 @@
         CPPUNIT_ASSERT(release.find(ZoneId("y"), cell, state.tasks(), 9, 8).empty());
     }
 
+    // Guards against a voter that lost its disk and votes again: it forgot its votes and what it acknowledged.
+    void aVoterWithoutItsDataDoesNotStart()
+    {
+        auto pattern = (std::filesystem::temp_directory_path() / "pistachio-controlnode-XXXXXX").string();
+        Storage::PosixFileSystem files;
+        Settings::ControlSettings settings;
+        settings.instance = InstanceId("control-1");
+        settings.dataFolder = ::mkdtemp(pattern.data());
+        settings.groups = {{GroupId("cell"), {InstanceId("control-1")}, {}}};
+        const auto refused = claimDataFolder(files, settings, StartMode::Normal);
+        CPPUNIT_ASSERT(refused.has_error() && refused.error().message.find("--bootstrap") != std::string::npos);
+        CPPUNIT_ASSERT(claimDataFolder(files, settings, StartMode::Bootstrap).has_value());
+        CPPUNIT_ASSERT(claimDataFolder(files, settings, StartMode::Normal).has_value());
+
+        settings.instance = InstanceId("control-2");
+        const auto foreign = claimDataFolder(files, settings, StartMode::Bootstrap);
+        CPPUNIT_ASSERT(foreign.has_error() && foreign.error().message.find("'control-1'") != std::string::npos);
+        // The disk is lost; an instance without an initial vote joins with an empty folder.
+        std::filesystem::remove(settings.dataFolder + "/identity");
+        CPPUNIT_ASSERT(claimDataFolder(files, settings, StartMode::Normal).has_value());
+        std::filesystem::remove_all(settings.dataFolder);
+    }
+
     // Guards against a replica that goes on after a sync of which it can't be told what it wrote.
     void aFailedSyncStopsTheProcess()
     {
@@ -331,9 +356,13 @@
         settings.groups
             = {{GroupId("cell"), {InstanceId("control-1")}, {}}, {GroupId("zone:z"), {InstanceId("control-1")}, {}}};
         {
-            auto node = ControlNode::open(settings, std::make_unique<FailingFileSystem>());
+            Storage::PosixFileSystem files;
+            CPPUNIT_ASSERT(files.createFolder(settings.dataFolder).has_value());
+            CPPUNIT_ASSERT(claimDataFolder(files, settings, StartMode::Bootstrap).has_value());
+            auto node = ControlNode::open(settings, std::make_unique<FailingFileSystem>(), StartMode::Normal);
             CPPUNIT_ASSERT(node.has_value() && node.value()->ports().operators > 0);
-            CPPUNIT_ASSERT(ControlNode::open(settings, std::make_unique<Storage::PosixFileSystem>()).has_error());
+            CPPUNIT_ASSERT(ControlNode::open(settings, std::make_unique<Storage::PosixFileSystem>(), StartMode::Normal)
+                               .has_error());
             CPPUNIT_ASSERT_EQUAL(1, node.value()->run());
         }
         std::ifstream log(folder + "/log");
--- a/tests/auto/endtoend/cluster.cpp
+++ b/tests/auto/endtoend/cluster.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <optional>
 #include <thread>
+#include <utility>
 
 namespace Pistachio::EndToEnd
 {
@@ -125,8 +126,11 @@
 void Cluster::startControl(int index)
 {
     auto &control = controls_[static_cast<std::size_t>(index)];
-    control.process = std::make_unique<Process>(
-        PISTACHIO_CONTROL, std::vector<std::string>{"--settings=" + control.settings}, control.settings + ".log");
+    std::vector<std::string> arguments{"--settings=" + control.settings};
+    // Only the first start of an initial voter; later ones prove that it keeps its identity, added ones that they join.
+    if (!std::exchange(control.hasStarted, true) && index < voters_)
+        arguments.emplace_back("--bootstrap");
+    control.process = std::make_unique<Process>(PISTACHIO_CONTROL, arguments, control.settings + ".log");
 }
 
 void Cluster::startWorker(const std::string &worker, std::vector<std::string> arguments)
--- a/tests/auto/endtoend/cluster.h
+++ b/tests/auto/endtoend/cluster.h
@@ -72,6 +72,7 @@
         std::uint16_t operators = 0;
         std::uint16_t worker = 0;
         std::string settings;
+        bool hasStarted = false;
         std::unique_ptr<Process> process;
     };
 
