Log what the HTTP server rejects, and give all operators' failures the same fields

Change: HttpServer tells an observer of each rejection, which the entry logs and counts; the control process uses Operatorapi::proposalFailure.

--- a/src/libs/controlnode/operatorrequests.cpp
+++ b/src/libs/controlnode/operatorrequests.cpp
@@ -1,12 +1,11 @@
 #include "controlnode/operatorrequests.h"
 
+#include "operatorapi/proposalfailure.h"
 #include "transport/eventloop.h"
 
 #include <cell.pb.h>
 #include <zone.pb.h>
 
-#include <nlohmann/json.hpp>
-
 #include <chrono>
 #include <utility>
 
@@ -20,8 +19,6 @@
 
 constexpr Duration proposalLimit = 5s;
 constexpr Duration forwardLimit = 7s; ///< above the limits of a proposal and of the reports
-constexpr int serviceUnavailable = 503;
-constexpr int gatewayTimeout = 504;
 
 Response toResponse(Operatorapi::Answer answer)
 {
@@ -31,10 +28,13 @@
     return response;
 }
 
-Response errorResponse(int status, std::string_view code, std::string_view message)
+/// \return the answer to a request that this instance could not carry out.
+Response failedResponse(ErrorCode code, const Request &request, std::string message)
 {
-    const nlohmann::json body{{"error", code}, {"message", message}};
-    return {status, {{"Content-Type", "application/json"}, {"Retry-After", "1"}}, body.dump() + '\n'};
+    const auto requestId = headerValue(request.headers, "Request-Id");
+    auto response = toResponse(Operatorapi::proposalFailure({code, std::move(message)}, requestId, {}));
+    response.headers.push_back({"Retry-After", "1"});
+    return response;
 }
 
 bool isRead(const Request &request)
@@ -82,8 +82,7 @@
         return;
     }
     if (!leads && (forwarded || !isRead(request))) {
-        responder.respond(errorResponse(serviceUnavailable, "unavailable",
-                                        "the cell has no leader with a quorum here; nothing was changed"));
+        responder.respond(failedResponse(ErrorCode::Unavailable, request, "the cell has no leader with a quorum here"));
         return;
     }
     reports_.refresh(
@@ -103,12 +102,9 @@
             } else if (isRead(request)) {
                 reports_.refresh(EventLoop::now(), [this, request, responder] { answer(request, true, responder); });
             } else if (result.error().written) {
-                responder.respond(errorResponse(gatewayTimeout, "unknown",
-                                                "the cell leader's answer was lost; the change may or may not take "
-                                                "effect; resend it with the same Request-Id"));
+                responder.respond(failedResponse(ErrorCode::Unknown, request, "the cell leader's answer was lost"));
             } else {
-                responder.respond(errorResponse(serviceUnavailable, "unavailable",
-                                                "the cell leader can't be reached; nothing was changed"));
+                responder.respond(failedResponse(ErrorCode::Unavailable, request, "the cell leader can't be reached"));
             }
         });
 }
--- a/src/libs/entrynode/network.cpp
+++ b/src/libs/entrynode/network.cpp
@@ -87,6 +87,8 @@
     const auto endpoint = [](const Settings::Address &address) {
         return Transport::Endpoint{address.ip, address.port};
     };
+    callers_.onRejected([this](int status, std::string_view reason) { noteRejected("callers", status, reason); });
+    minions_.onRejected([this](int status, std::string_view reason) { noteRejected("minions", status, reason); });
     BOOST_OUTCOME_TRY(ports_.callers, callers_.listen(endpoint(settings_.listenCallers)));
     BOOST_OUTCOME_TRY(ports_.minions, minions_.listen(endpoint(settings_.listenMinions)));
     BOOST_OUTCOME_TRY(ports_.internal, internal_.listen(endpoint(settings_.listenInternal)));
@@ -106,11 +108,16 @@
 
 void Network::reject(const Responder &responder, std::string_view port, int status, std::string_view message)
 {
-    metrics_.add("entry_rejected_total{port=\"" + std::string(port) + "\"}");
-    logger_.write(LogLevel::Warning, "request-rejected", {{"port", port}, {"status", status}, {"reason", message}});
+    noteRejected(port, status, message);
     responder.respond(rejected(status, message));
 }
 
+void Network::noteRejected(std::string_view port, int status, std::string_view reason)
+{
+    metrics_.add("entry_rejected_total{port=\"" + std::string(port) + "\"}");
+    logger_.write(LogLevel::Warning, "request-rejected", {{"port", port}, {"status", status}, {"reason", reason}});
+}
+
 void Network::handleCaller(Request request, const Responder &responder)
 {
     CallerRequest parsed = readCallerRequest(request);
--- a/src/libs/entrynode/network.h
+++ b/src/libs/entrynode/network.h
@@ -65,6 +65,7 @@
     void handleForward(const Transport::Request &request, const Transport::Responder &responder);
     void handleAnnounce(const Transport::Request &request, const Transport::Responder &responder);
     void reject(const Transport::Responder &responder, std::string_view port, int status, std::string_view message);
+    void noteRejected(std::string_view port, int status, std::string_view reason);
 
     [[nodiscard]] std::string_view obstacle() const;
     [[nodiscard]] Routing::RequestId nextRequest();
--- a/src/libs/operatorapi/answers.cpp
+++ b/src/libs/operatorapi/answers.cpp
@@ -1,5 +1,7 @@
 #include "operatorapi/answers.h"
 
+#include "operatorapi/proposalfailure.h"
+
 #include "cell.pb.h"
 #include "zone.pb.h"
 
@@ -94,6 +96,13 @@
     }
 }
 
+} // namespace Pistachio::Operatorapi::Internal
+
+namespace Pistachio::Operatorapi
+{
+
+using namespace Internal;
+
 Answer proposalFailure(const Error &error, std::string_view requestId, std::string_view leaderAddress)
 {
     if (error.code == ErrorCode::NotLeader && !leaderAddress.empty()) {
@@ -111,4 +120,4 @@
     return failureAnswer(503, "unavailable", error.message, "Nothing was changed. Try again in a few seconds.");
 }
 
-} // namespace Pistachio::Operatorapi::Internal
+} // namespace Pistachio::Operatorapi
--- a/src/libs/operatorapi/answers.h
+++ b/src/libs/operatorapi/answers.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "core/error.h"
 #include "operatorapi/httpmessage.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -43,10 +42,4 @@
 /// \return its answer.
 Answer refusalAnswer(const Wire::ZoneResult &result, std::string_view requestId);
 
-/// \param error why a proposal has no result
-/// \param requestId the id of the request
-/// \param leaderAddress the operator port of the leader, or empty
-/// \return its answer.
-Answer proposalFailure(const Error &error, std::string_view requestId, std::string_view leaderAddress);
-
 } // namespace Pistachio::Operatorapi::Internal
--- a/src/libs/operatorapi/clusterrequests.cpp
+++ b/src/libs/operatorapi/clusterrequests.cpp
@@ -4,6 +4,7 @@
 #include "cellstate/cellstate.h"
 #include "operatorapi/answers.h"
 #include "operatorapi/clusterview.h"
+#include "operatorapi/proposalfailure.h"
 #include "operatorapi/requestfields.h"
 #include "zone.pb.h"
 
--- a/src/libs/operatorapi/requestfields.cpp
+++ b/src/libs/operatorapi/requestfields.cpp
@@ -4,6 +4,7 @@
 #include "cellstate/cellstate.h"
 #include "operatorapi/answers.h"
 #include "operatorapi/clusterview.h"
+#include "operatorapi/proposalfailure.h"
 #include "sheet/identifierfault.h"
 #include "sheet/utf8.h"
 
--- a/src/libs/transport/httpserver.cpp
+++ b/src/libs/transport/httpserver.cpp
@@ -44,12 +44,13 @@
 public:
     using Closed = std::function<void(const std::shared_ptr<HttpSession> &)>;
 
-    HttpSession(EventLoop::Context &context, Tcp::socket socket, const HttpServerLimits &limits, RequestHandler handler,
-                Closed closed)
+    HttpSession(EventLoop::Context &context, Tcp::socket socket, const HttpServerLimits &limits,
+                const HttpServer::RejectionObserver &rejected, RequestHandler handler, Closed closed)
         : context_(context)
         , socket_(std::move(socket))
         , timer_(context.io)
         , limits_(limits)
+        , rejected_(rejected)
         , handler_(std::move(handler))
         , onClosed_(std::move(closed))
     {
@@ -60,6 +61,8 @@
     void refuse()
     {
         stopping_ = true;
+        if (rejected_)
+            rejected_(503, "too many connections");
         answer(Response{503, {{"Retry-After", "1"}}, "too many connections\n"});
     }
 
@@ -169,6 +172,8 @@
         }
         keepAlive_ = false;
         headOnly_ = false;
+        if (rejected_)
+            rejected_(status, error.message());
         answer(Response{
             status, {{"Content-Type", "text/plain"}}, "the request was not accepted: " + error.message() + '\n'});
     }
@@ -255,6 +260,7 @@
     Tcp::socket socket_;
     boost::asio::steady_timer timer_;
     const HttpServerLimits &limits_;
+    const HttpServer::RejectionObserver &rejected_;
     RequestHandler handler_;
     Closed onClosed_;
     boost::beast::flat_buffer buffer_;
@@ -315,14 +321,16 @@
 
     [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
 
+    void onRejected(RejectionObserver observer) { rejected_ = std::move(observer); }
+
 private:
     void accepted(Tcp::socket socket)
     {
         if (stopping_)
             return;
-        // The session refers to the limits, so it keeps this object alive.
+        // The session refers to the limits and the observer, so it keeps this object alive.
         const auto session
-            = std::make_shared<HttpSession>(loop_.context(), std::move(socket), limits_, handler_,
+            = std::make_shared<HttpSession>(loop_.context(), std::move(socket), limits_, rejected_, handler_,
                                             [self = shared_from_this()](const std::shared_ptr<HttpSession> &closed) {
                                                 self->sessions_.erase(closed);
                                                 self->reportWhenEmpty();
@@ -344,6 +352,7 @@
 
     EventLoop &loop_;
     const HttpServerLimits limits_;
+    RejectionObserver rejected_;
     RequestHandler handler_;
     std::shared_ptr<Listener> listener_;
     std::set<std::shared_ptr<HttpSession>> sessions_;
@@ -367,6 +376,11 @@
     return implementation_->listen(endpoint);
 }
 
+void HttpServer::onRejected(RejectionObserver observer)
+{
+    implementation_->onRejected(std::move(observer));
+}
+
 void HttpServer::stop(Duration limit, std::function<void()> finished)
 {
     implementation_->stop(limit, std::move(finished));
--- a/src/libs/transport/httpserver.h
+++ b/src/libs/transport/httpserver.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string_view>
 
 namespace Pistachio::Transport
 {
@@ -37,6 +38,12 @@
     /// \return the port, or why the endpoint can't be used.
     Result<std::uint16_t> listen(const Endpoint &endpoint);
 
+    /// Gets the status and the reason of each request that the server answers by itself, on the loop's thread.
+    using RejectionObserver = std::function<void(int status, std::string_view reason)>;
+
+    /// \param observer set before listen()
+    void onRejected(RejectionObserver observer);
+
     /// Stops accepting, closes idle connections, and lets requests in flight finish, each with "Connection: close".
     /// \param limit after which the remaining connections are closed
     /// \param finished called on the loop's thread once no connection is left
--- a/tests/auto/transport/tst_http1.cpp
+++ b/tests/auto/transport/tst_http1.cpp
@@ -77,6 +77,11 @@
         limits.receiveTimeout = 50ms;
         limits.idleTimeout = 50ms;
         HttpServer server(loop_, limits, [&](const Request &, const Responder &) { ++handled; });
+        std::vector<int> observed;
+        server.onRejected([&](int status, std::string_view reason) {
+            CPPUNIT_ASSERT(!reason.empty());
+            observed.push_back(status);
+        });
         const auto port = server.listen({"127.0.0.1", 0}).value();
         const std::string post = "POST / HTTP/1.1\r\nHost: a\r\n";
         const auto equal = [&](std::string_view expected, const std::string &text) {
@@ -90,6 +95,7 @@
         equal("HTTP/1.1 400", post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
         equal("", "");
         CPPUNIT_ASSERT_EQUAL(0, handled);
+        CPPUNIT_ASSERT((std::vector<int>{400, 408, 408, 413, 431, 400}) == observed);
         equal("HTTP/1.1 500", post + "Connection: close\r\nContent-Length: 0\r\n\r\n");
         CPPUNIT_ASSERT_EQUAL(1, handled);
     }
