Let an entry know its region

Cause: without a region each zone counted as one of its own, so a request left its zone only as the last resort even for a near zone.

Change: the optional setting 'region' of an entry, announced to its peers.

--- a/src/libs/entrynode/entrynode.cpp
+++ b/src/libs/entrynode/entrynode.cpp
@@ -82,7 +82,7 @@
 int EntryNode::run()
 {
     Routing::RouterSettings router;
-    router.self = {d_->settings.instance, d_->settings.zone, d_->settings.zone.value()};
+    router.self = {d_->settings.instance, d_->settings.zone, d_->settings.region};
     router.attemptPrefix = d_->settings.instance.value() + '-' + d_->bootId;
     router.maxQueued = d_->settings.limits.maxQueuedRequests;
     Decisions decisions(
--- a/src/libs/entrynode/networklifecycle.cpp
+++ b/src/libs/entrynode/networklifecycle.cpp
@@ -54,6 +54,7 @@
     Wire::EntryInstance result;
     result.set_id(settings_.instance.value());
     result.set_zone(settings_.zone.value());
+    result.set_region(settings_.region);
     result.set_internal(address(settings_.listenInternal, ports_.internal));
     result.set_minions(address(settings_.listenMinions, ports_.minions));
     return result;
--- a/src/libs/settings/entrysettings.cpp
+++ b/src/libs/settings/entrysettings.cpp
@@ -58,6 +58,7 @@
     EntrySettings settings;
     settings.instance = InstanceId(reader.requiredString("instance"));
     settings.zone = ZoneId(reader.requiredString("zone"));
+    settings.region = reader.optionalString("region", settings.zone.value());
     reader.table("listen", [&](TableReader &listen) {
         settings.listenCallers = listen.requiredAddress("callers");
         settings.listenMinions = listen.requiredAddress("minions");
--- a/src/libs/settings/entrysettings.h
+++ b/src/libs/settings/entrysettings.h
@@ -42,6 +42,7 @@
 
     InstanceId instance;
     ZoneId zone;
+    std::string region; ///< of the zone; the zone's name when it is not set
     Address listenCallers;
     Address listenMinions;
     Address listenInternal;
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -81,6 +81,10 @@
         CPPUNIT_ASSERT(entry.has_value());
         CPPUNIT_ASSERT(entry.value().limits.drainTimeout == std::chrono::seconds(20));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1024}, entry.value().limits.maxQueuedRequests);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), entry.value().region);
+        std::string regional = entryText;
+        replace(regional, "zone = \"north\"\n[listen]", "zone = \"north\"\nregion = \"upper\"\n[listen]");
+        CPPUNIT_ASSERT_EQUAL(std::string("upper"), EntrySettings::load(write(regional)).value().region);
     }
 
     // Guards against a misspelt or mistyped key that is silently ignored, and against errors shown one at a time.
