Check in all schedules that no leader is confirmed after a later election

The leases rest on Replica::confirmedAt(), which had no test at its own level. Each schedule now compares it, on the leader's own clock, with the time of every later election.

--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -277,6 +277,11 @@
         if (!node->group || !node->group->isLeader())
             continue;
         checker.noteLeader(node->group->term(), node->id);
+        if (const auto [election, isNew] = elections_.try_emplace(node->group->term()); isNew) {
+            for (const auto &other : nodes)
+                election->second[other->id] = local(*other);
+        }
+        checkConfirmation(*node);
         for (const auto &other : nodes) {
             // A paused replica counts too: it could wake up now and be asked.
             if (other != node && other->group && other->group->isLeader() && other->group->hasAuthority(local(*other)))
@@ -285,6 +290,15 @@
     }
 }
 
+void Cluster::checkConfirmation(const Node &node)
+{
+    const TimePoint confirmed = node.group->confirmedAt(local(node));
+    for (auto later = elections_.upper_bound(node.group->term()); later != elections_.end(); ++later) {
+        if (confirmed > later->second.at(node.id))
+            checker.report("leadership of " + node.id.value() + " is confirmed after a later election");
+    }
+}
+
 Cluster::Node *Cluster::leader()
 {
     Node *found = nullptr;
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -160,10 +160,13 @@
     void flush(Node &node);
     void send(const std::vector<Message> &sent);
     void check();
+    /// A majority must not confirm a leader for a time after a later leader was elected.
+    void checkConfirmation(const Node &node);
 
     Membership initial_;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
     std::uint64_t order_ = 0;
+    std::map<Term, std::map<InstanceId, TimePoint>> elections_; ///< the local time of each node at each election
     std::map<std::pair<Term, LogIndex>, std::string> proposed_;
 };
 
