--- a/tests/auto/endtoend/tst_endtoend.cpp
+++ b/tests/auto/endtoend/tst_endtoend.cpp
@@ -4,9 +4,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <set>
+#include <unistd.h>
 
 using namespace Pistachio;
 using namespace Pistachio::EndToEnd;
@@ -47,6 +50,7 @@
 class EndToEndTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(EndToEndTest);
+    CPPUNIT_TEST(doubleRunsAreReported);
     CPPUNIT_TEST(sheetIsAppliedAndItsWorkRuns);
     CPPUNIT_TEST(tasksOfALostWorkerRunOnceElsewhere);
     CPPUNIT_TEST(changesSurviveLeadersOfThreeInstances);
@@ -161,6 +165,26 @@
     }
 
 public:
+    // Guards against a check of the journal that finds nothing whatever happened.
+    void doubleRunsAreReported()
+    {
+        auto path = (std::filesystem::temp_directory_path() / "pistachio-journal-XXXXXX").string();
+        ::close(::mkstemp(path.data()));
+        const auto overlaps = [&path](const std::string &lines, const std::map<std::string, std::int64_t> &deaths) {
+            std::ofstream(path) << lines;
+            return JournalView(path, deaths).overlaps();
+        };
+        const std::string first = "100 start web/0 1 worker-1 \n";
+        const std::string second = "200 start web/0 2 worker-2 \n";
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, overlaps(first + second, {}).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             overlaps(first + second + "250 stop web/0 1 worker-1 killed\n", {}).size());
+        CPPUNIT_ASSERT(overlaps(first + "150 stop web/0 1 worker-1 killed\n" + second, {}).empty());
+        CPPUNIT_ASSERT(overlaps(first + second, {{"worker-1", 180}}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, overlaps(first + second, {{"worker-1", 220}}).size());
+        std::filesystem::remove(path);
+    }
+
     // Guards against a broken path from the operator to the workers.
     void sheetIsAppliedAndItsWorkRuns()
     {
