--- a/src/libs/controlnode/decisions.cpp
+++ b/src/libs/controlnode/decisions.cpp
@@ -73,7 +73,7 @@
     auto options = groupOptions(cellGroup);
     if (options.initialMembers.voters.empty())
         return failure(ErrorCode::InvalidArgument, "the settings have no group \"cell\"");
-    BOOST_OUTCOME_TRY(cell_, GroupHost::open(std::move(options), fileSystem_, cellMachine_, seed("cell")));
+    BOOST_OUTCOME_TRY(cell_, Storage::GroupHost::open(std::move(options), fileSystem_, cellMachine_, seed("cell")));
     return success();
 }
 
@@ -177,7 +177,7 @@
     }
 }
 
-GroupHost *Decisions::findGroup(const GroupId &group)
+Storage::GroupHost *Decisions::findGroup(const GroupId &group)
 {
     if (group == cellGroup)
         return cell_.get();
@@ -224,7 +224,7 @@
     }
 }
 
-bool Decisions::flushGroup(GroupHost &group)
+bool Decisions::flushGroup(Storage::GroupHost &group)
 {
     return group.flush(EventLoop::now(),
                        [this](std::vector<Replication::Message> messages) { sendMessages(std::move(messages)); });
--- a/src/libs/controlnode/decisions.h
+++ b/src/libs/controlnode/decisions.h
@@ -58,7 +58,7 @@
     void handle(IncomingRequest &request);
     void receiveReplication(const std::string &body);
     void flushGroups();
-    bool flushGroup(GroupHost &group);
+    bool flushGroup(Storage::GroupHost &group);
     void sendMessages(std::vector<Replication::Message> messages);
     [[nodiscard]] bool hasFailedGroup() const;
     void tick(TimePoint now);
@@ -67,7 +67,7 @@
     void fillReport(Wire::ControlReport &report) const;
     [[nodiscard]] Operatorapi::StatusView status() const;
     [[nodiscard]] std::string cellRole() const;
-    [[nodiscard]] GroupHost *findGroup(const GroupId &group);
+    [[nodiscard]] Storage::GroupHost *findGroup(const GroupId &group);
 
     const Settings::ControlSettings &settings_;
     EventRing &events_;
@@ -78,7 +78,7 @@
     Directory directory_;
     PeerCalls calls_;
     CellMachine cellMachine_;
-    std::unique_ptr<GroupHost> cell_;
+    std::unique_ptr<Storage::GroupHost> cell_;
     ZoneRouter::Zones zones_;
     ZoneRouter router_;
     ClusterReports reports_;
--- a/src/libs/controlnode/membershipdriver.cpp
+++ b/src/libs/controlnode/membershipdriver.cpp
@@ -1,6 +1,6 @@
 #include "controlnode/membershipdriver.h"
 
-#include "controlnode/grouphost.h"
+#include "storage/grouphost.h"
 
 #include <algorithm>
 #include <utility>
@@ -70,7 +70,7 @@
     return std::nullopt;
 }
 
-void MembershipDriver::tick(TimePoint now, GroupHost &group, const Instances &instances)
+void MembershipDriver::tick(TimePoint now, Storage::GroupHost &group, const Instances &instances)
 {
     if (*open_ || now < notBefore_ || instances.empty() || !group.canAnswer(now))
         return;
--- a/src/libs/controlnode/membershipdriver.h
+++ b/src/libs/controlnode/membershipdriver.h
@@ -9,10 +9,13 @@
 #include <memory>
 #include <optional>
 
-namespace Pistachio::Controlnode
+namespace Pistachio::Storage
 {
-
 class GroupHost;
+}
+
+namespace Pistachio::Controlnode
+{
 
 /// Brings the members of one group in line with the instances that operators added, one change at a time.
 class MembershipDriver
@@ -24,7 +27,7 @@
     explicit MembershipDriver(ZoneId zone);
 
     /// Proposes the next change when this instance leads the group and no change is open.
-    void tick(TimePoint now, GroupHost &group, const Instances &instances);
+    void tick(TimePoint now, Storage::GroupHost &group, const Instances &instances);
 
     /// An instance becomes a learner first. It is promoted when it replaces a voter, or when a zone group has too few
     /// voters, and only then the replaced one is removed.
--- a/src/libs/controlnode/operatorrequests.cpp
+++ b/src/libs/controlnode/operatorrequests.cpp
@@ -63,7 +63,7 @@
 
 } // namespace
 
-OperatorRequests::OperatorRequests(const Cellstate::CellState &state, GroupHost &cell, ClusterReports &reports,
+OperatorRequests::OperatorRequests(const Cellstate::CellState &state, Storage::GroupHost &cell, ClusterReports &reports,
                                    ZoneRouter &zones, const Directory &directory, PeerCalls &calls)
     : api_(state, reports)
     , cell_(cell)
--- a/src/libs/controlnode/operatorrequests.h
+++ b/src/libs/controlnode/operatorrequests.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "controlnode/clusterreports.h"
-#include "controlnode/grouphost.h"
 #include "controlnode/zonerouter.h"
 #include "operatorapi/operatorapi.h"
+#include "storage/grouphost.h"
 #include "transport/message.h"
 
 namespace Pistachio::Controlnode
@@ -13,8 +13,8 @@
 class OperatorRequests
 {
 public:
-    OperatorRequests(const Cellstate::CellState &state, GroupHost &cell, ClusterReports &reports, ZoneRouter &zones,
-                     const Directory &directory, PeerCalls &calls);
+    OperatorRequests(const Cellstate::CellState &state, Storage::GroupHost &cell, ClusterReports &reports,
+                     ZoneRouter &zones, const Directory &directory, PeerCalls &calls);
 
     /// \param request the request, its token already checked
     /// \param forwarded whether another instance handed it over; it is then not forwarded again
@@ -27,7 +27,7 @@
     void carryOut(const Operatorapi::ZoneProposal &proposal, const Transport::Responder &responder);
 
     Operatorapi::OperatorApi api_;
-    GroupHost &cell_;
+    Storage::GroupHost &cell_;
     ClusterReports &reports_;
     ZoneRouter &zones_;
     const Directory &directory_;
--- a/src/libs/controlnode/upkeep.cpp
+++ b/src/libs/controlnode/upkeep.cpp
@@ -17,7 +17,7 @@
 constexpr Duration callLimit = 4s;
 } // namespace
 
-Upkeep::Upkeep(GroupHost &cell, const ZoneRouter::Zones &zones, const Directory &directory, PeerCalls &calls)
+Upkeep::Upkeep(Storage::GroupHost &cell, const ZoneRouter::Zones &zones, const Directory &directory, PeerCalls &calls)
     : cell_(cell)
     , zones_(zones)
     , directory_(directory)
--- a/src/libs/controlnode/upkeep.h
+++ b/src/libs/controlnode/upkeep.h
@@ -20,7 +20,7 @@
 class Upkeep
 {
 public:
-    Upkeep(GroupHost &cell, const ZoneRouter::Zones &zones, const Directory &directory, PeerCalls &calls);
+    Upkeep(Storage::GroupHost &cell, const ZoneRouter::Zones &zones, const Directory &directory, PeerCalls &calls);
 
     void tick(TimePoint now, const Cellstate::CellState &state);
 
@@ -31,7 +31,7 @@
     void release(TimePoint now, ZoneHost &zone, const Cellstate::CellState &state);
     void propose(TimePoint now, const ZoneId &zone, const Wire::CellCommand &command);
 
-    GroupHost &cell_;
+    Storage::GroupHost &cell_;
     const ZoneRouter::Zones &zones_;
     const Directory &directory_;
     PeerCalls &calls_;
--- a/src/libs/controlnode/zonehost.cpp
+++ b/src/libs/controlnode/zonehost.cpp
@@ -62,7 +62,7 @@
 
 Result<void> ZoneHost::open(Storage::GroupOptions options, Storage::FileSystem &fileSystem, std::uint64_t seed)
 {
-    BOOST_OUTCOME_TRY(host_, GroupHost::open(std::move(options), fileSystem, machine_, seed));
+    BOOST_OUTCOME_TRY(host_, Storage::GroupHost::open(std::move(options), fileSystem, machine_, seed));
     machine_.setObservers(
         [this](const Wire::ZoneCommand &command, const Wire::ZoneResult &result) {
             scheduler_->applied(moment(Transport::EventLoop::now()), command, result);
--- a/src/libs/controlnode/zonehost.h
+++ b/src/libs/controlnode/zonehost.h
@@ -3,10 +3,10 @@
 #include "controlnode/bookingrelease.h"
 #include "controlnode/cellinforce.h"
 #include "controlnode/configurationfeed.h"
-#include "controlnode/grouphost.h"
 #include "controlnode/statemachines.h"
 #include "core/identifier.h"
 #include "core/time.h"
+#include "storage/grouphost.h"
 #include "transport/message.h"
 
 #include <cstdint>
@@ -53,8 +53,8 @@
     Result<void> open(Storage::GroupOptions options, Storage::FileSystem &fileSystem, std::uint64_t seed);
 
     [[nodiscard]] const ZoneId &zone() const { return zone_; }
-    [[nodiscard]] GroupHost &host() { return *host_; }
-    [[nodiscard]] const GroupHost &host() const { return *host_; }
+    [[nodiscard]] Storage::GroupHost &host() { return *host_; }
+    [[nodiscard]] const Storage::GroupHost &host() const { return *host_; }
     [[nodiscard]] const ZoneState::ZoneState &state() const { return machine_.state(); }
 
     void workerSync(TimePoint now, const std::string &body, const Transport::Responder &responder);
@@ -102,7 +102,7 @@
     CellInForce cell_;
     ZoneMachine machine_;
     std::unique_ptr<Scheduler::ZoneScheduler> scheduler_;
-    std::unique_ptr<GroupHost> host_;
+    std::unique_ptr<Storage::GroupHost> host_;
     ConfigurationFeed feed_;
     BookingRelease release_;
     std::map<std::string, WaitingSync> waiting_;
--- /dev/null
+++ b/src/libs/jobnode/callercalls.cpp
@@ -0,0 +1,131 @@
+#include "jobnode/callercalls.h"
+
+#include "jobnode/instanceid.h"
+#include "jobnode/peers.h"
+#include "transport/eventloop.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pistachio::Jobnode
+{
+
+using Transport::EventLoop;
+
+namespace
+{
+constexpr Duration attemptLimit = 1s; ///< a commit takes tens of ms; longer means that the leader is gone
+constexpr Duration retryDelay = 80ms;
+} // namespace
+
+struct CallerCalls::Attempt {
+    std::uint64_t id = 0;
+    std::string body;
+    bool isChange = false;
+    TimePoint deadline{};
+    Answered answered;
+    Transport::Timer timer;
+    bool mayHaveTakenEffect = false;
+    std::string reason;
+};
+
+CallerCalls::CallerCalls(Transport::EventLoop &loop, Peers &peers, std::vector<std::string> seeds)
+    : loop_(loop)
+    , peers_(peers)
+    , seeds_(std::move(seeds))
+{
+    if (!seeds_.empty())
+        target_ = seeds_.front();
+}
+
+CallerCalls::~CallerCalls() = default;
+
+void CallerCalls::targetFailed(const std::string &ip)
+{
+    if (ip != target_ || seeds_.empty())
+        return;
+    target_ = seeds_[nextSeed_++ % seeds_.size()];
+}
+
+void CallerCalls::call(const Wire::JobCall &call, Duration limit, Answered answered)
+{
+    auto attempt = std::make_shared<Attempt>();
+    attempt->id = nextId_++;
+    attempt->body = call.SerializeAsString();
+    attempt->isChange = call.has_submission() || call.cancel();
+    attempt->deadline = EventLoop::now() + limit;
+    attempt->answered = std::move(answered);
+    open_[attempt->id] = attempt;
+    ++inFlight_;
+    send(attempt);
+}
+
+void CallerCalls::send(const std::shared_ptr<Attempt> &attempt)
+{
+    const auto left = attempt->deadline - EventLoop::now();
+    if (left <= Duration::zero()) {
+        Wire::JobReply reply;
+        reply.set_verdict(attempt->mayHaveTakenEffect ? Wire::JOB_VERDICT_UNKNOWN : Wire::JOB_VERDICT_UNAVAILABLE);
+        reply.set_reason(attempt->reason);
+        finish(attempt, reply);
+        return;
+    }
+    const auto ip = target_;
+    peers_.call(ip, "/jobs/call", attempt->body, std::min(left, attemptLimit),
+                [this, attempt, ip](const Transport::CallResult &result) {
+                    if (!result) {
+                        attempt->reason = result.error().error.message;
+                        attempt->mayHaveTakenEffect
+                            = attempt->mayHaveTakenEffect || (attempt->isChange && result.error().written);
+                        targetFailed(ip);
+                        retry(attempt, retryDelay);
+                        return;
+                    }
+                    Wire::JobReply reply;
+                    if (result.value().status != 200 || !reply.ParseFromString(result.value().body)) {
+                        attempt->reason = "status " + std::to_string(result.value().status) + " from " + ip;
+                        targetFailed(ip);
+                        retry(attempt, retryDelay);
+                        return;
+                    }
+                    if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER) {
+                        attempt->reason = ip + " does not lead";
+                        if (reply.leader().empty()) {
+                            targetFailed(ip);
+                            retry(attempt, retryDelay);
+                        } else {
+                            const bool isNew = target_ == ip;
+                            target_ = ipOf(InstanceId(reply.leader()));
+                            retry(attempt, isNew ? Duration::zero() : retryDelay);
+                        }
+                        return;
+                    }
+                    if (reply.verdict() == Wire::JOB_VERDICT_UNKNOWN) {
+                        attempt->reason = reply.reason();
+                        attempt->mayHaveTakenEffect = true;
+                        retry(attempt, retryDelay);
+                        return;
+                    }
+                    // An earlier attempt may have got through where this one did not.
+                    if (reply.verdict() == Wire::JOB_VERDICT_UNAVAILABLE && attempt->mayHaveTakenEffect)
+                        reply.set_verdict(Wire::JOB_VERDICT_UNKNOWN);
+                    finish(attempt, reply);
+                });
+}
+
+void CallerCalls::retry(const std::shared_ptr<Attempt> &attempt, Duration delay)
+{
+    attempt->timer = loop_.callAfter(delay, [this, attempt] { send(attempt); });
+}
+
+void CallerCalls::finish(const std::shared_ptr<Attempt> &attempt, const Wire::JobReply &reply)
+{
+    if (open_.erase(attempt->id) == 0)
+        return;
+    --inFlight_;
+    attempt->answered(reply);
+}
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/callercalls.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Pistachio::Transport
+{
+class EventLoop;
+}
+
+namespace Pistachio::Wire
+{
+class JobCall;
+class JobReply;
+} // namespace Pistachio::Wire
+
+namespace Pistachio::Jobnode
+{
+
+class Peers;
+
+/// Carries callers' requests to the leader of the job group, whoever that is, and again after a failure. Handing a job
+/// in again is harmless, since it keeps its id.
+class CallerCalls
+{
+public:
+    using Answered = std::function<void(const Wire::JobReply &)>;
+
+    /// \param seeds the addresses of control instances
+    CallerCalls(Transport::EventLoop &loop, Peers &peers, std::vector<std::string> seeds);
+    ~CallerCalls();
+
+    /// \param limit until the last verdict is given: UNAVAILABLE when no attempt can have taken effect, else UNKNOWN
+    /// \param answered called exactly once, later
+    void call(const Wire::JobCall &call, Duration limit, Answered answered);
+
+    /// \return the address believed to lead.
+    [[nodiscard]] const std::string &target() const { return target_; }
+    void learnLeader(const std::string &ip) { target_ = ip; }
+    /// Turns to the next instance after the current one failed.
+    void targetFailed(const std::string &ip);
+    [[nodiscard]] std::size_t inFlight() const { return inFlight_; }
+
+private:
+    struct Attempt;
+    void send(const std::shared_ptr<Attempt> &attempt);
+    void retry(const std::shared_ptr<Attempt> &attempt, Duration delay);
+    void finish(const std::shared_ptr<Attempt> &attempt, const Wire::JobReply &reply);
+
+    Transport::EventLoop &loop_;
+    Peers &peers_;
+    std::vector<std::string> seeds_;
+    std::size_t nextSeed_ = 0;
+    std::string target_;
+    std::size_t inFlight_ = 0;
+    std::uint64_t nextId_ = 1;
+    std::map<std::uint64_t, std::shared_ptr<Attempt>> open_;
+};
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/controlservice.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "jobs/orders.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Pistachio::Wire
+{
+class JobConfiguration;
+class JobReply;
+} // namespace Pistachio::Wire
+
+namespace Pistachio::Jobnode
+{
+
+/// What a control instance does for minions and operators. All of it is refused unless it leads the job group.
+class ControlService
+{
+public:
+    ControlService() = default;
+    ControlService(const ControlService &) = delete;
+    ControlService &operator=(const ControlService &) = delete;
+    virtual ~ControlService() = default;
+
+    /// \return whether this instance can answer for the group.
+    [[nodiscard]] virtual bool canAnswer() const = 0;
+
+    /// \return the address of the instance that leads as far as this one knows, or an empty string.
+    [[nodiscard]] virtual std::string leaderIp() const = 0;
+
+    /// \param stored gets whether what the report says is stored
+    virtual void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) = 0;
+    virtual void minionLeft(const Jobs::MinionLife &life) = 0;
+
+    /// \param answered gets ACCEPTED once a configuration at least as new is in force
+    virtual void configure(const Wire::JobConfiguration &configuration,
+                           std::function<void(const Wire::JobReply &)> answered)
+        = 0;
+
+    /// \param answered gets the newest configuration as the operator sent it; nothing when it can't be known
+    virtual void readConfiguration(std::function<void(std::optional<std::string> document)> answered) = 0;
+};
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/jobcalls.cpp
@@ -0,0 +1,160 @@
+#include "jobnode/jobcalls.h"
+
+#include "jobnode/jobgroup.h"
+#include "jobs/jobbook.h"
+#include "jobs/jobvalidation.h"
+#include "storage/replicatedgroup.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pistachio::Jobnode
+{
+
+namespace
+{
+
+constexpr std::size_t idLength = 16;
+
+bool isJobId(std::string_view text)
+{
+    return text.size() == idLength && std::all_of(text.begin(), text.end(), [](char c) {
+               return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') || (c >= 'A' && c <= 'F');
+           });
+}
+
+Wire::JobReply reply(Wire::JobVerdict verdict, std::string reason = {})
+{
+    Wire::JobReply result;
+    result.set_verdict(verdict);
+    result.set_reason(std::move(reason));
+    return result;
+}
+
+Wire::JobState toWire(const Jobs::Job &job)
+{
+    switch (job.phase()) {
+    case Jobs::JobPhase::Active:
+        return job.hasBegun() ? Wire::JOB_STATE_RUNNING : Wire::JOB_STATE_QUEUED;
+    case Jobs::JobPhase::Completed:
+        return Wire::JOB_STATE_COMPLETED;
+    case Jobs::JobPhase::Failed:
+        return Wire::JOB_STATE_FAILED;
+    case Jobs::JobPhase::Cancelled:
+        return Wire::JOB_STATE_CANCELLED;
+    }
+    return Wire::JOB_STATE_UNSPECIFIED;
+}
+
+} // namespace
+
+JobCalls::JobCalls(const Jobs::JobBook &book, JobGroup &group, std::function<std::int64_t()> unixMs)
+    : book_(book)
+    , group_(group)
+    , unixMs_(std::move(unixMs))
+{
+}
+
+Wire::JobReply JobCalls::notLeader() const
+{
+    auto result = reply(Wire::JOB_VERDICT_NOT_LEADER);
+    if (group_.replica().leaderHint() != group_.self())
+        result.set_leader(group_.replica().leaderHint().value());
+    return result;
+}
+
+void JobCalls::handle(TimePoint now, const Wire::JobCall &call, Answered answered)
+{
+    if (!group_.canAnswer(now)) {
+        answered(notLeader());
+        return;
+    }
+    if (book_.configuration().version() == 0) {
+        answered(reply(Wire::JOB_VERDICT_UNAVAILABLE, "no configuration is in force yet"));
+        return;
+    }
+    const auto *queue = book_.queueAt(call.host(), call.path());
+    if (!queue) {
+        answered(reply(Wire::JOB_VERDICT_NO_SUCH_QUEUE, "no queue at " + call.host() + call.path()));
+        return;
+    }
+    const auto key = Jobs::JobBook::queueKey(*queue);
+    const auto id = call.path().substr(queue->path_prefix().size());
+    if (!call.has_submission() && !call.cancel()) {
+        read(key, id, answered);
+        return;
+    }
+    if (!isJobId(id)) {
+        answered(reply(Wire::JOB_VERDICT_INVALID, "not a job id of 16 hexadecimal digits: '" + id + "'"));
+        return;
+    }
+    Wire::JobCommand command;
+    if (call.cancel()) {
+        if (!book_.job(id)) {
+            answered(reply(Wire::JOB_VERDICT_NO_SUCH_JOB));
+            return;
+        }
+        command.set_cancelled_job(id);
+        propose(now, command, std::move(answered));
+        return;
+    }
+    if (const auto valid = Jobs::checkJob(call.submission()); !valid) {
+        answered(reply(Wire::JOB_VERDICT_INVALID, valid.error().message));
+        return;
+    }
+    if (book_.job(id)) {
+        answered(reply(Wire::JOB_VERDICT_ACCEPTED));
+        return;
+    }
+    auto &submission = *command.mutable_submission();
+    submission.set_id(id);
+    submission.set_queue(key);
+    *submission.mutable_spec() = call.submission();
+    submission.set_accepted_unix_ms(unixMs_());
+    propose(now, command, std::move(answered));
+}
+
+void JobCalls::read(const std::string &queueKey, const std::string &id, const Answered &answered) const
+{
+    auto result = reply(Wire::JOB_VERDICT_ACCEPTED);
+    if (id.empty()) {
+        result.set_is_queue(true);
+        result.set_pending(book_.pendingJobs(queueKey));
+        answered(std::move(result));
+        return;
+    }
+    const auto *job = book_.job(id);
+    if (!job) {
+        answered(reply(Wire::JOB_VERDICT_NO_SUCH_JOB));
+        return;
+    }
+    result.set_state(toWire(*job));
+    answered(std::move(result));
+}
+
+void JobCalls::propose(TimePoint now, const Wire::JobCommand &command, Answered answered)
+{
+    group_.propose(now, command.SerializeAsString(), [this, answered](const Result<std::string> &result) {
+        if (result) {
+            Wire::JobReply decoded;
+            if (!decoded.ParseFromString(result.value()))
+                decoded = reply(Wire::JOB_VERDICT_UNKNOWN, "the answer can't be read");
+            answered(std::move(decoded));
+            return;
+        }
+        switch (result.error().code) {
+        case ErrorCode::NotLeader:
+            answered(notLeader());
+            return;
+        case ErrorCode::Unavailable:
+            answered(reply(Wire::JOB_VERDICT_UNAVAILABLE, result.error().message));
+            return;
+        default:
+            answered(reply(Wire::JOB_VERDICT_UNKNOWN, result.error().message));
+        }
+    });
+}
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/jobcalls.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <functional>
+#include <string>
+
+namespace Pistachio::Jobs
+{
+class JobBook;
+}
+
+namespace Pistachio::Wire
+{
+class JobCall;
+class JobCommand;
+class JobReply;
+} // namespace Pistachio::Wire
+
+namespace Pistachio::Jobnode
+{
+
+class JobGroup;
+
+/// Answers callers' requests at the leader of the job group. Nothing is answered from a state that may be stale.
+class JobCalls
+{
+public:
+    using Answered = std::function<void(Wire::JobReply)>;
+
+    /// \param book the state of \p group
+    /// \param unixMs reads the time of day
+    JobCalls(const Jobs::JobBook &book, JobGroup &group, std::function<std::int64_t()> unixMs);
+
+    /// \param answered called exactly once, possibly before this function returns
+    void handle(TimePoint now, const Wire::JobCall &call, Answered answered);
+
+    /// Proposes a command and passes on its verdict; NOT_LEADER and UNAVAILABLE mean that nothing was done.
+    void propose(TimePoint now, const Wire::JobCommand &command, Answered answered);
+
+    /// \return a reply that names the leader as far as it is known.
+    [[nodiscard]] Wire::JobReply notLeader() const;
+
+private:
+    void read(const std::string &queueKey, const std::string &id, const Answered &answered) const;
+
+    const Jobs::JobBook &book_;
+    JobGroup &group_;
+    std::function<std::int64_t()> unixMs_;
+};
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -0,0 +1,477 @@
+#include "jobnode/jobcontrol.h"
+
+#include "jobnode/adviceclient.h"
+#include "jobnode/adviserpool.h"
+#include "jobnode/jobcalls.h"
+#include "jobnode/jobgroup.h"
+#include "jobnode/memberchanges.h"
+#include "jobnode/minionclient.h"
+#include "jobnode/noderuntime.h"
+#include "jobnode/peers.h"
+#include "jobs/jobbook.h"
+#include "jobs/jobscheduler.h"
+#include "storage/posixfilesystem.h"
+#include "storage/replicatedgroup.h"
+#include "transport/http2server.h"
+
+#include <jobs.pb.h>
+
+#include <utility>
+
+namespace Pistachio::Jobnode
+{
+
+using Logging::LogLevel;
+using Transport::EventLoop;
+
+namespace
+{
+
+constexpr Duration leaderTick = 20ms; ///< bounds how long a free minion waits for its next task
+constexpr Duration followerTick = 50ms;
+constexpr Duration memberInterval = 500ms;
+constexpr Duration announceInterval = 1s;
+constexpr Duration announceLimit = 900ms;
+constexpr Duration leaseShare = 1s; ///< the lease is shorter than the minions' limit by this
+constexpr Duration stopLimit = 500ms;
+
+Jobs::Now momentNow()
+{
+    return {EventLoop::now(), NodeRuntime::unixMs()};
+}
+
+Transport::Response bytes(std::string body)
+{
+    return {200, {{"Content-Type", "application/x-protobuf"}}, std::move(body)};
+}
+
+Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
+{
+    Jobs::SchedulerSettings result;
+    result.lease = settings.longestLease > 2 * leaseShare ? settings.longestLease - leaseShare : settings.longestLease;
+    result.stopTimeout = settings.stopTimeout;
+    return result;
+}
+
+} // namespace
+
+struct JobControl::Private {
+    Private(const Settings::JobSettings &jobSettings, NodeRuntime &nodeRuntime, MinionClient &minionClient,
+            AdviceClient &adviceClient, JobControl &owner)
+        : settings(jobSettings)
+        , runtime(nodeRuntime)
+        , minions(minionClient)
+        , advice(adviceClient)
+        , peers(nodeRuntime.loop(), jobSettings.internalPort)
+        , scheduler(book, owner, schedulerSettings(jobSettings))
+        , advisers(adviceClient, peers)
+        , members(2 * jobSettings.toleratedLosses + 1)
+        , server(nodeRuntime.loop(), serverLimits(),
+                 [&owner](Transport::Request request, const Transport::Responder &responder) {
+                     owner.handleInternal(std::move(request), responder);
+                 })
+    {
+    }
+
+    static Transport::Http2ServerLimits serverLimits()
+    {
+        Transport::Http2ServerLimits limits;
+        limits.bodyBytes = 64U << 20;
+        return limits;
+    }
+
+    const Settings::JobSettings &settings;
+    NodeRuntime &runtime;
+    MinionClient &minions;
+    AdviceClient &advice;
+    Storage::PosixFileSystem files;
+    Peers peers;
+    Jobs::JobBook book;
+    Jobs::JobScheduler scheduler;
+    AdviserPool advisers;
+    MemberChanges members;
+    std::unique_ptr<JobGroup> group;
+    std::unique_ptr<JobCalls> calls;
+    Transport::Http2Server server;
+    Transport::Timer tickTimer;
+    TimePoint nextMemberChange{};
+    TimePoint nextAnnounce{};
+    bool flushPosted = false;
+    bool memberChangeOpen = false;
+    std::uint64_t ledTerm = 0;
+    std::string lastLeader;
+};
+
+JobControl::JobControl(const Settings::JobSettings &settings, NodeRuntime &runtime, MinionClient &minions,
+                       AdviceClient &advice)
+    : d_(std::make_unique<Private>(settings, runtime, minions, advice, *this))
+{
+}
+
+JobControl::~JobControl() = default;
+
+Result<void> JobControl::open()
+{
+    const auto &settings = d_->settings;
+    std::vector<std::string> seeds;
+    for (const auto &seed : settings.seeds)
+        seeds.push_back(seed.ip);
+    BOOST_OUTCOME_TRY(const auto identity,
+                      loadIdentity(d_->files, settings.dataFolder, settings.ip, seeds, settings.bootstrap));
+    BOOST_OUTCOME_TRY(d_->group, JobGroup::open(d_->files, settings.dataFolder, identity, d_->book, d_->peers));
+    d_->calls = std::make_unique<JobCalls>(d_->book, *d_->group, [] { return NodeRuntime::unixMs(); });
+    BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.ip, settings.internalPort}));
+    d_->runtime.logger().write(LogLevel::Info, "started",
+                               {{"id", identity.id.value()},
+                                {"internal_port", port},
+                                {"bootstrap", settings.bootstrap},
+                                {"voters", identity.initialMembers.voters.size()},
+                                {"applied", d_->group->replica().appliedIndex()},
+                                {"term", d_->group->replica().term()}});
+    scheduleTick();
+    return success();
+}
+
+void JobControl::stop(std::function<void()> finished)
+{
+    d_->tickTimer.cancel();
+    d_->scheduler.stopLeading();
+    d_->server.stop(stopLimit, std::move(finished));
+}
+
+void JobControl::scheduleTick()
+{
+    d_->tickTimer = d_->runtime.loop().callAfter(d_->scheduler.isLeading() ? leaderTick : followerTick, [this] {
+        tick();
+        scheduleTick();
+    });
+}
+
+void JobControl::tick()
+{
+    const auto now = EventLoop::now();
+    d_->group->tick(now);
+    flush();
+    // Without a majority no order goes out: a later leader may exist.
+    if (d_->scheduler.isLeading() && d_->group->canAnswer(now))
+        d_->scheduler.tick(momentNow());
+    changeMembers();
+    announce();
+    flush();
+}
+
+/// Events of one round share a write to the disk.
+void JobControl::changed()
+{
+    if (std::exchange(d_->flushPosted, true))
+        return;
+    d_->runtime.loop().post([this] {
+        d_->flushPosted = false;
+        flush();
+    });
+}
+
+void JobControl::flush()
+{
+    d_->group->flush(EventLoop::now());
+    followLeadership();
+    if (const auto &failure = d_->group->replica().failure()) {
+        d_->runtime.logger().write(LogLevel::Error, "replica-failed", {{"reason", failure->message}});
+        d_->runtime.loop().stop();
+    }
+}
+
+void JobControl::followLeadership()
+{
+    const auto &replica = d_->group->replica();
+    const bool leads = d_->group->isLeaderWithState();
+    if (d_->scheduler.isLeading() && (!leads || replica.term() != d_->ledTerm))
+        d_->scheduler.stopLeading();
+    if (leads && !d_->scheduler.isLeading()) {
+        d_->ledTerm = replica.term();
+        d_->scheduler.lead(momentNow(), replica.term());
+        changed();
+    }
+    if (replica.leaderHint().value() != d_->lastLeader) {
+        d_->lastLeader = replica.leaderHint().value();
+        d_->runtime.logger().write(LogLevel::Info, "leader-seen",
+                                   {{"leader", d_->lastLeader}, {"term", replica.term()}});
+    }
+}
+
+void JobControl::changeMembers()
+{
+    const auto now = EventLoop::now();
+    if (d_->memberChangeOpen || now < d_->nextMemberChange || !d_->group->canAnswer(now))
+        return;
+    d_->nextMemberChange = now + memberInterval;
+    const auto &replica = d_->group->replica();
+    const auto change = d_->members.next(now, d_->group->self(), replica.membership(), replica.memberStatus(now));
+    if (!change)
+        return;
+    d_->memberChangeOpen = true;
+    d_->group->proposeMembership(now, *change, [this, change = *change](const Result<std::string> &result) {
+        d_->memberChangeOpen = false;
+        d_->runtime.logger().write(LogLevel::Info, "membership-change",
+                                   {{"kind", static_cast<int>(change.kind)},
+                                    {"instance", change.instance.value()},
+                                    {"result", result ? std::string("done") : result.error().message}});
+    });
+}
+
+/// Tells the leader that this instance is there, so that it can be a member and ask for advice.
+void JobControl::announce()
+{
+    const auto now = EventLoop::now();
+    if (now < d_->nextAnnounce)
+        return;
+    d_->nextAnnounce = now + announceInterval;
+    if (d_->group->isLeaderWithState())
+        return;
+    Wire::JobJoin join;
+    join.set_instance(d_->group->self().value());
+    const auto body = join.SerializeAsString();
+    const auto leader = leaderIp();
+    if (!leader.empty()) {
+        d_->peers.call(leader, "/jobs/join", body, announceLimit, [](const Transport::CallResult &) {});
+        return;
+    }
+    for (const auto &seed : d_->settings.seeds) {
+        if (seed.ip != d_->settings.ip)
+            d_->peers.call(seed.ip, "/jobs/join", body, announceLimit, [](const Transport::CallResult &) {});
+    }
+}
+
+void JobControl::handleInternal(Transport::Request request, const Transport::Responder &responder)
+{
+    if (request.target == "/jobs/replication") {
+        if (!d_->group->receive(EventLoop::now(), request.body))
+            d_->runtime.logger().write(LogLevel::Warning, "replication-unreadable", {{"bytes", request.body.size()}});
+        responder.respond({204, {}, {}});
+        changed();
+    } else if (request.target == "/jobs/call") {
+        handleCall(request, responder);
+    } else if (request.target == "/jobs/join") {
+        handleJoin(request, responder);
+    } else if (request.target == "/jobs/advice") {
+        handleAdvice(request, responder);
+    } else {
+        responder.respond({404, {}, {}});
+    }
+}
+
+void JobControl::handleCall(const Transport::Request &request, const Transport::Responder &responder)
+{
+    Wire::JobCall call;
+    if (!call.ParseFromString(request.body)) {
+        responder.respond({400, {}, "not a job call"});
+        return;
+    }
+    const auto begun = EventLoop::now();
+    d_->calls->handle(begun, call, [this, call, begun, responder](const Wire::JobReply &reply) {
+        logCall(call, reply, EventLoop::now() - begun);
+        responder.respond(bytes(reply.SerializeAsString()));
+    });
+    changed();
+}
+
+void JobControl::logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took)
+{
+    const std::string_view kind = call.has_submission() ? "submit" : call.cancel() ? "cancel" : "read";
+    auto &metrics = d_->runtime.metrics();
+    metrics.add("job_calls_total{kind=\"" + std::string(kind) + "\",verdict=\"" + std::to_string(reply.verdict())
+                + "\"}");
+    if (kind == "read")
+        return;
+    metrics.observe("job_" + std::string(kind) + "_seconds", static_cast<double>(took.count()) / 1e6);
+    d_->runtime.logger().write(LogLevel::Info, kind == "submit" ? "job-submitted" : "job-cancelled",
+                               {{"path", call.path()},
+                                {"verdict", static_cast<int>(reply.verdict())},
+                                {"reason", reply.reason()},
+                                {"configuration", d_->book.configuration().version()},
+                                {"term", d_->group->replica().term()},
+                                {"took_ms", took / 1ms}});
+}
+
+void JobControl::handleJoin(const Transport::Request &request, const Transport::Responder &responder)
+{
+    Wire::JobJoin join;
+    if (!join.ParseFromString(request.body)) {
+        responder.respond({400, {}, "not a join"});
+        return;
+    }
+    const auto now = EventLoop::now();
+    if (!d_->group->canAnswer(now)) {
+        responder.respond(bytes(d_->calls->notLeader().SerializeAsString()));
+        return;
+    }
+    const InstanceId instance(join.instance());
+    if (!join.is_entry())
+        d_->members.seen(now, instance);
+    d_->advisers.peerSeen(now, std::string(ipOf(instance)));
+    Wire::JobReply reply;
+    reply.set_verdict(d_->book.configuration().version() > 0 ? Wire::JOB_VERDICT_ACCEPTED
+                                                             : Wire::JOB_VERDICT_UNAVAILABLE);
+    responder.respond(bytes(reply.SerializeAsString()));
+}
+
+void JobControl::handleAdvice(const Transport::Request &request, const Transport::Responder &responder)
+{
+    Wire::JobAdviceCall call;
+    if (!call.ParseFromString(request.body)) {
+        responder.respond({400, {}, "not a request for advice"});
+        return;
+    }
+    Jobs::AdviceRequest asked{{call.job(), call.occurrence(), call.step()},
+                              {call.minions().begin(), call.minions().end()}};
+    d_->advice.ask(asked, [responder](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
+        Wire::JobAdviceReply reply;
+        reply.set_answered(answered);
+        for (const auto &row : approved) {
+            auto &ticket = *reply.add_approved();
+            ticket.set_minion(row.minion);
+            ticket.set_ticket(row.ticket);
+        }
+        responder.respond(bytes(reply.SerializeAsString()));
+    });
+}
+
+bool JobControl::canAnswer() const
+{
+    return d_->group->canAnswer(EventLoop::now());
+}
+
+std::string JobControl::leaderIp() const
+{
+    const auto leader = d_->group->replica().leaderHint();
+    return leader == d_->group->self() ? std::string() : std::string(ipOf(leader));
+}
+
+void JobControl::minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored)
+{
+    if (!d_->scheduler.isLeading()) {
+        stored(false);
+        return;
+    }
+    d_->scheduler.minionReported(momentNow(), report, std::move(stored));
+    changed();
+}
+
+void JobControl::minionLeft(const Jobs::MinionLife &life)
+{
+    if (d_->scheduler.isLeading())
+        d_->scheduler.minionLeft(momentNow(), life);
+    changed();
+}
+
+void JobControl::configure(const Wire::JobConfiguration &configuration,
+                           std::function<void(const Wire::JobReply &)> answered)
+{
+    Wire::JobCommand command;
+    *command.mutable_configuration() = configuration;
+    d_->calls->propose(
+        EventLoop::now(), command,
+        [this, version = configuration.version(), answered = std::move(answered)](const Wire::JobReply &reply) {
+            d_->runtime.logger().write(LogLevel::Info, "configuration-received",
+                                       {{"version", version},
+                                        {"held", d_->book.configuration().version()},
+                                        {"verdict", static_cast<int>(reply.verdict())}});
+            answered(reply);
+        });
+    changed();
+}
+
+void JobControl::readConfiguration(std::function<void(std::optional<std::string> document)> answered)
+{
+    // An empty command goes through the log: what is read after it is applied is the newest.
+    d_->calls->propose(EventLoop::now(), Wire::JobCommand(),
+                       [this, answered = std::move(answered)](const Wire::JobReply &reply) {
+                           if (reply.verdict() != Wire::JOB_VERDICT_ACCEPTED) {
+                               answered(std::nullopt);
+                               return;
+                           }
+                           answered(d_->book.configuration().document());
+                       });
+    changed();
+}
+
+void JobControl::propose(Wire::JobCommand command, std::function<void(bool applied)> ended)
+{
+    auto text = command.SerializeAsString();
+    d_->group->propose(
+        EventLoop::now(), std::move(text),
+        [this, command = std::move(command), ended = std::move(ended)](const Result<std::string> &result) {
+            if (result) {
+                if (ended)
+                    ended(true);
+                return;
+            }
+            // Told later, since the scheduler may be in the middle of a round. After Unknown the leadership is gone,
+            // and what was applied is read from the book again.
+            const bool isKnown = result.error().code != ErrorCode::Unknown;
+            d_->runtime.loop().post([this, command, ended, isKnown] {
+                if (isKnown)
+                    d_->scheduler.proposalFailed(momentNow(), command);
+                if (ended)
+                    ended(false);
+            });
+        });
+    changed();
+}
+
+void JobControl::start(const Jobs::StartOrder &order)
+{
+    d_->runtime.metrics().add("start_orders_total");
+    d_->minions.start(order, [this, order](const Jobs::OrderAnswer &answer) {
+        d_->runtime.metrics().add("start_answers_total{outcome=\"" + toString(answer.outcome) + "\"}");
+        d_->scheduler.startAnswered(momentNow(), order, answer);
+        changed();
+    });
+}
+
+void JobControl::stop(const Jobs::StopOrder &order)
+{
+    d_->runtime.metrics().add("stop_orders_total");
+    d_->minions.stop(order, [this, order](const Jobs::OrderAnswer &answer) {
+        d_->scheduler.stopAnswered(momentNow(), order, answer);
+        changed();
+    });
+}
+
+void JobControl::hold(const Jobs::HoldOrder &order)
+{
+    d_->runtime.metrics().add("hold_orders_total");
+    d_->minions.hold(order, [this, order](const Jobs::HoldAnswer &answer) {
+        d_->scheduler.holdAnswered(momentNow(), order, answer);
+        changed();
+    });
+}
+
+void JobControl::pace(const Jobs::PaceOrder &order)
+{
+    d_->runtime.metrics().add("pace_orders_total");
+    d_->minions.pace(order, [this, order](const Jobs::OrderAnswer &answer) {
+        d_->scheduler.paceAnswered(momentNow(), order, answer);
+    });
+}
+
+std::size_t JobControl::idleAdvisers() const
+{
+    return d_->advisers.idle(EventLoop::now());
+}
+
+void JobControl::askAdvice(const Jobs::AdviceRequest &request)
+{
+    d_->runtime.metrics().add("advice_requests_total");
+    d_->advisers.ask(EventLoop::now(), request,
+                     [this, request](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
+                         d_->scheduler.adviceAnswered(momentNow(), request, answered, approved);
+                     });
+}
+
+void JobControl::record(LogLevel level, std::string_view event, std::initializer_list<Logging::LogField> fields)
+{
+    d_->runtime.logger().write(level, event, fields);
+}
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/jobcontrol.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/result.h"
+#include "jobnode/controlservice.h"
+#include "jobs/schedulerports.h"
+#include "settings/jobsettings.h"
+#include "transport/message.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Pistachio::Wire
+{
+class JobCall;
+}
+
+namespace Pistachio::Jobnode
+{
+
+class AdviceClient;
+class MinionClient;
+class NodeRuntime;
+
+/// A control instance of the job cell: a replica of the job group, and the scheduler while it leads.
+class JobControl : public ControlService, private Jobs::SchedulerPorts
+{
+public:
+    /// \param settings checked settings
+    /// \param runtime the loop that everything runs on; outlives this
+    /// \param minions carries orders; outlives this
+    /// \param advice asks which minions may run a step; outlives this
+    JobControl(const Settings::JobSettings &settings, NodeRuntime &runtime, MinionClient &minions,
+               AdviceClient &advice);
+    ~JobControl() override;
+
+    /// Reads the data folder and listens on the internal port.
+    Result<void> open();
+
+    /// Stops taking work and calls \p finished when nothing is in flight.
+    void stop(std::function<void()> finished);
+
+    // ControlService
+    [[nodiscard]] bool canAnswer() const override;
+    [[nodiscard]] std::string leaderIp() const override;
+    void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) override;
+    void minionLeft(const Jobs::MinionLife &life) override;
+    void configure(const Wire::JobConfiguration &configuration,
+                   std::function<void(const Wire::JobReply &)> answered) override;
+    void readConfiguration(std::function<void(std::optional<std::string> document)> answered) override;
+
+private:
+    // SchedulerPorts
+    void propose(Wire::JobCommand command, std::function<void(bool applied)> ended) override;
+    void start(const Jobs::StartOrder &order) override;
+    void stop(const Jobs::StopOrder &order) override;
+    void hold(const Jobs::HoldOrder &order) override;
+    void pace(const Jobs::PaceOrder &order) override;
+    [[nodiscard]] std::size_t idleAdvisers() const override;
+    void askAdvice(const Jobs::AdviceRequest &request) override;
+    void record(Logging::LogLevel level, std::string_view event,
+                std::initializer_list<Logging::LogField> fields) override;
+
+    void handleInternal(Transport::Request request, const Transport::Responder &responder);
+    void handleCall(const Transport::Request &request, const Transport::Responder &responder);
+    void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
+    void handleAdvice(const Transport::Request &request, const Transport::Responder &responder);
+    void logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took);
+    void scheduleTick();
+    void tick();
+    void changed();
+    void flush();
+    void followLeadership();
+    void changeMembers();
+    void announce();
+
+    struct Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/jobentry.cpp
@@ -0,0 +1,201 @@
+#include "jobnode/jobentry.h"
+
+#include "jobnode/adviceclient.h"
+#include "jobnode/callercalls.h"
+#include "jobnode/instanceid.h"
+#include "jobnode/noderuntime.h"
+#include "jobnode/peers.h"
+#include "transport/http2server.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pistachio::Jobnode
+{
+
+using Logging::LogLevel;
+using Transport::EventLoop;
+
+namespace
+{
+
+constexpr Duration announceInterval = 700ms;
+constexpr Duration announceRetry = 200ms; ///< while no leader is known
+constexpr Duration announceLimit = 600ms;
+constexpr Duration leaderSeenLimit = 3s; ///< an election is no reason to send callers elsewhere
+constexpr Duration longestCall = 1500ms; ///< then the caller is told to come again; an election takes as long
+constexpr Duration answerMargin = 250ms; ///< the answer reaches the caller within its deadline
+constexpr Duration stopLimit = 300ms;
+
+std::vector<std::string> seedIps(const Settings::JobSettings &settings)
+{
+    std::vector<std::string> ips;
+    for (const auto &seed : settings.seeds)
+        ips.push_back(seed.ip);
+    // Entries begin at different seeds.
+    if (!ips.empty())
+        std::rotate(ips.begin(),
+                    ips.begin() + static_cast<std::ptrdiff_t>(std::hash<std::string>{}(settings.ip) % ips.size()),
+                    ips.end());
+    return ips;
+}
+
+} // namespace
+
+struct JobEntry::Private {
+    Private(const Settings::JobSettings &jobSettings, NodeRuntime &nodeRuntime, AdviceClient &adviceClient,
+            JobEntry &owner)
+        : settings(jobSettings)
+        , runtime(nodeRuntime)
+        , advice(adviceClient)
+        , peers(nodeRuntime.loop(), jobSettings.internalPort)
+        , calls(nodeRuntime.loop(), peers, seedIps(jobSettings))
+        , server(nodeRuntime.loop(), {},
+                 [&owner](const Transport::Request &request, const Transport::Responder &responder) {
+                     owner.handleInternal(request, responder);
+                 })
+    {
+    }
+
+    const Settings::JobSettings &settings;
+    NodeRuntime &runtime;
+    AdviceClient &advice;
+    Peers peers;
+    CallerCalls calls;
+    Transport::Http2Server server;
+    Transport::Timer announceTimer;
+    TimePoint leaderSeen{};
+    bool wasReady = false;
+    bool draining = false;
+};
+
+JobEntry::JobEntry(const Settings::JobSettings &settings, NodeRuntime &runtime, AdviceClient &advice)
+    : d_(std::make_unique<Private>(settings, runtime, advice, *this))
+{
+}
+
+JobEntry::~JobEntry() = default;
+
+Result<void> JobEntry::open()
+{
+    BOOST_OUTCOME_TRY(const auto port, d_->server.listen({d_->settings.ip, d_->settings.internalPort}));
+    d_->runtime.logger().write(LogLevel::Info, "started", {{"internal_port", port}, {"zone", d_->settings.zone}});
+    announce();
+    return success();
+}
+
+bool JobEntry::isReady() const
+{
+    return !d_->draining && d_->leaderSeen != TimePoint{} && EventLoop::now() < d_->leaderSeen + leaderSeenLimit;
+}
+
+void JobEntry::setReady(bool ready, std::string_view reason)
+{
+    if (ready == d_->wasReady)
+        return;
+    d_->wasReady = ready;
+    d_->runtime.logger().write(LogLevel::Info, ready ? "leader-regained" : "leader-lost",
+                               {{"target", d_->calls.target()}, {"reason", reason}});
+}
+
+void JobEntry::announce()
+{
+    Wire::JobJoin join;
+    join.set_instance(d_->settings.ip);
+    join.set_is_entry(true);
+    const auto ip = d_->calls.target();
+    d_->peers.call(
+        ip, "/jobs/join", join.SerializeAsString(), announceLimit, [this, ip](const Transport::CallResult &result) {
+            Wire::JobReply reply;
+            std::string reason;
+            if (!result)
+                reason = result.error().error.message;
+            else if (!reply.ParseFromString(result.value().body))
+                reason = "unreadable answer";
+            const bool isLeader = reply.verdict() == Wire::JOB_VERDICT_ACCEPTED;
+            if (isLeader)
+                d_->leaderSeen = EventLoop::now();
+            else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty())
+                d_->calls.learnLeader(std::string(ipOf(InstanceId(reply.leader()))));
+            else if (reply.verdict() != Wire::JOB_VERDICT_UNAVAILABLE)
+                d_->calls.targetFailed(ip);
+            setReady(isReady(), reason);
+            d_->announceTimer
+                = d_->runtime.loop().callAfter(isLeader ? announceInterval : announceRetry, [this] { announce(); });
+        });
+}
+
+void JobEntry::call(const Wire::JobCall &call, Duration deadline, std::function<void(const Wire::JobReply &)> answered)
+{
+    const auto begun = EventLoop::now();
+    const auto limit = std::max(Duration::zero(), std::min(deadline - answerMargin, longestCall));
+    d_->calls.call(call, limit, [this, call, begun, answered = std::move(answered)](const Wire::JobReply &reply) {
+        const auto took = EventLoop::now() - begun;
+        const std::string_view kind = call.has_submission() ? "submit" : call.cancel() ? "cancel" : "read";
+        auto &metrics = d_->runtime.metrics();
+        metrics.add("caller_requests_total{kind=\"" + std::string(kind) + "\",verdict=\""
+                    + std::to_string(reply.verdict()) + "\"}");
+        metrics.observe("caller_request_seconds", static_cast<double>(took.count()) / 1e6);
+        const bool isFailure
+            = reply.verdict() != Wire::JOB_VERDICT_ACCEPTED && reply.verdict() != Wire::JOB_VERDICT_NO_SUCH_JOB;
+        if (isFailure || kind != "read") {
+            d_->runtime.logger().write(
+                isFailure ? LogLevel::Warning : LogLevel::Info, "caller-request",
+                {{"kind", kind},
+                 {"path", call.path()},
+                 {"verdict", static_cast<int>(reply.verdict())},
+                 {"reason", reply.reason()},
+                 {"leader", d_->calls.target()},
+                 {"leader_seen_ms", d_->leaderSeen == TimePoint{} ? -1 : (EventLoop::now() - d_->leaderSeen) / 1ms},
+                 {"took_ms", took / 1ms}});
+        }
+        answered(reply);
+    });
+}
+
+void JobEntry::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
+{
+    Wire::JobAdviceCall call;
+    if (request.target != "/jobs/advice" || !call.ParseFromString(request.body)) {
+        responder.respond({404, {}, {}});
+        return;
+    }
+    Jobs::AdviceRequest asked{{call.job(), call.occurrence(), call.step()},
+                              {call.minions().begin(), call.minions().end()}};
+    d_->runtime.metrics().add("advice_requests_total");
+    d_->advice.ask(asked, [responder](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
+        Wire::JobAdviceReply reply;
+        reply.set_answered(answered);
+        for (const auto &row : approved) {
+            auto &ticket = *reply.add_approved();
+            ticket.set_minion(row.minion);
+            ticket.set_ticket(row.ticket);
+        }
+        responder.respond({200, {{"Content-Type", "application/x-protobuf"}}, reply.SerializeAsString()});
+    });
+}
+
+void JobEntry::drain()
+{
+    d_->draining = true;
+}
+
+bool JobEntry::isDraining() const
+{
+    return d_->draining;
+}
+
+std::size_t JobEntry::inFlight() const
+{
+    return d_->calls.inFlight();
+}
+
+void JobEntry::stop(std::function<void()> finished)
+{
+    d_->announceTimer.cancel();
+    d_->server.stop(stopLimit, std::move(finished));
+}
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/jobgroup.cpp
@@ -0,0 +1,88 @@
+#include "jobnode/jobgroup.h"
+
+#include "jobnode/peers.h"
+#include "jobs/jobbook.h"
+#include "storage/replicatedgroup.h"
+
+#include <map>
+#include <utility>
+
+namespace Pistachio::Jobnode
+{
+
+namespace
+{
+constexpr Duration messageLimit = 1s; ///< replication repeats what is lost
+constexpr int flushesPerRound = 4; ///< a proposal that another one led to does not wait for the next round
+constexpr std::uint64_t snapshotAfterEntries = 20'000;
+} // namespace
+
+Result<std::unique_ptr<JobGroup>> JobGroup::open(Storage::FileSystem &files, const std::string &dataFolder,
+                                                 const InstanceIdentity &identity, Jobs::JobBook &book, Peers &peers)
+{
+    Storage::GroupOptions options;
+    options.group = GroupId("jobs");
+    options.self = identity.id;
+    options.initialMembers = identity.initialMembers;
+    options.folder = dataFolder + "/jobs";
+    options.snapshotAfterEntries = snapshotAfterEntries;
+    BOOST_OUTCOME_TRY(
+        auto host,
+        Storage::GroupHost::open(std::move(options), files, book, std::hash<std::string>{}(identity.id.value())));
+    return std::unique_ptr<JobGroup>(new JobGroup(identity.id, peers, std::move(host)));
+}
+
+JobGroup::JobGroup(InstanceId self, Peers &peers, std::unique_ptr<Storage::GroupHost> host)
+    : self_(std::move(self))
+    , peers_(peers)
+    , host_(std::move(host))
+{
+}
+
+void JobGroup::propose(TimePoint now, std::string command, Done done)
+{
+    host_->propose(now, std::move(command), Duration::zero(), std::move(done));
+}
+
+void JobGroup::proposeMembership(TimePoint now, const Replication::MembershipChange &change, Done done)
+{
+    host_->proposeMembership(now, change, std::move(done));
+}
+
+bool JobGroup::receive(TimePoint now, std::string_view batch)
+{
+    const auto messages = Replication::decode(batch);
+    if (!messages)
+        return false;
+    for (const auto &message : messages.value()) {
+        if (message.to == self_)
+            host_->receive(now, message);
+    }
+    return true;
+}
+
+void JobGroup::flush(TimePoint now)
+{
+    const auto sender = [this](std::vector<Replication::Message> messages) { send(std::move(messages)); };
+    for (int round = 0; round < flushesPerRound; ++round) {
+        if (!host_->flush(now, sender))
+            return;
+    }
+}
+
+void JobGroup::send(std::vector<Replication::Message> messages)
+{
+    std::map<std::string, std::vector<Replication::Message>> byPeer;
+    for (auto &message : messages) {
+        std::string ip(ipOf(message.to));
+        byPeer[std::move(ip)].push_back(std::move(message));
+    }
+    for (const auto &[ip, batch] : byPeer) {
+        peers_.call(ip, "/jobs/replication", Replication::encode(batch), messageLimit,
+                    [](const Transport::CallResult &) {
+                        // Replication repeats what got lost, and the members' status shows who is silent.
+                    });
+    }
+}
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/jobgroup.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/result.h"
+#include "core/time.h"
+#include "jobnode/instanceid.h"
+#include "replication/message.h"
+#include "storage/grouphost.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Pistachio::Jobs
+{
+class JobBook;
+}
+
+namespace Pistachio::Storage
+{
+class FileSystem;
+}
+
+namespace Pistachio::Jobnode
+{
+
+class Peers;
+
+/// This instance's replica of the job group, with its files and its messages to the other members.
+class JobGroup
+{
+public:
+    using Done = Storage::GroupHost::Done;
+
+    /// \param files outlives the group
+    /// \param book the state; outlives the group
+    /// \param peers carries messages; outlives the group
+    static Result<std::unique_ptr<JobGroup>> open(Storage::FileSystem &files, const std::string &dataFolder,
+                                                  const InstanceIdentity &identity, Jobs::JobBook &book, Peers &peers);
+
+    void propose(TimePoint now, std::string command, Done done);
+    void proposeMembership(TimePoint now, const Replication::MembershipChange &change, Done done);
+
+    /// \param batch encoded messages of another member
+    /// \return whether they could be read.
+    bool receive(TimePoint now, std::string_view batch);
+    void tick(TimePoint now) { host_->tick(now); }
+
+    /// Writes, sends and applies what has come up.
+    void flush(TimePoint now);
+
+    /// \return whether this instance leads, has applied all earlier entries, and no other leader can exist.
+    [[nodiscard]] bool canAnswer(TimePoint now) const { return host_->canAnswer(now); }
+    [[nodiscard]] bool isLeaderWithState() const { return host_->group().isLeaderWithState(); }
+    [[nodiscard]] const Storage::ReplicatedGroup &replica() const { return host_->group(); }
+    [[nodiscard]] const InstanceId &self() const { return self_; }
+
+private:
+    JobGroup(InstanceId self, Peers &peers, std::unique_ptr<Storage::GroupHost> host);
+    void send(std::vector<Replication::Message> messages);
+
+    InstanceId self_;
+    Peers &peers_;
+    std::unique_ptr<Storage::GroupHost> host_;
+};
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/minionclient.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "jobs/orders.h"
+
+#include <functional>
+#include <vector>
+
+namespace Pistachio::Jobnode
+{
+
+/// Carries orders to minions, in whatever protocol they speak. Each call is answered exactly once, later.
+class MinionClient
+{
+public:
+    MinionClient() = default;
+    MinionClient(const MinionClient &) = delete;
+    MinionClient &operator=(const MinionClient &) = delete;
+    virtual ~MinionClient() = default;
+
+    using Answered = std::function<void(const Jobs::OrderAnswer &)>;
+
+    virtual void start(const Jobs::StartOrder &order, Answered answered) = 0;
+    virtual void stop(const Jobs::StopOrder &order, Answered answered) = 0;
+    virtual void pace(const Jobs::PaceOrder &order, Answered answered) = 0;
+    virtual void hold(const Jobs::HoldOrder &order, std::function<void(const Jobs::HoldAnswer &)> answered) = 0;
+};
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -0,0 +1,38 @@
+#include "jobnode/noderuntime.h"
+
+#include "settings/jobsettings.h"
+
+#include <chrono>
+
+namespace Pistachio::Jobnode
+{
+
+NodeRuntime::NodeRuntime(std::string_view program, const Settings::JobSettings &settings)
+    : logger_(program, settings.instance, settings.log.level, settings.log.file)
+{
+}
+
+NodeRuntime::~NodeRuntime() = default;
+
+Result<void> NodeRuntime::listen(const Settings::JobSettings &settings)
+{
+    if (settings.metricsPort == 0)
+        return success();
+    metricsServer_ = std::make_unique<Transport::HttpServer>(
+        loop_, Transport::HttpServerLimits(),
+        [this](const Transport::Request &, const Transport::Responder &responder) {
+            metrics_.set("log_lines_dropped", static_cast<double>(logger_.droppedLines()));
+            responder.respond({200, {{"Content-Type", "text/plain; charset=utf-8"}}, metrics_.exposition()});
+        });
+    BOOST_OUTCOME_TRY(const auto port, metricsServer_->listen({settings.ip, settings.metricsPort}));
+    metrics_.set("metrics_port", port);
+    return success();
+}
+
+std::int64_t NodeRuntime::unixMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/peers.cpp
@@ -0,0 +1,46 @@
+#include "jobnode/peers.h"
+
+#include <functional>
+#include <utility>
+
+namespace Pistachio::Jobnode
+{
+
+namespace
+{
+constexpr Duration connectTimeout = 400ms; ///< a few round trips between regions
+constexpr Duration silenceBeforePing = 600ms;
+constexpr Duration pingTimeout = 600ms; ///< a silent connection is replaced before an election is needed
+constexpr Duration reconnectMax = 250ms;
+} // namespace
+
+Peers::Peers(Transport::EventLoop &loop, std::uint16_t port)
+    : loop_(loop)
+    , port_(port)
+{
+}
+
+Peers::~Peers() = default;
+
+void Peers::call(std::string_view ip, std::string_view target, std::string body, Duration limit,
+                 Transport::CallCompletion completion)
+{
+    auto found = clients_.find(ip);
+    if (found == clients_.end()) {
+        Transport::Http2ClientLimits limits;
+        limits.connectTimeout = connectTimeout;
+        limits.silenceBeforePing = silenceBeforePing;
+        limits.pingTimeout = pingTimeout;
+        limits.reconnectMax = reconnectMax;
+        auto client = std::make_unique<Transport::Http2Client>(loop_, Transport::Endpoint{std::string(ip), port_},
+                                                               limits, std::hash<std::string_view>{}(ip));
+        found = clients_.emplace(std::string(ip), std::move(client)).first;
+    }
+    Transport::Request request;
+    request.method = "POST";
+    request.target = target;
+    request.body = std::move(body);
+    found->second->call(std::move(request), limit, std::move(completion));
+}
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/peers.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "transport/http2client.h"
+#include "transport/message.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Pistachio::Transport
+{
+class EventLoop;
+}
+
+namespace Pistachio::Jobnode
+{
+
+/// The connections to the internal ports of other instances, one for each.
+class Peers
+{
+public:
+    /// \param loop outlives the peers
+    /// \param port the internal port of every instance
+    Peers(Transport::EventLoop &loop, std::uint16_t port);
+    ~Peers();
+
+    /// \param ip the other instance
+    /// \param target the path
+    /// \param limit until the answer is a timeout
+    void call(std::string_view ip, std::string_view target, std::string body, Duration limit,
+              Transport::CallCompletion completion);
+
+private:
+    Transport::EventLoop &loop_;
+    const std::uint16_t port_;
+    std::map<std::string, std::unique_ptr<Transport::Http2Client>, std::less<>> clients_;
+};
+
+} // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobs/fleet.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "jobs/minion.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Pistachio::Jobs
+{
+
+/// What a report changed.
+enum class ReportEffect : std::uint8_t {
+    Stale, ///< late, or of a life that has ended
+    Known, ///< nothing that must be stored
+    New, ///< a new life, or its announcement to leave
+};
+
+/// All minions that the leader knows, by id.
+class Fleet
+{
+public:
+    /// Takes a report.
+    /// \param replaced gets the ids of minions that the report shows to be gone: an earlier life under the same id, or
+    /// an earlier holder of the address
+    ReportEffect report(const MinionReport &report, std::vector<MinionLife> &replaced);
+
+    /// \return the minion if that life is known, or null.
+    Minion *find(const MinionLife &life);
+    [[nodiscard]] const Minion *find(const MinionLife &life) const;
+    Minion *find(const std::string &id);
+    void add(MinionReport report);
+    void remove(const std::string &id) { minions_.erase(id); }
+    void clear() { minions_.clear(); }
+
+    [[nodiscard]] std::map<std::string, Minion> &minions() { return minions_; }
+    [[nodiscard]] const std::map<std::string, Minion> &minions() const { return minions_; }
+
+private:
+    std::map<std::string, Minion> minions_;
+};
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobbook.cpp
@@ -0,0 +1,170 @@
+#include "jobs/jobbook.h"
+
+#include "jobs/jobbookobserver.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+
+namespace Pistachio::Jobs
+{
+
+JobBook::JobBook()
+    : configuration_(std::make_unique<Wire::JobConfiguration>())
+{
+}
+
+JobBook::~JobBook() = default;
+
+std::string JobBook::apply(Replication::LogIndex /*index*/, std::string_view bytes)
+{
+    Wire::JobReply reply;
+    Wire::JobCommand command;
+    if (!command.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        reply.set_verdict(Wire::JOB_VERDICT_INVALID);
+        reply.set_reason("the command can't be read");
+        return reply.SerializeAsString();
+    }
+    reply.set_verdict(Wire::JOB_VERDICT_ACCEPTED);
+    if (command.has_configuration())
+        configure(command.configuration());
+    for (const auto &minion : command.minions()) {
+        minions_[minion.id()] = minion;
+        if (observer_)
+            observer_->minionRecorded(minion);
+    }
+    for (const auto &minion : command.gone_minions()) {
+        minions_.erase(minion);
+        if (observer_)
+            observer_->minionForgotten(minion);
+    }
+    for (const auto &end : command.ends())
+        takeEnd(end);
+    assign(command);
+    if (command.has_submission())
+        submit(command);
+    if (!command.cancelled_job().empty()) {
+        const auto found = jobs_.find(command.cancelled_job());
+        if (found == jobs_.end()) {
+            reply.set_verdict(Wire::JOB_VERDICT_NO_SUCH_JOB);
+        } else if (found->second.cancel()) {
+            if (!found->second.hasBegun())
+                countPending(found->second, -1);
+            if (observer_)
+                observer_->jobEnded(found->second);
+        }
+    }
+    for (const auto &id : command.forgotten_jobs()) {
+        jobs_.erase(id);
+        if (observer_)
+            observer_->jobForgotten(id);
+    }
+    return reply.SerializeAsString();
+}
+
+void JobBook::configure(const Wire::JobConfiguration &configuration)
+{
+    // The highest version wins; an older or equal one changes nothing, whatever its content.
+    if (configuration.version() <= configuration_->version())
+        return;
+    *configuration_ = configuration;
+    for (const auto &queue : configuration.queues())
+        queues_[queueKey(queue)] = queue;
+    if (observer_)
+        observer_->configurationChanged();
+}
+
+void JobBook::takeEnd(const Wire::JobEnd &end)
+{
+    const auto found = jobs_.find(end.task().job());
+    if (found == jobs_.end())
+        return;
+    auto &job = found->second;
+    const auto before = job.phase();
+    const bool changed = job.end(end, maxAttempts(job));
+    if (!observer_)
+        return;
+    observer_->taskEnded(job, end, changed);
+    if (job.phase() != before)
+        observer_->jobEnded(job);
+}
+
+void JobBook::assign(const Wire::JobCommand &command)
+{
+    for (const auto &assignment : command.assignments()) {
+        const auto found = jobs_.find(assignment.task().job());
+        if (found == jobs_.end())
+            continue;
+        auto &job = found->second;
+        const auto name = toTaskName(assignment.task());
+        if (!job.canAssign(name, assignment.run()))
+            continue;
+        if (!job.hasBegun())
+            countPending(job, -1);
+        job.assign(name, assignment.run(), assignment.minion(), assignment.minion_born_unix_ms());
+        if (observer_)
+            observer_->taskAssigned(job, name, assignment.run());
+    }
+}
+
+void JobBook::submit(const Wire::JobCommand &command)
+{
+    const auto &submission = command.submission();
+    const auto [entry, isNew] = jobs_.try_emplace(submission.id(), submission);
+    if (!isNew)
+        return;
+    countPending(entry->second, 1);
+    if (observer_)
+        observer_->jobAccepted(entry->second);
+}
+
+void JobBook::countPending(const Job &job, int change)
+{
+    if (job.submission().spec().repeat_count() > 0)
+        return;
+    auto &count = pending_[job.submission().queue()];
+    count = static_cast<std::uint32_t>(std::max(0, static_cast<int>(count) + change));
+}
+
+std::uint32_t JobBook::maxAttempts(const Job &job) const
+{
+    const auto *found = queue(job.submission().queue());
+    return found ? std::max(1U, found->max_attempts()) : 1;
+}
+
+const Wire::JobQueue *JobBook::queueAt(std::string_view host, std::string_view path) const
+{
+    const Wire::JobQueue *best = nullptr;
+    for (const auto &queue : configuration_->queues()) {
+        if (queue.host() != host || !path.starts_with(queue.path_prefix()))
+            continue;
+        if (!best || queue.path_prefix().size() > best->path_prefix().size())
+            best = &queue;
+    }
+    return best;
+}
+
+const Wire::JobQueue *JobBook::queue(const std::string &key) const
+{
+    const auto found = queues_.find(key);
+    return found == queues_.end() ? nullptr : &found->second;
+}
+
+std::string JobBook::queueKey(const Wire::JobQueue &queue)
+{
+    return queue.host() + queue.path_prefix();
+}
+
+const Job *JobBook::job(const std::string &id) const
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+std::uint32_t JobBook::pendingJobs(const std::string &queueKey) const
+{
+    const auto found = pending_.find(queueKey);
+    return found == pending_.end() ? 0 : found->second;
+}
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobbook.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "jobs/job.h"
+#include "replication/statemachine.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Pistachio::Wire
+{
+class JobAssignment;
+class JobCommand;
+class JobConfiguration;
+class JobEnd;
+class JobMinion;
+class JobQueue;
+} // namespace Pistachio::Wire
+
+namespace Pistachio::Jobs
+{
+
+class JobBookObserver;
+
+/// The replicated state of the job group: the configuration in force, the jobs, their assignments and ends, and the
+/// minions that have announced themselves.
+class JobBook : public Replication::StateMachine
+{
+public:
+    JobBook();
+    ~JobBook() override;
+
+    /// \return an encoded JobReply for the proposer.
+    std::string apply(Replication::LogIndex index, std::string_view command) override;
+    [[nodiscard]] std::string snapshot() const override;
+    Result<void> restore(std::string_view state) override;
+
+    /// \param observer is told of changes; null: nobody
+    void observe(JobBookObserver *observer) { observer_ = observer; }
+
+    /// \return the configuration in force; its version is 0 before the first one.
+    [[nodiscard]] const Wire::JobConfiguration &configuration() const { return *configuration_; }
+
+    /// \return the queue of the longest prefix of \p path at \p host in the configuration in force, or null.
+    [[nodiscard]] const Wire::JobQueue *queueAt(std::string_view host, std::string_view path) const;
+
+    /// \param key host and path prefix
+    /// \return the queue as last configured, also after it was removed, or null.
+    [[nodiscard]] const Wire::JobQueue *queue(const std::string &key) const;
+    [[nodiscard]] static std::string queueKey(const Wire::JobQueue &queue);
+
+    /// \return the job, or null.
+    [[nodiscard]] const Job *job(const std::string &id) const;
+    [[nodiscard]] const std::unordered_map<std::string, Job> &jobs() const { return jobs_; }
+    [[nodiscard]] const std::map<std::string, Wire::JobMinion> &minions() const { return minions_; }
+
+    /// \return the number of active jobs of the queue that have not begun.
+    [[nodiscard]] std::uint32_t pendingJobs(const std::string &queueKey) const;
+
+private:
+    void configure(const Wire::JobConfiguration &configuration);
+    void takeEnd(const Wire::JobEnd &end);
+    void assign(const Wire::JobCommand &command);
+    void submit(const Wire::JobCommand &command);
+    void countPending(const Job &job, int change);
+    [[nodiscard]] std::uint32_t maxAttempts(const Job &job) const;
+
+    std::unique_ptr<Wire::JobConfiguration> configuration_;
+    std::map<std::string, Wire::JobQueue> queues_;
+    std::unordered_map<std::string, Job> jobs_;
+    std::map<std::string, Wire::JobMinion> minions_;
+    std::map<std::string, std::uint32_t> pending_;
+    JobBookObserver *observer_ = nullptr;
+};
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobbookobserver.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "jobs/taskname.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Pistachio::Wire
+{
+class JobEnd;
+class JobMinion;
+} // namespace Pistachio::Wire
+
+namespace Pistachio::Jobs
+{
+
+class Job;
+
+/// Is told what a JobBook has applied.
+class JobBookObserver
+{
+public:
+    JobBookObserver() = default;
+    JobBookObserver(const JobBookObserver &) = delete;
+    JobBookObserver &operator=(const JobBookObserver &) = delete;
+    virtual ~JobBookObserver() = default;
+
+    virtual void configurationChanged() = 0;
+    virtual void jobAccepted(const Job &job) = 0;
+    /// The phase of the job changed.
+    virtual void jobEnded(const Job &job) = 0;
+    virtual void jobForgotten(const std::string &job) = 0;
+    virtual void taskAssigned(const Job &job, const TaskName &task, std::uint64_t run) = 0;
+    /// \param changed whether the end counted
+    virtual void taskEnded(const Job &job, const Wire::JobEnd &end, bool changed) = 0;
+    virtual void minionRecorded(const Wire::JobMinion &minion) = 0;
+    virtual void minionForgotten(const std::string &minion) = 0;
+    /// The whole book was replaced.
+    virtual void restored() = 0;
+};
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobbooksnapshot.cpp
@@ -0,0 +1,47 @@
+#include "jobs/jobbook.h"
+#include "jobs/jobbookobserver.h"
+
+#include <jobs.pb.h>
+
+namespace Pistachio::Jobs
+{
+
+std::string JobBook::snapshot() const
+{
+    Wire::JobBookImage image;
+    *image.mutable_configuration() = *configuration_;
+    for (const auto &[key, queue] : queues_)
+        *image.add_queues() = queue;
+    for (const auto &[id, minion] : minions_)
+        *image.add_minions() = minion;
+    for (const auto &[id, job] : jobs_)
+        *image.add_jobs() = job.image();
+    return image.SerializeAsString();
+}
+
+Result<void> JobBook::restore(std::string_view state)
+{
+    Wire::JobBookImage image;
+    if (!image.ParseFromArray(state.data(), static_cast<int>(state.size())))
+        return failure(ErrorCode::Corrupt, "the snapshot of the job book can't be read");
+    *configuration_ = image.configuration();
+    queues_.clear();
+    minions_.clear();
+    jobs_.clear();
+    pending_.clear();
+    for (const auto &queue : image.queues())
+        queues_[queueKey(queue)] = queue;
+    for (const auto &minion : image.minions())
+        minions_[minion.id()] = minion;
+    for (const auto &item : image.jobs()) {
+        const auto [entry, isNew] = jobs_.try_emplace(item.submission().id(), Job::fromImage(item));
+        const auto &job = entry->second;
+        if (isNew && job.phase() == JobPhase::Active && !job.hasBegun())
+            countPending(job, 1);
+    }
+    if (observer_)
+        observer_->restored();
+    return success();
+}
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -0,0 +1,478 @@
+#include "jobs/jobscheduler.h"
+
+#include "jobs/jobbook.h"
+#include "jobs/schedulerports.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pistachio::Jobs
+{
+
+using Logging::LogLevel;
+
+namespace
+{
+
+constexpr Duration planInterval = 200ms; ///< without a change; tickets expire and minions become usable again
+
+MinionReport toReport(const Wire::JobMinion &minion)
+{
+    MinionReport report;
+    report.life = {minion.id(), minion.born_unix_ms()};
+    report.address = minion.address();
+    report.service = minion.service();
+    report.zone = minion.zone();
+    report.milliCores = minion.milli_cores();
+    report.memoryMb = minion.memory_mb();
+    report.accelerators = minion.accelerators();
+    report.labels.assign(minion.labels().begin(), minion.labels().end());
+    report.draining = minion.draining();
+    return report;
+}
+
+Wire::JobMinion toWire(const MinionReport &report)
+{
+    Wire::JobMinion minion;
+    minion.set_id(report.life.id);
+    minion.set_born_unix_ms(report.life.bornUnixMs);
+    minion.set_address(report.address);
+    minion.set_service(report.service);
+    minion.set_zone(report.zone);
+    minion.set_milli_cores(report.milliCores);
+    minion.set_memory_mb(report.memoryMb);
+    minion.set_accelerators(report.accelerators);
+    for (const auto &label : report.labels)
+        minion.add_labels(label);
+    minion.set_draining(report.draining);
+    return minion;
+}
+
+Amounts reservedBy(const Wire::JobStep &step)
+{
+    return {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
+}
+
+} // namespace
+
+JobScheduler::JobScheduler(JobBook &book, SchedulerPorts &ports, const SchedulerSettings &settings)
+    : book_(book)
+    , ports_(ports)
+    , settings_(settings)
+{
+    book_.observe(this);
+}
+
+JobScheduler::~JobScheduler()
+{
+    book_.observe(nullptr);
+}
+
+void JobScheduler::lead(const Now &now, std::uint64_t fence)
+{
+    now_ = now;
+    leading_ = true;
+    fence_ = fence;
+    restored();
+    ports_.record(LogLevel::Info, "jobs-lead",
+                  {{"fence", fence},
+                   {"jobs", book_.jobs().size()},
+                   {"minions", fleet_.minions().size()},
+                   {"configuration", book_.configuration().version()}});
+}
+
+void JobScheduler::stopLeading()
+{
+    if (!leading_)
+        return;
+    leading_ = false;
+    fleet_.clear();
+    queue_.clear();
+    advice_.clear();
+    notDue_.clear();
+    finished_.clear();
+    for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
+        for (const auto &stored : waiting)
+            stored(false);
+    }
+    ports_.record(LogLevel::Info, "jobs-follow", {{"fence", fence_}});
+}
+
+void JobScheduler::restored()
+{
+    if (!leading_)
+        return;
+    fleet_.clear();
+    queue_.clear();
+    advice_.clear();
+    notDue_.clear();
+    finished_.clear();
+    for (const auto &[id, minion] : book_.minions()) {
+        fleet_.add(toReport(minion));
+        // An earlier leader may have given a lease up to now.
+        auto &added = *fleet_.find(id);
+        added.lastHeard = now_.time;
+        added.leaseGone = now_.time
+            + Duration(static_cast<std::int64_t>(static_cast<double>(settings_.lease.count()) / slowestClock));
+    }
+    for (const auto &[id, job] : book_.jobs()) {
+        adoptRuns(job);
+        if (job.phase() == JobPhase::Active)
+            enqueueJob(job);
+        else
+            finished_[now_.time + settings_.finishedRetention].push_back(id);
+    }
+    dirty_ = true;
+}
+
+void JobScheduler::adoptRuns(const Job &job)
+{
+    if (!job.hasAssignedTasks())
+        return;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number) {
+            const auto &tasks = job.step(occurrence, number)->tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                const auto &task = tasks[index];
+                if (task.state != TaskState::Assigned)
+                    continue;
+                auto *minion = fleet_.find(MinionLife{task.minion, task.minionBorn});
+                if (!minion) {
+                    Wire::JobCommand command;
+                    auto &end = *command.add_ends();
+                    fill(*end.mutable_task(), {{job.id(), occurrence, number}, index});
+                    end.set_run(task.run);
+                    end.set_how(Wire::JOB_RUN_END_LOST);
+                    ports_.propose(std::move(command), {});
+                    continue;
+                }
+                auto &run = minion->runs[{{job.id(), occurrence, number}, index}];
+                run.run = task.run;
+                run.reserved = reservedBy(job.spec(number));
+                run.phase = RunPhase::Adopted;
+                run.phaseSince = now_.time;
+            }
+        }
+    }
+}
+
+void JobScheduler::minionReported(const Now &now, const MinionReport &report, const std::function<void(bool)> &stored)
+{
+    now_ = now;
+    std::vector<MinionLife> replaced;
+    const auto effect = fleet_.report(report, replaced);
+    if (auto *known = effect == ReportEffect::Stale ? nullptr : fleet_.find(report.life))
+        known->lastHeard = now.time;
+    if (effect == ReportEffect::Stale) {
+        ports_.record(LogLevel::Info, "minion-report-stale",
+                      {{"minion", report.life.id}, {"born", report.life.bornUnixMs}, {"sequence", report.sequence}});
+        stored(true);
+        return;
+    }
+    for (const auto &life : replaced) {
+        if (auto *minion = fleet_.find(life))
+            loseMinion(*minion, "another life reports from its id or address");
+    }
+    if (effect == ReportEffect::Known) {
+        stored(true);
+        return;
+    }
+    auto &waiting = reportsToStore_[report.life.id];
+    waiting.push_back(stored);
+    if (waiting.size() > 1 && replaced.empty() && !report.draining)
+        return;
+    ports_.record(LogLevel::Info, "minion-reported",
+                  {{"minion", report.life.id},
+                   {"born", report.life.bornUnixMs},
+                   {"address", report.address},
+                   {"service", report.service},
+                   {"sequence", report.sequence},
+                   {"draining", report.draining}});
+    Wire::JobCommand command;
+    for (const auto &life : replaced) {
+        if (life.id != report.life.id)
+            command.add_gone_minions(life.id);
+    }
+    *command.add_minions() = toWire(report);
+    ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::minionLeft(const Now &now, const MinionLife &life)
+{
+    now_ = now;
+    auto *minion = fleet_.find(life.id);
+    if (!minion || (life.bornUnixMs != 0 && minion->report.life.bornUnixMs != life.bornUnixMs))
+        return;
+    loseMinion(*minion, "it has left");
+    Wire::JobCommand command;
+    command.add_gone_minions(life.id);
+    ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::minionRecorded(const Wire::JobMinion &minion)
+{
+    if (!leading_)
+        return;
+    auto report = toReport(minion);
+    auto *known = fleet_.find(report.life);
+    if (known) {
+        known->report.draining = known->report.draining || report.draining;
+    } else {
+        fleet_.add(std::move(report));
+        fleet_.find(minion.id())->lastHeard = now_.time;
+        advice_.forgetMinion(minion.id());
+    }
+    dirty_ = true;
+    const auto waiting = reportsToStore_.extract(minion.id());
+    if (waiting.empty())
+        return;
+    for (const auto &stored : waiting.mapped())
+        stored(true);
+}
+
+void JobScheduler::minionForgotten(const std::string &minion)
+{
+    if (!leading_)
+        return;
+    fleet_.remove(minion);
+    advice_.forgetMinion(minion);
+}
+
+void JobScheduler::configurationChanged()
+{
+    dirty_ = true;
+    if (leading_)
+        ports_.record(LogLevel::Info, "configuration-in-force", {{"version", book_.configuration().version()}});
+}
+
+TimePoint JobScheduler::acceptedTime(const Job &job, std::uint32_t occurrence) const
+{
+    const auto due = job.dueUnixMs(occurrence);
+    const auto from = due > 0 ? due : job.submission().accepted_unix_ms();
+    const auto age = std::max<std::int64_t>(0, now_.unixMs - from);
+    return now_.time - std::chrono::milliseconds(age);
+}
+
+void JobScheduler::jobAccepted(const Job &job)
+{
+    if (leading_)
+        enqueueJob(job);
+}
+
+void JobScheduler::enqueueJob(const Job &job)
+{
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        const auto due = job.dueUnixMs(occurrence);
+        for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number) {
+            const auto &record = *job.step(occurrence, number);
+            if (record.isDone() || !job.isUnlocked(occurrence, number))
+                continue;
+            for (std::uint32_t index = 0; index < record.tasks.size(); ++index) {
+                if (record.tasks[index].state != TaskState::Waiting)
+                    continue;
+                const TaskName task{{job.id(), occurrence, number}, index};
+                if (due > now_.unixMs)
+                    notDue_[due].push_back(task);
+                else
+                    enqueue(job, task);
+            }
+        }
+    }
+}
+
+void JobScheduler::enqueue(const Job &job, const TaskName &task)
+{
+    const auto *queue = book_.queue(job.submission().queue());
+    if (!queue)
+        return;
+    queue_.add(now_.time, job, *queue, task, acceptedTime(job, task.step.occurrence));
+    services_[queue->service()] = now_.time;
+    dirty_ = true;
+}
+
+void JobScheduler::releaseDueOccurrences()
+{
+    while (!notDue_.empty() && notDue_.begin()->first <= now_.unixMs) {
+        const auto tasks = std::move(notDue_.begin()->second);
+        notDue_.erase(notDue_.begin());
+        for (const auto &task : tasks) {
+            const auto *job = book_.job(task.step.job);
+            if (job && job->phase() == JobPhase::Active)
+                enqueue(*job, task);
+        }
+    }
+}
+
+void JobScheduler::jobEnded(const Job &job)
+{
+    if (!leading_)
+        return;
+    finished_[now_.time + settings_.finishedRetention].push_back(job.id());
+    queue_.removeJob(job.id());
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
+            advice_.forgetStep({job.id(), occurrence, number});
+    }
+    stopRunsOf(job);
+    ports_.record(LogLevel::Info, "job-ended",
+                  {{"job", job.id()},
+                   {"queue", job.submission().queue()},
+                   {"phase", static_cast<int>(job.phase())},
+                   {"age_ms", now_.unixMs - job.submission().accepted_unix_ms()}});
+}
+
+void JobScheduler::stopRunsOf(const Job &job)
+{
+    for (auto &[id, minion] : fleet_.minions()) {
+        for (auto entry = minion.runs.lower_bound({{job.id(), 0, 0}, 0});
+             entry != minion.runs.end() && entry->first.step.job == job.id(); ++entry) {
+            auto &run = entry->second;
+            if (run.phase == RunPhase::Starting || run.phase == RunPhase::Running || run.phase == RunPhase::Adopted)
+                sendStop(minion, entry->first, run);
+        }
+    }
+}
+
+void JobScheduler::jobForgotten(const std::string & /*job*/) { }
+
+void JobScheduler::taskAssigned(const Job & /*job*/, const TaskName &task, std::uint64_t run)
+{
+    if (!leading_)
+        return;
+    for (auto &[id, minion] : fleet_.minions()) {
+        const auto found = minion.runs.find(task);
+        if (found == minion.runs.end() || found->second.run != run || found->second.phase != RunPhase::Proposed)
+            continue;
+        found->second.phase = RunPhase::Starting;
+        found->second.phaseSince = now_.time;
+        sendStart(minion, task, found->second);
+        return;
+    }
+}
+
+void JobScheduler::taskEnded(const Job &job, const Wire::JobEnd &end, bool changed)
+{
+    if (!leading_)
+        return;
+    const auto name = toTaskName(end.task());
+    const auto &step = job.spec(name.step.step);
+    dirty_ = true;
+    for (auto &[id, minion] : fleet_.minions()) {
+        const auto found = minion.runs.find(name);
+        if (found == minion.runs.end())
+            continue;
+        if (found->second.run == end.run() && found->second.phase == RunPhase::Ending)
+            minion.runs.erase(found);
+        else if (changed && end.how() == Wire::JOB_RUN_END_DONE && !step.long_running())
+            sendStop(minion, name, found->second);
+    }
+    if (!changed || job.phase() != JobPhase::Active)
+        return;
+    const auto &record = *job.step(name.step.occurrence, name.step.step);
+    if (end.how() == Wire::JOB_RUN_END_DONE && !step.long_running()) {
+        if (!record.isDone())
+            return;
+        advice_.forgetStep(name.step);
+        for (std::uint32_t number = name.step.step + 1; number < job.stepsPerOccurrence(); ++number) {
+            const auto &needed = job.spec(number).depends_on();
+            if (std::find(needed.begin(), needed.end(), name.step.step) == needed.end()
+                || !job.isUnlocked(name.step.occurrence, number))
+                continue;
+            for (std::uint32_t index = 0; index < job.spec(number).tasks(); ++index)
+                enqueue(job, {{job.id(), name.step.occurrence, number}, index});
+        }
+        return;
+    }
+    if (record.tasks[name.index].state == TaskState::Waiting)
+        enqueue(job, name);
+    // The rest of a gang can't do anything without this member.
+    if (!step.gang())
+        return;
+    for (auto &[id, minion] : fleet_.minions()) {
+        for (auto entry = minion.runs.lower_bound({name.step, 0});
+             entry != minion.runs.end() && entry->first.step == name.step; ++entry) {
+            if (entry->second.run == end.run())
+                sendStop(minion, entry->first, entry->second);
+        }
+    }
+}
+
+void JobScheduler::proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run,
+                              int how)
+{
+    auto &end = *command.add_ends();
+    fill(*end.mutable_task(), task);
+    end.set_run(run);
+    end.set_how(static_cast<Wire::JobRunEnd>(how));
+    const auto found = minion.runs.find(task);
+    if (found == minion.runs.end() || found->second.run != run)
+        return;
+    end.set_checkpoint(found->second.checkpoint);
+    found->second.phase = RunPhase::Ending;
+    found->second.phaseSince = now_.time;
+}
+
+void JobScheduler::proposalFailed(const Now &now, const Wire::JobCommand &command)
+{
+    now_ = now;
+    if (!leading_)
+        return;
+    ports_.record(LogLevel::Warning, "proposal-failed",
+                  {{"assignments", command.assignments_size()}, {"ends", command.ends_size()}});
+    for (const auto &assignment : command.assignments()) {
+        if (auto *minion = fleet_.find(MinionLife{assignment.minion(), assignment.minion_born_unix_ms()}))
+            minion->runs.erase(toTaskName(assignment.task()));
+        const auto *job = book_.job(assignment.task().job());
+        if (job && job->phase() == JobPhase::Active)
+            enqueue(*job, toTaskName(assignment.task()));
+    }
+    for (auto &[id, minion] : fleet_.minions()) {
+        minion.endsProposed = false;
+        for (auto &[task, run] : minion.runs) {
+            // The minion still lists the end, or the loss is found again.
+            if (run.phase == RunPhase::Ending)
+                run.phase = RunPhase::Running;
+        }
+    }
+    for (const auto &minion : command.minions()) {
+        const auto waiting = reportsToStore_.extract(minion.id());
+        if (waiting.empty())
+            continue;
+        for (const auto &stored : waiting.mapped())
+            stored(false);
+    }
+}
+
+void JobScheduler::forgetFinished()
+{
+    if (finished_.empty() || finished_.begin()->first > now_.time)
+        return;
+    Wire::JobCommand command;
+    for (const auto &id : finished_.begin()->second) {
+        const auto *job = book_.job(id);
+        if (job && !job->hasAssignedTasks())
+            command.add_forgotten_jobs(id);
+        else if (job)
+            finished_[now_.time + settings_.finishedRetention].push_back(id);
+    }
+    finished_.erase(finished_.begin());
+    if (command.forgotten_jobs_size() > 0)
+        ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::tick(const Now &now)
+{
+    now_ = now;
+    if (!leading_)
+        return;
+    releaseDueOccurrences();
+    loseLapsed();
+    driveOrders();
+    forgetFinished();
+    if (dirty_ || now.time >= lastPlan_ + planInterval)
+        plan();
+}
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/jobscheduler.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "jobs/adviceledger.h"
+#include "jobs/fleet.h"
+#include "jobs/jobbookobserver.h"
+#include "jobs/workqueue.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Pistachio::Wire
+{
+class JobCommand;
+class JobStep;
+} // namespace Pistachio::Wire
+
+namespace Pistachio::Jobs
+{
+
+class JobBook;
+class SchedulerPorts;
+
+/// The time of an event as the process sees it.
+struct Now {
+    TimePoint time;
+    std::int64_t unixMs = 0; ///< for due times only; it may jump
+};
+
+struct SchedulerSettings {
+    Duration lease = 5s; ///< outlives the election of a new leader
+    Duration stopTimeout = 400ms; ///< a stop takes at most this long
+    Duration finishedRetention = 150s; ///< a finished job can be read for this long
+    std::size_t advisedMinions = 32; ///< the most minions named in one request for advice
+};
+
+/// Gives the tasks of the job book to minions while this instance leads the job group.
+///
+/// An assignment is committed before its start order, an end before the minion may forget it. Only one run of a task
+/// exists at a time: a task is assigned anew once its last run has ended, can't begin any more, or its lease is over.
+class JobScheduler : public JobBookObserver
+{
+public:
+    JobScheduler(JobBook &book, SchedulerPorts &ports, const SchedulerSettings &settings);
+    ~JobScheduler() override;
+
+    /// This instance leads and has applied all earlier entries.
+    /// \param fence above that of all earlier leaders
+    void lead(const Now &now, std::uint64_t fence);
+    void stopLeading();
+    [[nodiscard]] bool isLeading() const { return leading_; }
+
+    /// \param stored called once the report is stored, if it says something new; at once otherwise
+    void minionReported(const Now &now, const MinionReport &report, const std::function<void(bool)> &stored);
+    /// The minion has ended.
+    void minionLeft(const Now &now, const MinionLife &life);
+
+    void startAnswered(const Now &now, const StartOrder &order, const OrderAnswer &answer);
+    void stopAnswered(const Now &now, const StopOrder &order, const OrderAnswer &answer);
+    void holdAnswered(const Now &now, const HoldOrder &order, const HoldAnswer &answer);
+    void paceAnswered(const Now &now, const PaceOrder &order, const OrderAnswer &answer);
+    void adviceAnswered(const Now &now, const AdviceRequest &request, bool answered,
+                        const std::vector<ApprovedMinion> &approved);
+
+    /// A proposal was not appended.
+    void proposalFailed(const Now &now, const Wire::JobCommand &command);
+
+    /// Lets time pass; expected every 20 ms or so.
+    void tick(const Now &now);
+
+    [[nodiscard]] const Fleet &fleet() const { return fleet_; }
+    [[nodiscard]] const WorkQueue &queue() const { return queue_; }
+
+    // JobBookObserver
+    void configurationChanged() override;
+    void jobAccepted(const Job &job) override;
+    void jobEnded(const Job &job) override;
+    void jobForgotten(const std::string &job) override;
+    void taskAssigned(const Job &job, const TaskName &task, std::uint64_t run) override;
+    void taskEnded(const Job &job, const Wire::JobEnd &end, bool changed) override;
+    void minionRecorded(const Wire::JobMinion &minion) override;
+    void minionForgotten(const std::string &minion) override;
+    void restored() override;
+
+private:
+    struct Placement {
+        TaskName task;
+        Minion *minion;
+    };
+    using WaitingEntry = std::pair<const StepName, WaitingStep>;
+
+    // jobscheduler.cpp
+    void enqueueJob(const Job &job);
+    void enqueue(const Job &job, const TaskName &task);
+    void adoptRuns(const Job &job);
+    [[nodiscard]] TimePoint acceptedTime(const Job &job, std::uint32_t occurrence) const;
+    void releaseDueOccurrences();
+    void forgetFinished();
+    void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int how);
+    void stopRunsOf(const Job &job);
+
+    // runorders.cpp
+    void sendStart(Minion &minion, const TaskName &task, Run &run);
+    void sendStop(Minion &minion, const TaskName &task, Run &run);
+    void sendHold(Minion &minion, Duration wait);
+    void driveOrders();
+    void driveRun(Minion &minion, const TaskName &task, Run &run);
+    void takeActive(Minion &minion, const ActiveRun &active);
+    void takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
+    void endUnlisted(Minion &minion, const HoldAnswer &answer, TimePoint sent, Wire::JobCommand &command);
+    void loseMinion(Minion &minion, std::string_view reason);
+    void loseLapsed();
+    void forgetMinion(const std::string &id);
+    void pace(Minion &minion);
+
+    // planning.cpp
+    void plan();
+    void planService(const std::string &service, Wire::JobCommand &command);
+    bool placeStep(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
+    bool placeGang(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
+    void place(const Job &job, const TaskName &task, std::uint64_t run, Minion &minion, Wire::JobCommand &command);
+    [[nodiscard]] std::optional<TimePoint> ticketNeededUntil(const Job &job) const;
+    [[nodiscard]] bool isUsable(const Minion &minion) const;
+    [[nodiscard]] bool mayRun(const Minion &minion, const Job &job, const StepName &step) const;
+    [[nodiscard]] bool fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const;
+    Minion *bestMinion(const Job &job, const StepName &step, const TaskName &task, const std::string &rack);
+    bool askAdvice(const WaitingEntry &entry, const Job &job);
+    void reserveFor(const WaitingEntry &entry, const Job &job);
+
+    JobBook &book_;
+    SchedulerPorts &ports_;
+    const SchedulerSettings settings_;
+    bool leading_ = false;
+    std::uint64_t fence_ = 0;
+    Now now_;
+    Fleet fleet_;
+    WorkQueue queue_;
+    AdviceLedger advice_;
+    std::map<std::string, std::vector<std::function<void(bool)>>> reportsToStore_; ///< by minion id
+    std::map<std::int64_t, std::vector<TaskName>> notDue_; ///< first tasks of later occurrences, by due time
+    std::map<TimePoint, std::vector<std::string>> finished_; ///< jobs by the time at which they may be forgotten
+    std::set<std::string> reserved_; ///< minions kept for a gang in this round
+    std::map<std::string, TimePoint> services_; ///< that have waiting work
+    bool dirty_ = true; ///< something changed since the last plan
+    TimePoint lastPlan_{};
+};
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/minion.cpp
@@ -0,0 +1,115 @@
+#include "jobs/minion.h"
+
+#include <algorithm>
+
+namespace Pistachio::Jobs
+{
+
+std::string toString(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Done:
+        return "done";
+    case OrderOutcome::StaleFence:
+        return "stale fence";
+    case OrderOutcome::OldRun:
+        return "old run";
+    case OrderOutcome::LeaseTooShort:
+        return "lease too short";
+    case OrderOutcome::NoRoom:
+        return "no room";
+    case OrderOutcome::TicketRejected:
+        return "ticket rejected";
+    case OrderOutcome::Invalid:
+        return "invalid";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::OtherLife:
+        return "other life";
+    case OrderOutcome::Unanswered:
+        return "unanswered";
+    }
+    return "unanswered";
+}
+
+Amounts &Amounts::operator+=(const Amounts &other)
+{
+    milliCores += other.milliCores;
+    memoryMb += other.memoryMb;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+Amounts &Amounts::operator-=(const Amounts &other)
+{
+    milliCores -= other.milliCores;
+    memoryMb -= other.memoryMb;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+bool Amounts::fitsIn(const Amounts &room) const
+{
+    return milliCores <= room.milliCores && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+}
+
+Amounts Minion::capacity() const
+{
+    return {report.milliCores, report.memoryMb, report.accelerators};
+}
+
+Amounts Minion::used() const
+{
+    Amounts sum;
+    for (const auto &[task, run] : runs)
+        sum += run.reserved;
+    return sum;
+}
+
+Amounts Minion::room() const
+{
+    auto left = capacity();
+    left -= used();
+    return left;
+}
+
+std::int64_t Minion::spareUsed() const
+{
+    std::int64_t sum = 0;
+    for (const auto &[task, run] : runs)
+        sum += run.spareMilliCores;
+    return sum;
+}
+
+std::uint32_t Minion::tasksOf(const StepName &step) const
+{
+    std::uint32_t count = 0;
+    for (auto entry = runs.lower_bound({step, 0}); entry != runs.end() && entry->first.step == step; ++entry)
+        ++count;
+    return count;
+}
+
+bool Minion::hasLabel(const std::string &label) const
+{
+    return label.empty() || std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
+}
+
+std::optional<std::int64_t> Minion::extendLease(TimePoint now, Duration lease)
+{
+    if (!clockMs)
+        return std::nullopt;
+    // The minion's clock shows at least this; its real reading may be later, which only shortens the lease.
+    const double passedMs = static_cast<double>((now - clockAt).count()) / 1000.0 * slowestClock;
+    const auto expiry = *clockMs + static_cast<std::int64_t>(passedMs) + lease / 1ms;
+    const double longest = static_cast<double>(lease.count()) / slowestClock;
+    leaseGone = std::max(leaseGone, now + Duration(static_cast<std::int64_t>(longest)));
+    return expiry;
+}
+
+void Minion::clockRead(TimePoint now, std::int64_t clock)
+{
+    clockMs = clock;
+    clockAt = now;
+}
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/minion.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/time.h"
+#include "jobs/orders.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Pistachio::Jobs
+{
+
+/// Processors, memory and accelerators.
+struct Amounts {
+    std::int64_t milliCores = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+
+    Amounts &operator+=(const Amounts &other);
+    Amounts &operator-=(const Amounts &other);
+    [[nodiscard]] bool fitsIn(const Amounts &room) const;
+};
+
+enum class RunPhase : std::uint8_t {
+    Proposed, ///< the assignment is not committed yet
+    Adopted, ///< assigned by an earlier leader; the minion has not been asked yet
+    Starting, ///< ordered, not confirmed
+    Running,
+    Stopping, ///< ordered to stop
+    Ending, ///< its end is proposed
+};
+
+/// A run as the leader believes it to be at a minion.
+struct Run {
+    std::uint64_t run = 0;
+    Amounts reserved; ///< counts against the minion's capacity
+    std::int64_t spareMilliCores = 0; ///< uses, without counting
+    RunPhase phase = RunPhase::Proposed;
+    TimePoint phaseSince{};
+    TimePoint lastOrder{};
+    bool orderOutstanding = false;
+    std::uint32_t attempts = 0;
+    bool stopConfirmed = false;
+    bool isOrphan = false; ///< the book doesn't know it as the task's run
+    std::string checkpoint;
+    std::uint32_t percent = 0;
+    TimePoint progressAt{};
+    TimePoint startedAt{};
+    std::int64_t measure = 0;
+    std::uint32_t pace = 100;
+};
+
+/// What the leader knows of one life of a minion.
+struct Minion {
+    MinionReport report;
+    std::map<TaskName, Run> runs;
+
+    bool isHeld = false; ///< has answered a hold of this leader, so earlier leaders' orders are void there
+    bool holdOutstanding = false;
+    TimePoint holdSent{};
+    TimePoint nextHold{};
+    bool endsProposed = false; ///< the next hold waits until they are committed
+    std::uint64_t acknowledgedEnd = 0;
+    std::uint64_t seenEnd = 0;
+
+    TimePoint lastContact{}; ///< last answered hold
+    TimePoint leaseGone{}; ///< no lease given so far lasts longer than this
+    std::optional<std::int64_t> clockMs; ///< the minion's clock at clockAt or earlier
+    TimePoint clockAt{};
+
+    TimePoint avoidUntil{}; ///< nothing new is placed here before
+    std::uint32_t failuresInRow = 0; ///< of different jobs
+    std::string lastFailedJob;
+    TimePoint lastHeard{}; ///< last report
+    bool isForgotten = false; ///< its removal is proposed
+
+    [[nodiscard]] Amounts capacity() const;
+    [[nodiscard]] Amounts used() const;
+    [[nodiscard]] Amounts room() const;
+    [[nodiscard]] std::int64_t spareUsed() const;
+    [[nodiscard]] std::uint32_t tasksOf(const StepName &step) const;
+    [[nodiscard]] bool hasLabel(const std::string &label) const;
+
+    /// Extends the lease by \p lease from \p now.
+    /// \return the expiry on the minion's clock, or nothing before its clock is known.
+    std::optional<std::int64_t> extendLease(TimePoint now, Duration lease);
+    void clockRead(TimePoint now, std::int64_t clock);
+};
+
+/// How much slower than real time a minion's clock may run.
+constexpr double slowestClock = 0.98;
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/planning.cpp
@@ -0,0 +1,315 @@
+#include "jobs/jobbook.h"
+#include "jobs/jobscheduler.h"
+#include "jobs/schedulerports.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace Pistachio::Jobs
+{
+
+using Logging::LogLevel;
+
+namespace
+{
+
+constexpr Duration contactNeeded = 2500ms; ///< a minion that has not answered for this long gets nothing new
+constexpr Duration ticketMargin = 150ms; ///< commit of the assignment and the way to the minion
+constexpr Duration adviceRetry = 300ms;
+constexpr std::size_t maxReservations = 2; ///< of a service; more would leave minions empty
+constexpr std::size_t maxStepsAsked = 16; ///< in one round, so that pressing steps come first
+
+Amounts demandOf(const Wire::JobStep &step)
+{
+    return {step.milli_cores(), step.memory_mb(), step.accelerators()};
+}
+
+} // namespace
+
+void JobScheduler::plan()
+{
+    dirty_ = false;
+    lastPlan_ = now_.time;
+    Wire::JobCommand command;
+    for (const auto &[service, since] : services_) {
+        reserved_.clear();
+        planService(service, command);
+    }
+    if (command.assignments_size() > 0)
+        ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::planService(const std::string &service, Wire::JobCommand &command)
+{
+    std::size_t asked = 0;
+    std::size_t reservations = 0;
+    for (const auto *entry : queue_.ordered(now_.time, service)) {
+        const auto *job = book_.job(entry->first.job);
+        if (!job)
+            continue;
+        const StepName name = entry->first;
+        const bool placed
+            = job->spec(name.step).gang() ? placeGang(*entry, *job, command) : placeStep(*entry, *job, command);
+        const bool isGang = job->spec(name.step).gang();
+        // A gang that waits for the rest of its last run to end needs nothing yet.
+        if (placed || (isGang && entry->second.tasks.size() < job->spec(name.step).tasks()))
+            continue;
+        if (asked < maxStepsAsked && askAdvice(*entry, *job))
+            ++asked;
+        if (isGang && reservations < maxReservations) {
+            reserveFor(*entry, *job);
+            ++reservations;
+        }
+    }
+}
+
+std::optional<TimePoint> JobScheduler::ticketNeededUntil(const Job &job) const
+{
+    const auto *queue = book_.queue(job.submission().queue());
+    if (!queue || !queue->needs_advice())
+        return std::nullopt;
+    return now_.time + ticketMargin;
+}
+
+bool JobScheduler::isUsable(const Minion &minion) const
+{
+    return minion.isHeld && !minion.isForgotten && !minion.report.draining && minion.clockMs
+        && now_.time < minion.lastContact + contactNeeded && now_.time >= minion.avoidUntil;
+}
+
+bool JobScheduler::mayRun(const Minion &minion, const Job &job, const StepName &step) const
+{
+    const auto *queue = book_.queue(job.submission().queue());
+    return queue && minion.report.service == queue->service() && minion.hasLabel(job.spec(step.step).required_label())
+        && demandOf(job.spec(step.step)).fitsIn(minion.capacity());
+}
+
+bool JobScheduler::fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const
+{
+    if (step.max_per_minion() > 0 && minion.tasksOf(name) >= step.max_per_minion())
+        return false;
+    auto room = minion.room();
+    if (step.uses_spare_cores())
+        room.milliCores -= minion.spareUsed();
+    return demandOf(step).fitsIn(room);
+}
+
+Minion *JobScheduler::bestMinion(const Job &job, const StepName &name, const TaskName &task, const std::string &rack)
+{
+    const auto &step = job.spec(name.step);
+    const auto needed = ticketNeededUntil(job);
+    Minion *best = nullptr;
+    auto bestScore = std::numeric_limits<double>::max();
+    for (auto &[id, minion] : fleet_.minions()) {
+        if (!isUsable(minion) || reserved_.contains(id) || !mayRun(minion, job, name) || minion.runs.contains(task)
+            || !fits(minion, step, name))
+            continue;
+        if (!rack.empty() && !minion.hasLabel(rack))
+            continue;
+        if (needed && !advice_.ticket(name, id, *needed))
+            continue;
+        auto room = minion.room();
+        room -= demandOf(step);
+        // The fullest minion that still fits keeps whole minions free for large tasks.
+        double score = static_cast<double>(room.milliCores)
+            / static_cast<double>(std::max<std::int64_t>(1, minion.report.milliCores));
+        if (minion.report.accelerators > 0)
+            score += static_cast<double>(room.accelerators) / static_cast<double>(minion.report.accelerators);
+        if (!step.data_rack().empty() && !minion.hasLabel(step.data_rack()))
+            score += 10;
+        if (score < bestScore) {
+            bestScore = score;
+            best = &minion;
+        }
+    }
+    return best;
+}
+
+void JobScheduler::place(const Job &job, const TaskName &task, std::uint64_t run, Minion &minion,
+                         Wire::JobCommand &command)
+{
+    const auto &step = job.spec(task.step.step);
+    Run planned;
+    planned.run = run;
+    planned.reserved = demandOf(step);
+    if (step.uses_spare_cores()) {
+        planned.spareMilliCores = step.milli_cores();
+        planned.reserved.milliCores = 0;
+    }
+    planned.phaseSince = now_.time;
+    minion.runs[task] = planned;
+    auto &assignment = *command.add_assignments();
+    fill(*assignment.mutable_task(), task);
+    assignment.set_run(run);
+    assignment.set_minion(minion.report.life.id);
+    assignment.set_minion_born_unix_ms(minion.report.life.bornUnixMs);
+}
+
+bool JobScheduler::placeStep(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command)
+{
+    const StepName name = entry.first;
+    const auto waiting = entry.second.tasks;
+    const auto since = entry.second.readySince;
+    const auto slack = entry.second.latestStart - now_.time;
+    std::size_t placed = 0;
+    for (const auto index : waiting) {
+        const TaskName task{name, index};
+        auto *minion = bestMinion(job, name, task, {});
+        if (!minion)
+            break;
+        place(job, task, job.task(task)->run + 1, *minion, command);
+        queue_.remove(task);
+        ++placed;
+    }
+    if (placed > 0) {
+        ports_.record(LogLevel::Info, "tasks-assigned",
+                      {{"step", name.toString()},
+                       {"tasks", placed},
+                       {"of", waiting.size()},
+                       {"waited_ms", (now_.time - since) / 1ms},
+                       {"slack_ms", slack / 1ms}});
+    }
+    return placed == waiting.size();
+}
+
+bool JobScheduler::placeGang(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command)
+{
+    const StepName name = entry.first;
+    const auto &step = job.spec(name.step);
+    const auto &tasks = job.step(name.occurrence, name.step)->tasks;
+    const auto waiting = entry.second.tasks;
+    // A gang starts anew only once all members of its last run have ended.
+    if (waiting.size() < tasks.size())
+        return false;
+    std::uint64_t run = 0;
+    for (const auto &task : tasks)
+        run = std::max(run, task.run);
+    std::vector<std::string> racks{std::string()};
+    if (step.same_rack()) {
+        std::set<std::string> labels;
+        for (const auto &[id, minion] : fleet_.minions()) {
+            if (mayRun(minion, job, name))
+                labels.insert(minion.report.labels.begin(), minion.report.labels.end());
+        }
+        racks.insert(racks.begin(), labels.begin(), labels.end());
+    }
+    for (const auto &rack : racks) {
+        Wire::JobCommand attempt;
+        std::vector<Placement> placed;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+            const TaskName task{name, index};
+            auto *minion = bestMinion(job, name, task, rack);
+            if (!minion)
+                break;
+            place(job, task, run + 1, *minion, attempt);
+            placed.push_back({task, minion});
+        }
+        if (placed.size() < tasks.size()) {
+            for (const auto &item : placed)
+                item.minion->runs.erase(item.task);
+            continue;
+        }
+        command.MergeFrom(attempt);
+        ports_.record(LogLevel::Info, "gang-assigned",
+                      {{"step", name.toString()},
+                       {"tasks", placed.size()},
+                       {"run", run + 1},
+                       {"rack", rack},
+                       {"waited_ms", (now_.time - entry.second.readySince) / 1ms},
+                       {"slack_ms", (entry.second.latestStart - now_.time) / 1ms}});
+        for (const auto &item : placed)
+            queue_.remove(item.task);
+        return true;
+    }
+    return false;
+}
+
+bool JobScheduler::askAdvice(const WaitingEntry &entry, const Job &job)
+{
+    const auto &name = entry.first;
+    if (!ticketNeededUntil(job) || advice_.isAsking(name) || ports_.idleAdvisers() == 0
+        || now_.time < advice_.failedAt(name) + adviceRetry)
+        return false;
+    std::vector<std::pair<std::int64_t, std::string>> unknown;
+    AdviceRequest request;
+    request.step = name;
+    for (const auto &[id, minion] : fleet_.minions()) {
+        if (!isUsable(minion) || !mayRun(minion, job, name) || advice_.isDenied(name, id))
+            continue;
+        if (!advice_.isApproved(name, id))
+            unknown.emplace_back(-minion.room().milliCores, id);
+        else if (!advice_.ticket(name, id, now_.time + ticketMargin))
+            request.minions.push_back(id);
+    }
+    std::sort(unknown.begin(), unknown.end());
+    for (const auto &[room, id] : unknown) {
+        if (request.minions.size() >= settings_.advisedMinions)
+            break;
+        request.minions.push_back(id);
+    }
+    if (request.minions.empty())
+        return false;
+    advice_.asked(request);
+    ports_.askAdvice(request);
+    return true;
+}
+
+void JobScheduler::reserveFor(const WaitingEntry &entry, const Job &job)
+{
+    const auto &name = entry.first;
+    const auto needsTicket = ticketNeededUntil(job).has_value();
+    // The minions with the most room are free first.
+    std::vector<std::pair<std::int64_t, std::string>> candidates;
+    for (const auto &[id, minion] : fleet_.minions()) {
+        if (!isUsable(minion) || reserved_.contains(id) || !mayRun(minion, job, name))
+            continue;
+        if (needsTicket && !advice_.isApproved(name, id))
+            continue;
+        const auto room = minion.room();
+        candidates.emplace_back(-(room.accelerators * 100'000 + room.milliCores), id);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    const auto &step = job.spec(name.step);
+    std::uint32_t covered = 0;
+    for (const auto &[room, id] : candidates) {
+        if (covered >= step.tasks())
+            return;
+        const auto capacity = fleet_.find(id)->capacity();
+        std::uint32_t here = 0;
+        Amounts sum = demandOf(step);
+        while (sum.fitsIn(capacity) && here < step.tasks()) {
+            ++here;
+            sum += demandOf(step);
+        }
+        if (step.max_per_minion() > 0)
+            here = std::min(here, step.max_per_minion());
+        covered += here;
+        reserved_.insert(id);
+    }
+}
+
+void JobScheduler::adviceAnswered(const Now &now, const AdviceRequest &request, bool answered,
+                                  const std::vector<ApprovedMinion> &approved)
+{
+    now_ = now;
+    if (!leading_)
+        return;
+    dirty_ = true;
+    const auto *job = book_.job(request.step.job);
+    const auto *queue = job ? book_.queue(job->submission().queue()) : nullptr;
+    if (!answered || !queue) {
+        advice_.failed(now.time, request.step);
+        ports_.record(LogLevel::Info, "advice-failed",
+                      {{"step", request.step.toString()}, {"minions", request.minions.size()}});
+        return;
+    }
+    advice_.answered(now.time, std::chrono::milliseconds(queue->ticket_validity_ms()), request.step, approved);
+    ports_.record(
+        LogLevel::Debug, "advice",
+        {{"step", request.step.toString()}, {"asked", request.minions.size()}, {"approved", approved.size()}});
+}
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/runorders.cpp
@@ -0,0 +1,476 @@
+#include "jobs/jobbook.h"
+#include "jobs/jobscheduler.h"
+#include "jobs/schedulerports.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pistachio::Jobs
+{
+
+using Logging::LogLevel;
+
+namespace
+{
+
+constexpr Duration holdWait = 1s; ///< leaves several tries within one lease
+constexpr Duration idleHoldWait = 2s; ///< of a minion that runs nothing
+constexpr Duration holdRetry = 150ms;
+constexpr Duration orderRetry = 100ms;
+constexpr std::uint32_t maxStartAttempts = 4;
+constexpr Duration avoidAfterRefusal = 1s;
+constexpr Duration avoidAfterSilence = 2s;
+constexpr std::uint32_t failuresBeforeAvoiding = 3;
+constexpr Duration avoidAfterFailures = 8s;
+constexpr Duration forgetSilent = 6s; ///< several reports are missing by then
+constexpr Duration holdRetryLost = 1s; ///< of a minion whose lease is over
+constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the way of the last order
+constexpr double paceDownAbove = 0.85; ///< of the bound on a serving task's tail
+constexpr double paceUpBelow = 0.55;
+constexpr std::uint32_t lowestPace = 5;
+constexpr Duration paceInterval = 400ms;
+
+Wire::JobRunEnd toWire(RunEnd how)
+{
+    switch (how) {
+    case RunEnd::Done:
+        return Wire::JOB_RUN_END_DONE;
+    case RunEnd::Failed:
+        return Wire::JOB_RUN_END_FAILED;
+    case RunEnd::Stopped:
+        return Wire::JOB_RUN_END_STOPPED;
+    case RunEnd::Lapsed:
+        return Wire::JOB_RUN_END_LAPSED;
+    case RunEnd::Broken:
+        return Wire::JOB_RUN_END_BROKEN;
+    case RunEnd::Alone:
+        return Wire::JOB_RUN_END_ALONE;
+    }
+    return Wire::JOB_RUN_END_UNSPECIFIED;
+}
+
+} // namespace
+
+void JobScheduler::sendStart(Minion &minion, const TaskName &task, Run &run)
+{
+    const auto *job = book_.job(task.step.job);
+    const auto *record = job ? job->task(task) : nullptr;
+    if (!record)
+        return;
+    const auto expiry = minion.extendLease(now_.time, settings_.lease);
+    if (!expiry)
+        return;
+    StartOrder order;
+    order.minion = minion.report.life;
+    order.address = minion.report.address;
+    order.task = task;
+    order.run = run.run;
+    order.payload = job->submission().spec().payload();
+    order.checkpoint = record->checkpoint;
+    if (job->spec(task.step.step).gang())
+        order.checkpoint = job->step(task.step.occurrence, task.step.step)->tasks.front().checkpoint;
+    order.ticket = advice_.ticket(task.step, minion.report.life.id, {}).value_or("");
+    order.leaseExpiresAtMs = *expiry;
+    order.fence = fence_;
+    run.orderOutstanding = true;
+    run.lastOrder = now_.time;
+    ++run.attempts;
+    ports_.start(order);
+}
+
+void JobScheduler::sendStop(Minion &minion, const TaskName &task, Run &run)
+{
+    if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending || run.stopConfirmed)
+        return;
+    if (run.phase != RunPhase::Stopping) {
+        run.phase = RunPhase::Stopping;
+        run.phaseSince = now_.time;
+    }
+    run.lastOrder = now_.time;
+    run.orderOutstanding = true;
+    ports_.stop({minion.report.life, minion.report.address, task, run.run, fence_});
+}
+
+void JobScheduler::sendHold(Minion &minion, Duration wait)
+{
+    HoldOrder order;
+    order.minion = minion.report.life;
+    order.address = minion.report.address;
+    order.leaseExpiresAtMs = minion.extendLease(now_.time, settings_.lease);
+    order.acknowledgedEnd = minion.acknowledgedEnd;
+    order.wait = minion.isHeld ? wait : Duration::zero();
+    order.fence = fence_;
+    minion.holdOutstanding = true;
+    minion.holdSent = now_.time;
+    ports_.hold(order);
+}
+
+void JobScheduler::driveOrders()
+{
+    for (auto &[id, minion] : fleet_.minions()) {
+        if (!minion.holdOutstanding && !minion.endsProposed && now_.time >= minion.nextHold)
+            sendHold(minion, minion.runs.empty() ? idleHoldWait : holdWait);
+        for (auto &[task, run] : minion.runs)
+            driveRun(minion, task, run);
+        pace(minion);
+    }
+}
+
+void JobScheduler::driveRun(Minion &minion, const TaskName &task, Run &run)
+{
+    if (run.orderOutstanding || now_.time < run.lastOrder + orderRetry)
+        return;
+    if (run.phase == RunPhase::Starting) {
+        if (run.attempts < maxStartAttempts)
+            sendStart(minion, task, run);
+        else
+            sendStop(minion, task, run);
+    } else if (run.phase == RunPhase::Stopping) {
+        sendStop(minion, task, run);
+    }
+}
+
+void JobScheduler::startAnswered(const Now &now, const StartOrder &order, const OrderAnswer &answer)
+{
+    now_ = now;
+    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+    if (!minion)
+        return;
+    if (answer.clockMs)
+        minion->clockRead(now.time, *answer.clockMs);
+    const auto found = minion->runs.find(order.task);
+    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != RunPhase::Starting)
+        return;
+    auto &run = found->second;
+    run.orderOutstanding = false;
+    if (answer.outcome == OrderOutcome::Done) {
+        run.phase = RunPhase::Running;
+        run.phaseSince = now.time;
+        run.startedAt = now.time;
+        run.progressAt = now.time;
+        return;
+    }
+    ports_.record(LogLevel::Info, "start-not-done",
+                  {{"task", order.task.toString()},
+                   {"run", order.run},
+                   {"minion", order.minion.id},
+                   {"attempt", run.attempts},
+                   {"outcome", toString(answer.outcome)}});
+    switch (answer.outcome) {
+    case OrderOutcome::Unanswered:
+        minion->avoidUntil = std::max(minion->avoidUntil, now.time + avoidAfterSilence);
+        return;
+    case OrderOutcome::OtherLife:
+        loseMinion(*minion, "its address answers for another life");
+        return;
+    case OrderOutcome::LeaseTooShort:
+        return;
+    case OrderOutcome::OldRun:
+        // It has begun and ended there, or was stopped; the next hold tells which.
+        sendStop(*minion, order.task, run);
+        return;
+    case OrderOutcome::TicketRejected:
+        advice_.rejected(order.task.step, order.minion.id);
+        break;
+    case OrderOutcome::Refused:
+        minion->avoidUntil = std::max(minion->avoidUntil, now.time + avoidAfterRefusal);
+        break;
+    default:
+        break;
+    }
+    // An earlier attempt without an answer may still be carried out.
+    if (run.attempts > 1) {
+        sendStop(*minion, order.task, run);
+        return;
+    }
+    Wire::JobCommand command;
+    proposeEnd(command, *minion, order.task, order.run, Wire::JOB_RUN_END_NOT_STARTED);
+    ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::stopAnswered(const Now &now, const StopOrder &order, const OrderAnswer &answer)
+{
+    now_ = now;
+    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+    if (!minion)
+        return;
+    if (answer.clockMs)
+        minion->clockRead(now.time, *answer.clockMs);
+    const auto found = minion->runs.find(order.task);
+    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != RunPhase::Stopping)
+        return;
+    auto &run = found->second;
+    run.orderOutstanding = false;
+    if (answer.outcome == OrderOutcome::OtherLife) {
+        loseMinion(*minion, "its address answers for another life");
+        return;
+    }
+    if (answer.outcome == OrderOutcome::Done || answer.outcome == OrderOutcome::OldRun) {
+        run.stopConfirmed = true;
+        run.phaseSince = now.time;
+        return;
+    }
+    ports_.record(LogLevel::Info, "stop-not-done",
+                  {{"task", order.task.toString()},
+                   {"run", order.run},
+                   {"minion", order.minion.id},
+                   {"outcome", toString(answer.outcome)}});
+}
+
+void JobScheduler::paceAnswered(const Now &now, const PaceOrder &order, const OrderAnswer &answer)
+{
+    now_ = now;
+    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+    const auto found = minion ? minion->runs.find(order.task) : std::map<TaskName, Run>::iterator();
+    if (!minion || found == minion->runs.end() || found->second.run != order.run)
+        return;
+    found->second.orderOutstanding = false;
+    if (answer.outcome == OrderOutcome::Done)
+        found->second.pace = order.percent;
+}
+
+void JobScheduler::holdAnswered(const Now &now, const HoldOrder &order, const HoldAnswer &answer)
+{
+    now_ = now;
+    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+    if (!minion)
+        return;
+    minion->holdOutstanding = false;
+    minion->nextHold = now.time + holdRetry;
+    const bool otherLife
+        = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
+    if (answer.outcome == OrderOutcome::OtherLife || otherLife) {
+        loseMinion(*minion, "its address answers for another life");
+        return;
+    }
+    if (answer.outcome != OrderOutcome::Done) {
+        if (now.time > minion->leaseGone)
+            minion->nextHold = now.time + holdRetryLost;
+        ports_.record(LogLevel::Info, "hold-not-done",
+                      {{"minion", order.minion.id},
+                       {"outcome", toString(answer.outcome)},
+                       {"silent_ms", (now.time - minion->lastContact) / 1ms}});
+        return;
+    }
+    if (answer.clockMs)
+        minion->clockRead(now.time, *answer.clockMs);
+    const bool first = !minion->isHeld;
+    minion->isHeld = true;
+    minion->lastContact = now.time;
+    minion->nextHold = now.time;
+    dirty_ = dirty_ || first;
+    for (const auto &active : answer.active)
+        takeActive(*minion, active);
+    Wire::JobCommand command;
+    for (const auto &ended : answer.ended)
+        takeEnded(*minion, ended, command);
+    endUnlisted(*minion, answer, minion->holdSent, command);
+    if (!answer.ended.empty())
+        minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
+    if (command.ends_size() == 0) {
+        minion->acknowledgedEnd = minion->seenEnd;
+        return;
+    }
+    minion->endsProposed = true;
+    ports_.propose(std::move(command), [this, life = order.minion, last = minion->seenEnd](bool applied) {
+        auto *later = leading_ ? fleet_.find(life) : nullptr;
+        if (!later)
+            return;
+        later->endsProposed = false;
+        if (applied)
+            later->acknowledgedEnd = std::max(later->acknowledgedEnd, last);
+        else
+            later->seenEnd = later->acknowledgedEnd;
+    });
+}
+
+void JobScheduler::takeActive(Minion &minion, const ActiveRun &active)
+{
+    auto found = minion.runs.find(active.task);
+    const auto *job = book_.job(active.task.step.job);
+    if (found == minion.runs.end() || found->second.run < active.run) {
+        if (found != minion.runs.end())
+            return;
+        // A run that the book doesn't know as current, such as one that started late.
+        Run orphan;
+        orphan.run = active.run;
+        orphan.isOrphan = true;
+        orphan.phase = RunPhase::Running;
+        if (job && active.task.step.step < job->stepsPerOccurrence()) {
+            const auto &step = job->spec(active.task.step.step);
+            orphan.reserved = {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
+        }
+        found = minion.runs.emplace(active.task, orphan).first;
+        ports_.record(LogLevel::Warning, "orphan-run",
+                      {{"task", active.task.toString()}, {"run", active.run}, {"minion", minion.report.life.id}});
+        sendStop(minion, active.task, found->second);
+        return;
+    }
+    auto &run = found->second;
+    if (run.run != active.run)
+        return;
+    if (active.percent != run.percent)
+        run.progressAt = now_.time;
+    run.percent = active.percent;
+    run.measure = active.measure;
+    if (!active.checkpoint.empty())
+        run.checkpoint = active.checkpoint;
+    if (run.phase == RunPhase::Adopted || run.phase == RunPhase::Starting) {
+        run.phase = RunPhase::Running;
+        run.phaseSince = now_.time;
+        run.startedAt = now_.time;
+        run.progressAt = now_.time;
+        if (job && job->phase() != JobPhase::Active)
+            sendStop(minion, active.task, run);
+    }
+}
+
+void JobScheduler::takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command)
+{
+    if (ended.number <= minion.seenEnd)
+        return;
+    const auto *job = book_.job(ended.task.step.job);
+    const auto found = minion.runs.find(ended.task);
+    const bool isKnown = found != minion.runs.end() && found->second.run == ended.run;
+    if (ended.how == RunEnd::Failed && minion.lastFailedJob != ended.task.step.job) {
+        minion.lastFailedJob = ended.task.step.job;
+        if (++minion.failuresInRow >= failuresBeforeAvoiding) {
+            minion.avoidUntil = now_.time + avoidAfterFailures;
+            ports_.record(LogLevel::Warning, "minion-avoided",
+                          {{"minion", minion.report.life.id}, {"failures", minion.failuresInRow}});
+        }
+    } else if (ended.how == RunEnd::Done) {
+        minion.failuresInRow = 0;
+    }
+    if (ended.how != RunEnd::Done) {
+        ports_.record(LogLevel::Info, "run-ended",
+                      {{"task", ended.task.toString()},
+                       {"run", ended.run},
+                       {"minion", minion.report.life.id},
+                       {"how", static_cast<int>(ended.how)}});
+    }
+    if (!job) {
+        if (isKnown)
+            minion.runs.erase(found);
+        return;
+    }
+    if (isKnown && !ended.checkpoint.empty())
+        found->second.checkpoint = ended.checkpoint;
+    if (isKnown || ended.how == RunEnd::Done)
+        proposeEnd(command, minion, ended.task, ended.run, toWire(ended.how));
+}
+
+void JobScheduler::endUnlisted(Minion &minion, const HoldAnswer &answer, TimePoint sent, Wire::JobCommand &command)
+{
+    std::vector<TaskName> gone;
+    for (auto &[task, run] : minion.runs) {
+        const bool settled = run.phase == RunPhase::Adopted || run.phase == RunPhase::Running
+            || (run.phase == RunPhase::Stopping && run.stopConfirmed);
+        if (!settled || run.phaseSince >= sent)
+            continue;
+        const auto listed = std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &active) {
+            return active.task == task && active.run == run.run;
+        });
+        if (!listed)
+            gone.push_back(task);
+    }
+    for (const auto &task : gone) {
+        const auto run = minion.runs.at(task).run;
+        ports_.record(LogLevel::Info, "run-not-listed",
+                      {{"task", task.toString()}, {"run", run}, {"minion", minion.report.life.id}});
+        if (book_.job(task.step.job))
+            proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED);
+        else
+            minion.runs.erase(task);
+    }
+}
+
+void JobScheduler::loseMinion(Minion &minion, std::string_view reason)
+{
+    std::size_t lost = 0;
+    Wire::JobCommand command;
+    for (auto &[task, run] : minion.runs) {
+        if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending)
+            continue;
+        proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST);
+        ++lost;
+    }
+    minion.isHeld = false;
+    minion.clockMs.reset();
+    ports_.record(LogLevel::Warning, "minion-lost",
+                  {{"minion", minion.report.life.id},
+                   {"address", minion.report.address},
+                   {"reason", reason},
+                   {"runs", lost},
+                   {"silent_ms", minion.lastContact == TimePoint{} ? -1 : (now_.time - minion.lastContact) / 1ms}});
+    if (lost > 0)
+        ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::loseLapsed()
+{
+    std::vector<std::string> silent;
+    for (auto &[id, minion] : fleet_.minions()) {
+        if (now_.time < minion.leaseGone + leaseMargin)
+            continue;
+        if (!minion.isHeld && now_.time > std::max(minion.lastHeard, minion.leaseGone) + forgetSilent) {
+            silent.push_back(id);
+            continue;
+        }
+        const bool runsSomething = std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto &entry) {
+            return entry.second.phase != RunPhase::Proposed && entry.second.phase != RunPhase::Ending;
+        });
+        if (runsSomething || (minion.isHeld && now_.time > minion.lastContact + settings_.lease))
+            loseMinion(minion, "its lease is over");
+    }
+    for (const auto &id : silent)
+        forgetMinion(id);
+}
+
+void JobScheduler::forgetMinion(const std::string &id)
+{
+    auto *minion = fleet_.find(id);
+    if (!minion || minion->isForgotten)
+        return;
+    minion->isForgotten = true;
+    ports_.record(
+        LogLevel::Info, "minion-forgotten",
+        {{"minion", id}, {"address", minion->report.address}, {"silent_ms", (now_.time - minion->lastHeard) / 1ms}});
+    Wire::JobCommand command;
+    command.add_gone_minions(id);
+    ports_.propose(std::move(command), [this, id](bool applied) {
+        if (auto *kept = applied ? nullptr : fleet_.find(id))
+            kept->isForgotten = false;
+    });
+}
+
+void JobScheduler::pace(Minion &minion)
+{
+    double worst = 0;
+    for (const auto &[task, run] : minion.runs) {
+        const auto *job = run.phase == RunPhase::Running ? book_.job(task.step.job) : nullptr;
+        if (!job || job->spec(task.step.step).target_ms() == 0)
+            continue;
+        worst = std::max(worst,
+                         static_cast<double>(run.measure) / static_cast<double>(job->spec(task.step.step).target_ms()));
+    }
+    for (auto &[task, run] : minion.runs) {
+        if (run.spareMilliCores == 0 || run.phase != RunPhase::Running || run.orderOutstanding
+            || now_.time < run.lastOrder + paceInterval)
+            continue;
+        auto wanted = run.pace;
+        if (worst > paceDownAbove)
+            wanted = std::max(lowestPace, run.pace / 2);
+        else if (worst < paceUpBelow)
+            wanted = std::min(100U, run.pace + 20);
+        if (wanted == run.pace)
+            continue;
+        run.lastOrder = now_.time;
+        run.orderOutstanding = true;
+        ports_.pace({minion.report.life, minion.report.address, task, run.run, wanted, fence_});
+    }
+}
+
+} // namespace Pistachio::Jobs
--- /dev/null
+++ b/src/libs/jobs/workqueue.cpp
@@ -0,0 +1,112 @@
+#include "jobs/workqueue.h"
+
+#include "jobs/job.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+
+namespace Pistachio::Jobs
+{
+
+namespace
+{
+
+constexpr int lateFactor = 3; ///< a job is of some use until this many times its objective
+
+std::vector<Duration> chains(const Job &job)
+{
+    const auto count = job.stepsPerOccurrence();
+    std::vector<Duration> after(count, Duration::zero());
+    std::vector<Duration> chain(count, Duration::zero());
+    for (std::uint32_t number = count; number-- > 0;) {
+        const auto &step = job.spec(number);
+        chain[number] = after[number] + Duration(std::chrono::milliseconds(step.estimate_ms()));
+        for (const auto earlier : step.depends_on())
+            after[earlier] = std::max(after[earlier], chain[number]);
+    }
+    return chain;
+}
+
+/// 0: in time, 1: late, 2: of no use any more.
+int lateness(const WaitingStep &step, TimePoint now)
+{
+    if (now <= step.latestStart)
+        return 0;
+    return now <= step.latestUsefulStart ? 1 : 2;
+}
+
+} // namespace
+
+Duration remainingChain(const Job &job, std::uint32_t step)
+{
+    return chains(job)[step];
+}
+
+Duration wholeChain(const Job &job)
+{
+    const auto all = chains(job);
+    return all.empty() ? Duration::zero() : *std::max_element(all.begin(), all.end());
+}
+
+void WorkQueue::add(TimePoint now, const Job &job, const Wire::JobQueue &queue, const TaskName &task,
+                    TimePoint accepted)
+{
+    auto &step = steps_[task.step];
+    if (step.tasks.empty()) {
+        const auto whole = wholeChain(job);
+        const auto objective = Duration(static_cast<std::int64_t>(static_cast<double>(whole.count())
+                                                                  * std::max(1.0, queue.slack_factor())))
+            + Duration(std::chrono::milliseconds(queue.target_latency_ms()));
+        const auto remaining = remainingChain(job, task.step.step);
+        step.readySince = now;
+        step.latestStart = accepted + objective - remaining;
+        step.latestUsefulStart = accepted + objective * lateFactor - remaining;
+        step.priority = queue.priority();
+        step.service = queue.service();
+    }
+    step.tasks.insert(task.index);
+}
+
+void WorkQueue::remove(const TaskName &task)
+{
+    const auto found = steps_.find(task.step);
+    if (found == steps_.end())
+        return;
+    found->second.tasks.erase(task.index);
+    if (found->second.tasks.empty())
+        steps_.erase(found);
+}
+
+void WorkQueue::removeJob(const std::string &job)
+{
+    auto entry = steps_.lower_bound({job, 0, 0});
+    while (entry != steps_.end() && entry->first.job == job)
+        entry = steps_.erase(entry);
+}
+
+bool WorkQueue::isWaiting(const TaskName &task) const
+{
+    const auto found = steps_.find(task.step);
+    return found != steps_.end() && found->second.tasks.contains(task.index);
+}
+
+std::vector<const std::pair<const StepName, WaitingStep> *> WorkQueue::ordered(TimePoint now,
+                                                                               const std::string &service) const
+{
+    std::vector<const std::pair<const StepName, WaitingStep> *> result;
+    for (const auto &entry : steps_) {
+        if (entry.second.service == service)
+            result.push_back(&entry);
+    }
+    std::stable_sort(result.begin(), result.end(), [now](const auto *left, const auto *right) {
+        const int leftLateness = lateness(left->second, now);
+        const int rightLateness = lateness(right->second, now);
+        if (leftLateness != rightLateness)
+            return leftLateness < rightLateness;
+        return left->second.latestStart < right->second.latestStart;
+    });
+    return result;
+}
+
+} // namespace Pistachio::Jobs
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -20,6 +20,8 @@
 namespace
 {
 
+constexpr std::string_view standardOutput = "-";
+
 struct Line {
     LogLevel level = LogLevel::Info;
     std::chrono::system_clock::time_point time;
@@ -97,6 +99,8 @@
         log4cxx::AppenderPtr appender;
         if (file.empty())
             appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        else if (file == standardOutput)
+            appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
         else
             appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
         logger_->setLevel(log4cxx::Level::getAll());
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -22,7 +22,7 @@
     /// \param program the value of the field "program" of each line
     /// \param instance the value of the field "instance" of each line
     /// \param level the name of the lowest level written: debug, info, warning or error
-    /// \param file the file to append to, or an empty string for standard error
+    /// \param file the file to append to, "-" for standard output, or an empty string for standard error
     /// \param queueCapacity the most lines that wait for the writer
     Logger(std::string_view program, std::string_view instance, std::string_view level, const std::string &file,
            std::size_t queueCapacity = defaultQueueCapacity);
--- a/src/libs/settings/logsettings.h
+++ b/src/libs/settings/logsettings.h
@@ -10,7 +10,7 @@
 /// The [log] table.
 struct LogSettings {
     std::string level = "info"; ///< debug, info, warning or error
-    std::string file; ///< empty: standard error
+    std::string file; ///< empty: standard error; "-": standard output
 
     /// \param reader the [log] table; errors are collected there
     /// \return the settings, with defaults for what is missing.
--- a/src/libs/settings/tablereader.cpp
+++ b/src/libs/settings/tablereader.cpp
@@ -105,6 +105,29 @@
     return fallback;
 }
 
+bool TableReader::optionalFlag(std::string_view key, bool fallback)
+{
+    const toml::node *node = d_->node(key);
+    if (!node)
+        return fallback;
+    if (const auto value = node->value_exact<bool>())
+        return *value;
+    addError(key, "must be true or false");
+    return fallback;
+}
+
+Address TableReader::optionalAddress(std::string_view key)
+{
+    const std::string text = optionalString(key, "");
+    if (text.empty())
+        return {};
+    auto address = Address::parse(text);
+    if (address)
+        return address.assume_value();
+    addError(key, address.assume_error().message);
+    return {};
+}
+
 std::vector<std::string> TableReader::optionalStrings(std::string_view key)
 {
     std::vector<std::string> values;
--- a/src/libs/settings/tablereader.h
+++ b/src/libs/settings/tablereader.h
@@ -46,6 +46,13 @@
     std::int64_t optionalInteger(std::string_view key, std::int64_t fallback, std::int64_t lowest,
                                  std::int64_t highest);
     /// \param key the key
+    /// \param fallback the value when the key is absent
+    /// \return the value, or the fallback after an error.
+    bool optionalFlag(std::string_view key, bool fallback);
+    /// \param key the key
+    /// \return the address; an empty one when the key is absent or empty, and after an error.
+    Address optionalAddress(std::string_view key);
+    /// \param key the key
     /// \return the strings of an array, empty when the key is absent.
     std::vector<std::string> optionalStrings(std::string_view key);
     /// \param key the key of a sub-table
--- a/src/libs/controlnode/grouphost.cpp
+++ b/src/libs/storage/grouphost.cpp
@@ -1,8 +1,8 @@
-#include "controlnode/grouphost.h"
+#include "storage/grouphost.h"
 
 #include <utility>
 
-namespace Pistachio::Controlnode
+namespace Pistachio::Storage
 {
 
 Result<std::unique_ptr<GroupHost>> GroupHost::open(Storage::GroupOptions options, Storage::FileSystem &fileSystem,
@@ -84,4 +84,4 @@
     return group_->isLeaderWithState() && group_->hasAuthority(now);
 }
 
-} // namespace Pistachio::Controlnode
+} // namespace Pistachio::Storage
--- a/src/libs/controlnode/grouphost.h
+++ b/src/libs/storage/grouphost.h
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-namespace Pistachio::Controlnode
+namespace Pistachio::Storage
 {
 
 /// A replicated group with the proposals that wait for their end.
@@ -73,4 +73,4 @@
     Replication::LogIndex lastProposed_ = 0;
 };
 
-} // namespace Pistachio::Controlnode
+} // namespace Pistachio::Storage
