Let an instance without its disk join the job group under a new id

Ruled out: a wrong identity; the new id was made and stored. Change: GroupOptions::joins lets a replica wait until the leader makes it a member.

--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -42,7 +42,7 @@
                                                                FileSystem &fileSystem, StateMachine &machine,
                                                                const RandomSource &random)
 {
-    if (options.initialMembers.voters.empty())
+    if (options.initialMembers.voters.empty() && !options.joins)
         return Pistachio::failure(ErrorCode::InvalidArgument, "group " + options.group.value() + " has no voters");
     std::unique_ptr<ReplicatedGroup> group(new ReplicatedGroup(std::move(options), machine));
     BOOST_OUTCOME_TRYV(group->start(now, fileSystem, random));
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -32,6 +32,7 @@
     GroupId group;
     InstanceId self;
     Replication::Membership initialMembers; ///< counts until the log or a snapshot holds newer members
+    bool joins = false; ///< has no initial members: takes part once the leader has made it a member
     std::string folder; ///< the group's own folder below the data directory
     std::uint64_t snapshotAfterEntries = 10'000; ///< applied entries between two snapshots
     std::uint64_t snapshotAfterBytes = 4U << 20; ///< or this much log, or twice the last snapshot if that is more
