Count leases from a minion's last answer, and a job as begun only when a start was confirmed

Ruled out: reservations of gangs; the steps were never queued again. Now leases count from the last answer. Now an end that proves a run or a confirmed start is needed.

--- a/src/libs/jobnode/jobcalls.cpp
+++ b/src/libs/jobnode/jobcalls.cpp
@@ -2,6 +2,7 @@
 
 #include "jobnode/jobgroup.h"
 #include "jobs/jobbook.h"
+#include "jobs/jobscheduler.h"
 #include "jobs/jobvalidation.h"
 #include "storage/replicatedgroup.h"
 
@@ -33,11 +34,11 @@
     return result;
 }
 
-Wire::JobState toWire(const Jobs::Job &job)
+Wire::JobState toWire(const Jobs::Job &job, bool hasBegun)
 {
     switch (job.phase()) {
     case Jobs::JobPhase::Active:
-        return job.hasBegun() ? Wire::JOB_STATE_RUNNING : Wire::JOB_STATE_QUEUED;
+        return hasBegun ? Wire::JOB_STATE_RUNNING : Wire::JOB_STATE_QUEUED;
     case Jobs::JobPhase::Completed:
         return Wire::JOB_STATE_COMPLETED;
     case Jobs::JobPhase::Failed:
@@ -50,8 +51,10 @@
 
 } // namespace
 
-JobCalls::JobCalls(const Jobs::JobBook &book, JobGroup &group, std::function<std::int64_t()> unixMs)
+JobCalls::JobCalls(const Jobs::JobBook &book, const Jobs::JobScheduler &scheduler, JobGroup &group,
+                   std::function<std::int64_t()> unixMs)
     : book_(book)
+    , scheduler_(scheduler)
     , group_(group)
     , unixMs_(std::move(unixMs))
 {
@@ -121,7 +124,7 @@
     auto result = reply(Wire::JOB_VERDICT_ACCEPTED);
     if (id.empty()) {
         result.set_is_queue(true);
-        result.set_pending(book_.pendingJobs(queueKey));
+        result.set_pending(scheduler_.pendingJobs(queueKey));
         answered(std::move(result));
         return;
     }
@@ -130,7 +133,7 @@
         answered(reply(Wire::JOB_VERDICT_NO_SUCH_JOB));
         return;
     }
-    result.set_state(toWire(*job));
+    result.set_state(toWire(*job, scheduler_.hasBegun(*job)));
     answered(std::move(result));
 }
 
--- a/src/libs/jobnode/jobcalls.h
+++ b/src/libs/jobnode/jobcalls.h
@@ -7,8 +7,10 @@
 
 namespace Pistachio::Jobs
 {
+class Job;
 class JobBook;
-}
+class JobScheduler;
+} // namespace Pistachio::Jobs
 
 namespace Pistachio::Wire
 {
@@ -29,8 +31,10 @@
     using Answered = std::function<void(Wire::JobReply)>;
 
     /// \param book the state of \p group
+    /// \param scheduler knows which jobs have begun
     /// \param unixMs reads the time of day
-    JobCalls(const Jobs::JobBook &book, JobGroup &group, std::function<std::int64_t()> unixMs);
+    JobCalls(const Jobs::JobBook &book, const Jobs::JobScheduler &scheduler, JobGroup &group,
+             std::function<std::int64_t()> unixMs);
 
     /// \param answered called exactly once, possibly before this function returns
     void handle(TimePoint now, const Wire::JobCall &call, Answered answered);
@@ -45,6 +49,7 @@
     void read(const std::string &queueKey, const std::string &id, const Answered &answered) const;
 
     const Jobs::JobBook &book_;
+    const Jobs::JobScheduler &scheduler_;
     JobGroup &group_;
     std::function<std::int64_t()> unixMs_;
 };
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -119,7 +119,7 @@
     BOOST_OUTCOME_TRY(const auto identity,
                       loadIdentity(d_->files, settings.dataFolder, settings.ip, seeds, settings.bootstrap));
     BOOST_OUTCOME_TRY(d_->group, JobGroup::open(d_->files, settings.dataFolder, identity, d_->book, d_->peers));
-    d_->calls = std::make_unique<JobCalls>(d_->book, *d_->group, [] { return NodeRuntime::unixMs(); });
+    d_->calls = std::make_unique<JobCalls>(d_->book, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
     BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.ip, settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started",
                                {{"id", identity.id.value()},
--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -92,7 +92,6 @@
     task.state = TaskState::Assigned;
     task.minion = minion;
     task.minionBorn = born;
-    hasBegun_ = true;
     ++assigned_;
 }
 
@@ -139,6 +138,7 @@
     if (end.how() == Wire::JOB_RUN_END_DONE && !step.long_running()) {
         if (task.state == TaskState::Done || end.run() > task.run)
             return false;
+        hasBegun_ = true;
         // The end of one member stands for the whole gang.
         if (step.gang()) {
             for (auto &member : record->tasks)
@@ -151,6 +151,7 @@
     }
     if (!isCurrent)
         return false;
+    hasBegun_ = hasBegun_ || (end.how() != Wire::JOB_RUN_END_NOT_STARTED && end.how() != Wire::JOB_RUN_END_LOST);
     task.state = TaskState::Waiting;
     --assigned_;
     if (!end.checkpoint().empty())
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -72,6 +72,7 @@
     [[nodiscard]] bool isUnlocked(std::uint32_t occurrence, std::uint32_t step) const;
 
     [[nodiscard]] JobPhase phase() const { return phase_; }
+    /// \return whether a run is known to have begun: one that ended otherwise than by never starting or getting lost.
     [[nodiscard]] bool hasBegun() const { return hasBegun_; }
     [[nodiscard]] bool hasAssignedTasks() const { return assigned_ > 0; }
 
--- a/src/libs/jobs/jobbook.cpp
+++ b/src/libs/jobs/jobbook.cpp
@@ -48,8 +48,6 @@
         if (found == jobs_.end()) {
             reply.set_verdict(Wire::JOB_VERDICT_NO_SUCH_JOB);
         } else if (found->second.cancel()) {
-            if (!found->second.hasBegun())
-                countPending(found->second, -1);
             if (observer_)
                 observer_->jobEnded(found->second);
         }
@@ -99,8 +97,6 @@
         const auto name = toTaskName(assignment.task());
         if (!job.canAssign(name, assignment.run()))
             continue;
-        if (!job.hasBegun())
-            countPending(job, -1);
         job.assign(name, assignment.run(), assignment.minion(), assignment.minion_born_unix_ms());
         if (observer_)
             observer_->taskAssigned(job, name, assignment.run());
@@ -113,19 +109,10 @@
     const auto [entry, isNew] = jobs_.try_emplace(submission.id(), submission);
     if (!isNew)
         return;
-    countPending(entry->second, 1);
     if (observer_)
         observer_->jobAccepted(entry->second);
 }
 
-void JobBook::countPending(const Job &job, int change)
-{
-    if (job.submission().spec().repeat_count() > 0)
-        return;
-    auto &count = pending_[job.submission().queue()];
-    count = static_cast<std::uint32_t>(std::max(0, static_cast<int>(count) + change));
-}
-
 std::uint32_t JobBook::maxAttempts(const Job &job) const
 {
     const auto *found = queue(job.submission().queue());
@@ -161,10 +148,4 @@
     return found == jobs_.end() ? nullptr : &found->second;
 }
 
-std::uint32_t JobBook::pendingJobs(const std::string &queueKey) const
-{
-    const auto found = pending_.find(queueKey);
-    return found == pending_.end() ? 0 : found->second;
-}
-
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/jobbook.h
+++ b/src/libs/jobs/jobbook.h
@@ -58,22 +58,17 @@
     [[nodiscard]] const std::unordered_map<std::string, Job> &jobs() const { return jobs_; }
     [[nodiscard]] const std::map<std::string, Wire::JobMinion> &minions() const { return minions_; }
 
-    /// \return the number of active jobs of the queue that have not begun.
-    [[nodiscard]] std::uint32_t pendingJobs(const std::string &queueKey) const;
-
 private:
     void configure(const Wire::JobConfiguration &configuration);
     void takeEnd(const Wire::JobEnd &end);
     void assign(const Wire::JobCommand &command);
     void submit(const Wire::JobCommand &command);
-    void countPending(const Job &job, int change);
     [[nodiscard]] std::uint32_t maxAttempts(const Job &job) const;
 
     std::unique_ptr<Wire::JobConfiguration> configuration_;
     std::map<std::string, Wire::JobQueue> queues_;
     std::unordered_map<std::string, Job> jobs_;
     std::map<std::string, Wire::JobMinion> minions_;
-    std::map<std::string, std::uint32_t> pending_;
     JobBookObserver *observer_ = nullptr;
 };
 
--- a/src/libs/jobs/jobbooksnapshot.cpp
+++ b/src/libs/jobs/jobbooksnapshot.cpp
@@ -28,17 +28,12 @@
     queues_.clear();
     minions_.clear();
     jobs_.clear();
-    pending_.clear();
     for (const auto &queue : image.queues())
         queues_[queueKey(queue)] = queue;
     for (const auto &minion : image.minions())
         minions_[minion.id()] = minion;
-    for (const auto &item : image.jobs()) {
-        const auto [entry, isNew] = jobs_.try_emplace(item.submission().id(), Job::fromImage(item));
-        const auto &job = entry->second;
-        if (isNew && job.phase() == JobPhase::Active && !job.hasBegun())
-            countPending(job, 1);
-    }
+    for (const auto &item : image.jobs())
+        jobs_.try_emplace(item.submission().id(), Job::fromImage(item));
     if (observer_)
         observer_->restored();
     return success();
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -93,6 +93,7 @@
     advice_.clear();
     notDue_.clear();
     finished_.clear();
+    begun_.clear();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
         for (const auto &stored : waiting)
             stored(false);
@@ -109,6 +110,7 @@
     advice_.clear();
     notDue_.clear();
     finished_.clear();
+    begun_.clear();
     for (const auto &[id, minion] : book_.minions()) {
         fleet_.add(toReport(minion));
         // An earlier leader may have given a lease up to now.
@@ -311,6 +313,7 @@
         return;
     finished_[now_.time + settings_.finishedRetention].push_back(job.id());
     queue_.removeJob(job.id());
+    begun_.erase(job.id());
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
             advice_.forgetStep({job.id(), occurrence, number});
@@ -399,6 +402,22 @@
     }
 }
 
+bool JobScheduler::hasBegun(const Job &job) const
+{
+    return job.hasBegun() || begun_.contains(job.id());
+}
+
+std::uint32_t JobScheduler::pendingJobs(const std::string &queueKey) const
+{
+    std::uint32_t count = 0;
+    for (const auto &[id, job] : book_.jobs()) {
+        if (job.phase() == JobPhase::Active && job.submission().queue() == queueKey
+            && job.submission().spec().repeat_count() == 0 && !hasBegun(job))
+            ++count;
+    }
+    return count;
+}
+
 void JobScheduler::proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run,
                               int how)
 {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -72,6 +72,12 @@
     /// Lets time pass; expected every 20 ms or so.
     void tick(const Now &now);
 
+    /// \return the active jobs of a queue, without repeating ones, of which no task is known to have begun.
+    [[nodiscard]] std::uint32_t pendingJobs(const std::string &queueKey) const;
+
+    /// \return whether a task of the job is known to have begun.
+    [[nodiscard]] bool hasBegun(const Job &job) const;
+
     [[nodiscard]] const Fleet &fleet() const { return fleet_; }
     [[nodiscard]] const WorkQueue &queue() const { return queue_; }
 
@@ -145,6 +151,7 @@
     std::map<TimePoint, std::vector<std::string>> finished_; ///< jobs by the time at which they may be forgotten
     std::set<std::string> reserved_; ///< minions kept for a gang in this round
     std::map<std::string, TimePoint> services_; ///< that have waiting work
+    std::set<std::string> begun_; ///< active jobs of which a start was confirmed
     bool dirty_ = true; ///< something changed since the last plan
     TimePoint lastPlan_{};
 };
--- a/src/libs/jobs/minion.cpp
+++ b/src/libs/jobs/minion.cpp
@@ -94,16 +94,14 @@
     return label.empty() || std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
 }
 
-std::optional<std::int64_t> Minion::extendLease(TimePoint now, Duration lease)
+std::optional<std::int64_t> Minion::extendLease(Duration lease)
 {
     if (!clockMs)
         return std::nullopt;
-    // The minion's clock shows at least this; its real reading may be later, which only shortens the lease.
-    const double passedMs = static_cast<double>((now - clockAt).count()) / 1000.0 * slowestClock;
-    const auto expiry = *clockMs + static_cast<std::int64_t>(passedMs) + lease / 1ms;
+    // The minion's clock showed this at clockAt or earlier.
     const double longest = static_cast<double>(lease.count()) / slowestClock;
-    leaseGone = std::max(leaseGone, now + Duration(static_cast<std::int64_t>(longest)));
-    return expiry;
+    leaseGone = std::max(leaseGone, clockAt + Duration(static_cast<std::int64_t>(longest)));
+    return *clockMs + lease / 1ms;
 }
 
 void Minion::clockRead(TimePoint now, std::int64_t clock)
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -83,9 +83,9 @@
     [[nodiscard]] std::uint32_t tasksOf(const StepName &step) const;
     [[nodiscard]] bool hasLabel(const std::string &label) const;
 
-    /// Extends the lease by \p lease from \p now.
+    /// Extends the lease by \p lease from the last answer on, so that orders without an answer don't prolong it.
     /// \return the expiry on the minion's clock, or nothing before its clock is known.
-    std::optional<std::int64_t> extendLease(TimePoint now, Duration lease);
+    std::optional<std::int64_t> extendLease(Duration lease);
     void clockRead(TimePoint now, std::int64_t clock);
 };
 
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -59,7 +59,7 @@
     const auto *record = job ? job->task(task) : nullptr;
     if (!record)
         return;
-    const auto expiry = minion.extendLease(now_.time, settings_.lease);
+    const auto expiry = minion.extendLease(settings_.lease);
     if (!expiry)
         return;
     StartOrder order;
@@ -98,7 +98,7 @@
     HoldOrder order;
     order.minion = minion.report.life;
     order.address = minion.report.address;
-    order.leaseExpiresAtMs = minion.extendLease(now_.time, settings_.lease);
+    order.leaseExpiresAtMs = minion.extendLease(settings_.lease);
     order.acknowledgedEnd = minion.acknowledgedEnd;
     order.wait = minion.isHeld ? wait : Duration::zero();
     order.fence = fence_;
@@ -146,6 +146,7 @@
     auto &run = found->second;
     run.orderOutstanding = false;
     if (answer.outcome == OrderOutcome::Done) {
+        begun_.insert(order.task.step.job);
         run.phase = RunPhase::Running;
         run.phaseSince = now.time;
         run.startedAt = now.time;
@@ -318,6 +319,7 @@
     if (!active.checkpoint.empty())
         run.checkpoint = active.checkpoint;
     if (run.phase == RunPhase::Adopted || run.phase == RunPhase::Starting) {
+        begun_.insert(active.task.step.job);
         run.phase = RunPhase::Running;
         run.phaseSince = now_.time;
         run.startedAt = now_.time;
--- /dev/null
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -0,0 +1,288 @@
+#include "simulatedcell.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobs;
+
+namespace
+{
+
+constexpr Duration wayDelay = 5ms;
+constexpr Duration commitDelay = 20ms;
+constexpr Duration step = 10ms;
+constexpr Duration tickInterval = 20ms;
+constexpr Duration orderTimeout = 700ms;
+constexpr std::int64_t startUnixMs = 1'000'000;
+const std::string queueKey = "host/queue/";
+
+} // namespace
+
+SimulatedCell::SimulatedCell(std::uint64_t seed)
+    : now_(std::chrono::hours(1))
+    , random_(seed)
+{
+    Wire::JobCommand command;
+    auto &configuration = *command.mutable_configuration();
+    configuration.set_version(1);
+    configuration.add_services()->set_name("service");
+    auto &queue = *configuration.add_queues();
+    queue.set_host("host");
+    queue.set_path_prefix("/queue/");
+    queue.set_service("service");
+    queue.set_max_attempts(3);
+    queue.set_slack_factor(2);
+    queue.set_timeout_ms(3000);
+    book_.apply(++index_, command.SerializeAsString());
+    SchedulerPorts &ports = *this;
+    scheduler_ = std::make_unique<JobScheduler>(book_, ports, SchedulerSettings());
+    scheduler_->lead(now(), term_);
+}
+
+SimulatedCell::~SimulatedCell() = default;
+
+Now SimulatedCell::now() const
+{
+    return {now_, startUnixMs + now_.time_since_epoch() / 1ms};
+}
+
+SimulatedMinion &SimulatedCell::addMinion(const std::string &id, std::int64_t milliCores, Duration runTime,
+                                          double clockRate)
+{
+    MinionReport report;
+    report.life = {id, 1};
+    report.address = id + ":1";
+    report.service = "service";
+    report.milliCores = milliCores;
+    report.memoryMb = 1000;
+    report.sequence = 1;
+    auto &minion = minions[id] = std::make_unique<SimulatedMinion>(report, runTime, clockRate);
+    this->report(*minion);
+    return *minion;
+}
+
+void SimulatedCell::report(const SimulatedMinion &minion)
+{
+    scheduler_->minionReported(now(), minion.report, [](bool) {});
+}
+
+void SimulatedCell::submit(const std::string &id, std::uint32_t tasks, std::int64_t milliCores,
+                           const std::function<void(Wire::JobStep &)> &adjust)
+{
+    Wire::JobSpec spec;
+    auto &item = *spec.add_steps();
+    item.set_tasks(tasks);
+    item.set_milli_cores(milliCores);
+    item.set_estimate_ms(1000);
+    if (adjust)
+        adjust(item);
+    submit(id, spec);
+}
+
+void SimulatedCell::submit(const std::string &id, const Wire::JobSpec &spec)
+{
+    Wire::JobCommand command;
+    command.mutable_submission()->set_id(id);
+    command.mutable_submission()->set_queue(queueKey);
+    *command.mutable_submission()->mutable_spec() = spec;
+    command.mutable_submission()->set_accepted_unix_ms(now().unixMs);
+    book_.apply(++index_, command.SerializeAsString());
+}
+
+void SimulatedCell::cancel(const std::string &id)
+{
+    Wire::JobCommand command;
+    command.set_cancelled_job(id);
+    book_.apply(++index_, command.SerializeAsString());
+}
+
+void SimulatedCell::changeLeader()
+{
+    scheduler_->stopLeading();
+    ++term_;
+    scheduler_->lead(now(), term_);
+    for (const auto &[id, minion] : minions) {
+        if (minion->isCut)
+            continue;
+        ++minion->report.sequence;
+        report(*minion);
+    }
+}
+
+void SimulatedCell::run(Duration span)
+{
+    const auto end = now_ + span;
+    auto nextTick = now_;
+    auto nextReport = now_ + 1500ms;
+    while (now_ < end) {
+        now_ += step;
+        while (!events_.empty() && events_.begin()->first <= now_) {
+            const auto event = std::move(events_.begin()->second);
+            events_.erase(events_.begin());
+            event();
+        }
+        for (const auto &[id, minion] : minions)
+            minion->tick(now_);
+        if (now_ >= nextReport) {
+            nextReport = now_ + 1500ms;
+            for (const auto &[id, minion] : minions) {
+                ++minion->report.sequence;
+                if (!minion->isCut)
+                    report(*minion);
+            }
+        }
+        if (now_ >= nextTick) {
+            nextTick = now_ + tickInterval;
+            scheduler_->tick(now());
+        }
+        check();
+    }
+}
+
+void SimulatedCell::check()
+{
+    std::map<TaskName, int> running;
+    for (const auto &[id, minion] : minions) {
+        std::int64_t used = 0;
+        for (const auto &[task, work] : minion->runs) {
+            ++running[task];
+            const auto *job = book_.job(task.step.job);
+            used += job ? job->spec(task.step.step).milli_cores() : 0;
+        }
+        if (used > minion->report.milliCores)
+            violations.push_back(id + " runs more than it has");
+    }
+    for (const auto &[task, count] : running) {
+        if (count > 1)
+            violations.push_back(task.toString() + " runs twice at a time");
+    }
+}
+
+JobPhase SimulatedCell::phase(const std::string &id) const
+{
+    return book_.job(id)->phase();
+}
+
+std::uint32_t SimulatedCell::pending() const
+{
+    return scheduler_->pendingJobs(queueKey);
+}
+
+std::string SimulatedCell::runsOn(const std::string &job) const
+{
+    const auto all = runningOn(job);
+    return all.empty() ? std::string() : all.front();
+}
+
+std::vector<std::string> SimulatedCell::runningOn(const std::string &job) const
+{
+    std::vector<std::string> result;
+    for (const auto &[id, minion] : minions) {
+        for (const auto &[task, work] : minion->runs) {
+            if (task.step.job == job)
+                result.push_back(id);
+        }
+    }
+    return result;
+}
+
+void SimulatedCell::later(Duration delay, std::function<void()> function)
+{
+    events_.emplace(now_ + delay, std::move(function));
+}
+
+SimulatedMinion *SimulatedCell::at(const std::string &address)
+{
+    const auto found = minions.find(address.substr(0, address.find(':')));
+    return found == minions.end() || found->second->isCut ? nullptr : found->second.get();
+}
+
+bool SimulatedCell::happens(std::uint64_t percent)
+{
+    return random_.below(100) < percent;
+}
+
+void SimulatedCell::propose(Wire::JobCommand command, std::function<void(bool applied)> ended)
+{
+    later(commitDelay, [this, command = std::move(command), ended = std::move(ended), term = term_] {
+        // Entries of an earlier leader that were not committed are lost.
+        if (term != term_)
+            return;
+        book_.apply(++index_, command.SerializeAsString());
+        if (ended)
+            ended(true);
+    });
+}
+
+void SimulatedCell::start(const StartOrder &order)
+{
+    ++starts;
+    const bool late = happens(lateOrders);
+    const bool lost = happens(lostAnswers);
+    if (late || lost)
+        later(orderTimeout, [this, order] { scheduler_->startAnswered(now(), order, {}); });
+    later(late ? Duration(2s + std::chrono::milliseconds(random_.below(10'000))) : wayDelay, [this, order, late, lost] {
+        auto *minion = at(order.address);
+        if (!minion) {
+            if (!late && !lost)
+                later(orderTimeout, [this, order] { scheduler_->startAnswered(now(), order, {}); });
+            return;
+        }
+        const auto answer = minion->start(now_, order);
+        if (!late && !lost)
+            later(wayDelay, [this, order, answer] { scheduler_->startAnswered(now(), order, answer); });
+    });
+}
+
+void SimulatedCell::stop(const StopOrder &order)
+{
+    const bool lost = happens(lostAnswers);
+    if (lost)
+        later(orderTimeout, [this, order] { scheduler_->stopAnswered(now(), order, {}); });
+    later(wayDelay, [this, order, lost] {
+        auto *minion = at(order.address);
+        if (!minion) {
+            if (!lost)
+                later(orderTimeout, [this, order] { scheduler_->stopAnswered(now(), order, {}); });
+            return;
+        }
+        const auto answer = minion->stop(now_, order);
+        if (!lost)
+            later(wayDelay, [this, order, answer] { scheduler_->stopAnswered(now(), order, answer); });
+    });
+}
+
+void SimulatedCell::hold(const HoldOrder &order)
+{
+    const bool lost = happens(lostAnswers);
+    const auto timeout = order.wait + orderTimeout;
+    if (lost)
+        later(timeout, [this, order] { scheduler_->holdAnswered(now(), order, {}); });
+    later(wayDelay, [this, order, lost, timeout] {
+        auto *minion = at(order.address);
+        if (!minion) {
+            if (!lost)
+                later(timeout, [this, order] { scheduler_->holdAnswered(now(), order, {}); });
+            return;
+        }
+        minion->hold(now_, order, [this, order, lost](const HoldAnswer &answer) {
+            const bool isCut = !at(order.address);
+            if (lost)
+                return;
+            later(isCut ? orderTimeout : wayDelay, [this, order, answer = isCut ? HoldAnswer() : answer] {
+                scheduler_->holdAnswered(now(), order, answer);
+            });
+        });
+    });
+}
+
+void SimulatedCell::pace(const PaceOrder &order)
+{
+    later(wayDelay, [this, order] { scheduler_->paceAnswered(now(), order, {OrderOutcome::Done, std::nullopt}); });
+}
+
+void SimulatedCell::askAdvice(const AdviceRequest &request)
+{
+    later(wayDelay, [this, request] { scheduler_->adviceAnswered(now(), request, false, {}); });
+}
--- /dev/null
+++ b/tests/auto/jobs/simulatedminion.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/time.h"
+#include "jobs/orders.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// A minion that follows the published rules: fences, leases on its own clock, numbered ends, refused old runs.
+class SimulatedMinion
+{
+public:
+    using Duration = Pistachio::Duration;
+    using TimePoint = Pistachio::TimePoint;
+
+    struct Work {
+        std::uint64_t run = 0;
+        TimePoint endsAt{};
+        Pistachio::Jobs::RunEnd how = Pistachio::Jobs::RunEnd::Done;
+        std::string checkpoint;
+    };
+    struct WaitingHold {
+        TimePoint until{};
+        std::function<void(const Pistachio::Jobs::HoldAnswer &)> answer;
+    };
+
+    SimulatedMinion(Pistachio::Jobs::MinionReport minionReport, Duration runTime, double clockRate);
+
+    Pistachio::Jobs::OrderAnswer start(TimePoint now, const Pistachio::Jobs::StartOrder &order);
+    Pistachio::Jobs::OrderAnswer stop(TimePoint now, const Pistachio::Jobs::StopOrder &order);
+    void hold(TimePoint now, const Pistachio::Jobs::HoldOrder &order,
+              std::function<void(const Pistachio::Jobs::HoldAnswer &)> answer);
+    void tick(TimePoint now);
+
+    /// Starts anew under the same id, with everything forgotten.
+    void restart(TimePoint now);
+
+    [[nodiscard]] std::int64_t clock(TimePoint now) const;
+
+    Pistachio::Jobs::MinionReport report;
+    std::map<Pistachio::Jobs::TaskName, Work> runs;
+    bool isCut = false; ///< nothing reaches it and nothing leaves it
+    bool failsEverything = false;
+    std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
+
+private:
+    void end(const Pistachio::Jobs::TaskName &task, Pistachio::Jobs::RunEnd how);
+    [[nodiscard]] Pistachio::Jobs::HoldAnswer lists(TimePoint now) const;
+    [[nodiscard]] bool accepts(std::uint64_t fence);
+
+    Duration runTime_;
+    double clockRate_;
+    TimePoint born_{};
+    std::uint64_t fence_ = 0;
+    std::int64_t leaseUntil_ = 0;
+    std::uint64_t lastEnd_ = 0;
+    std::map<Pistachio::Jobs::TaskName, std::uint64_t> highestEnded_;
+    std::vector<Pistachio::Jobs::EndedRun> ended_;
+    std::vector<WaitingHold> waiting_;
+};
--- /dev/null
+++ b/tests/auto/jobs/tst_jobbook.cpp
@@ -0,0 +1,305 @@
+#include "jobs/jobbook.h"
+#include "jobs/jobvalidation.h"
+
+#include <jobs.pb.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobs;
+
+namespace
+{
+
+const std::string jobId = "00000000000000aa";
+
+Wire::JobConfiguration configuration(std::uint64_t version, const std::string &prefix)
+{
+    Wire::JobConfiguration result;
+    result.set_version(version);
+    result.add_services()->set_name("service");
+    auto &queue = *result.add_queues();
+    queue.set_name("queue");
+    queue.set_host("host");
+    queue.set_path_prefix(prefix);
+    queue.set_service("service");
+    queue.set_max_attempts(2);
+    queue.set_timeout_ms(3000);
+    return result;
+}
+
+class Book
+{
+public:
+    Book()
+    {
+        Wire::JobCommand command;
+        *command.mutable_configuration() = configuration(5, "/q/");
+        apply(command);
+    }
+
+    Wire::JobReply apply(const Wire::JobCommand &command)
+    {
+        Wire::JobReply reply;
+        reply.ParseFromString(book.apply(++index, command.SerializeAsString()));
+        return reply;
+    }
+
+    void submit(const Wire::JobSpec &spec)
+    {
+        Wire::JobCommand command;
+        command.mutable_submission()->set_id(jobId);
+        command.mutable_submission()->set_queue("host/q/");
+        *command.mutable_submission()->mutable_spec() = spec;
+        apply(command);
+    }
+
+    void assign(std::uint32_t step, std::uint32_t index_, std::uint64_t run)
+    {
+        Wire::JobCommand command;
+        auto &assignment = *command.add_assignments();
+        fill(*assignment.mutable_task(), {{jobId, 0, step}, index_});
+        assignment.set_run(run);
+        assignment.set_minion("m");
+        apply(command);
+    }
+
+    void end(std::uint32_t step, std::uint32_t index_, std::uint64_t run, Wire::JobRunEnd how)
+    {
+        Wire::JobCommand command;
+        auto &item = *command.add_ends();
+        fill(*item.mutable_task(), {{jobId, 0, step}, index_});
+        item.set_run(run);
+        item.set_how(how);
+        apply(command);
+    }
+
+    [[nodiscard]] const Job &job() const { return *book.job(jobId); }
+
+    JobBook book;
+    std::uint64_t index = 0;
+};
+
+Wire::JobSpec spec(std::initializer_list<std::uint32_t> tasksOfSteps)
+{
+    Wire::JobSpec result;
+    for (const auto tasks : tasksOfSteps) {
+        auto &step = *result.add_steps();
+        step.set_tasks(tasks);
+        if (result.steps_size() > 1)
+            step.add_depends_on(static_cast<std::uint32_t>(result.steps_size()) - 2);
+    }
+    return result;
+}
+
+} // namespace
+
+class JobBookTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(JobBookTest);
+    CPPUNIT_TEST(olderConfigurationChangesNothing);
+    CPPUNIT_TEST(stepsWaitForTheirPredecessors);
+    CPPUNIT_TEST(runNumbersRise);
+    CPPUNIT_TEST(attemptsAreLimited);
+    CPPUNIT_TEST(endOfAnOlderRunCountsOnlyWhenDone);
+    CPPUNIT_TEST(oneEndStandsForAGang);
+    CPPUNIT_TEST(gangFailsOnceForEachRun);
+    CPPUNIT_TEST(longRunningTaskIsNeverDone);
+    CPPUNIT_TEST(submittedTwiceIsOneJob);
+    CPPUNIT_TEST(runThatNeverBeganLeavesTheJobPending);
+    CPPUNIT_TEST(snapshotHoldsEverything);
+    CPPUNIT_TEST(badJobsAreRefused);
+    CPPUNIT_TEST(badConfigurationsAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // A resent or overtaken change must not bring back what a newer one replaced.
+    void olderConfigurationChangesNothing()
+    {
+        Book book;
+        for (const std::uint64_t version : {5U, 4U}) {
+            Wire::JobCommand command;
+            *command.mutable_configuration() = configuration(version, "/other/");
+            CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{book.apply(command).verdict()});
+            CPPUNIT_ASSERT(book.book.queueAt("host", "/q/x"));
+            CPPUNIT_ASSERT(!book.book.queueAt("host", "/other/x"));
+        }
+    }
+
+    // A step that starts before its input is there works on nothing.
+    void stepsWaitForTheirPredecessors()
+    {
+        Book book;
+        book.submit(spec({2, 1}));
+        book.assign(1, 0, 1);
+        CPPUNIT_ASSERT(book.job().task({{jobId, 0, 1}, 0})->state == TaskState::Waiting);
+        for (std::uint32_t index = 0; index < 2; ++index) {
+            book.assign(0, index, 1);
+            book.end(0, index, 1, Wire::JOB_RUN_END_DONE);
+        }
+        book.assign(1, 0, 1);
+        CPPUNIT_ASSERT(book.job().task({{jobId, 0, 1}, 0})->state == TaskState::Assigned);
+        book.end(1, 0, 1, Wire::JOB_RUN_END_DONE);
+        CPPUNIT_ASSERT(book.job().phase() == JobPhase::Completed);
+    }
+
+    // A minion rejects a run that is not above the last one, so the task would never start again.
+    void runNumbersRise()
+    {
+        Book book;
+        book.submit(spec({1}));
+        book.assign(0, 0, 3);
+        book.end(0, 0, 3, Wire::JOB_RUN_END_LOST);
+        book.assign(0, 0, 3);
+        CPPUNIT_ASSERT(book.job().task({{jobId, 0, 0}, 0})->state == TaskState::Waiting);
+        book.assign(0, 0, 4);
+        CPPUNIT_ASSERT(book.job().task({{jobId, 0, 0}, 0})->state == TaskState::Assigned);
+    }
+
+    // Only failures use up attempts; a lost run is no fault of the task.
+    void attemptsAreLimited()
+    {
+        Book book;
+        book.submit(spec({1}));
+        book.assign(0, 0, 1);
+        book.end(0, 0, 1, Wire::JOB_RUN_END_LOST);
+        book.assign(0, 0, 2);
+        book.end(0, 0, 2, Wire::JOB_RUN_END_FAILED);
+        CPPUNIT_ASSERT(book.job().phase() == JobPhase::Active);
+        book.assign(0, 0, 3);
+        book.end(0, 0, 3, Wire::JOB_RUN_END_FAILED);
+        CPPUNIT_ASSERT(book.job().phase() == JobPhase::Failed);
+    }
+
+    // The late end of a lost run must neither free a task that runs elsewhere nor be wasted when it is done.
+    void endOfAnOlderRunCountsOnlyWhenDone()
+    {
+        Book book;
+        book.submit(spec({1}));
+        book.assign(0, 0, 1);
+        book.end(0, 0, 1, Wire::JOB_RUN_END_LOST);
+        book.assign(0, 0, 2);
+        book.end(0, 0, 1, Wire::JOB_RUN_END_FAILED);
+        CPPUNIT_ASSERT(book.job().task({{jobId, 0, 0}, 0})->state == TaskState::Assigned);
+        book.end(0, 0, 1, Wire::JOB_RUN_END_DONE);
+        CPPUNIT_ASSERT(book.job().phase() == JobPhase::Completed);
+    }
+
+    void oneEndStandsForAGang()
+    {
+        Book book;
+        auto gang = spec({3});
+        gang.mutable_steps(0)->set_gang(true);
+        book.submit(gang);
+        for (std::uint32_t index = 0; index < 3; ++index)
+            book.assign(0, index, 1);
+        book.end(0, 1, 1, Wire::JOB_RUN_END_DONE);
+        CPPUNIT_ASSERT(book.job().phase() == JobPhase::Completed);
+        CPPUNIT_ASSERT(!book.job().hasAssignedTasks());
+    }
+
+    // Two members that fail in one run are one failed attempt.
+    void gangFailsOnceForEachRun()
+    {
+        Book book;
+        auto gang = spec({2});
+        gang.mutable_steps(0)->set_gang(true);
+        book.submit(gang);
+        for (std::uint32_t index = 0; index < 2; ++index)
+            book.assign(0, index, 1);
+        for (std::uint32_t index = 0; index < 2; ++index)
+            book.end(0, index, 1, Wire::JOB_RUN_END_FAILED);
+        CPPUNIT_ASSERT(book.job().phase() == JobPhase::Active);
+    }
+
+    void longRunningTaskIsNeverDone()
+    {
+        Book book;
+        auto service = spec({1});
+        service.mutable_steps(0)->set_long_running(true);
+        book.submit(service);
+        for (std::uint64_t run = 1; run < 9; ++run) {
+            book.assign(0, 0, run);
+            book.end(0, 0, run, run % 2 == 0 ? Wire::JOB_RUN_END_DONE : Wire::JOB_RUN_END_FAILED);
+            CPPUNIT_ASSERT(book.job().phase() == JobPhase::Active);
+            CPPUNIT_ASSERT(book.job().task({{jobId, 0, 0}, 0})->state == TaskState::Waiting);
+        }
+    }
+
+    void submittedTwiceIsOneJob()
+    {
+        Book book;
+        book.submit(spec({1}));
+        book.assign(0, 0, 1);
+        book.submit(spec({4}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, book.book.jobs().size());
+        CPPUNIT_ASSERT(book.job().task({{jobId, 0, 0}, 0})->state == TaskState::Assigned);
+    }
+
+    // A job whose only start was refused has not begun and must be counted among those that wait.
+    void runThatNeverBeganLeavesTheJobPending()
+    {
+        Book book;
+        book.submit(spec({1}));
+        book.assign(0, 0, 1);
+        book.end(0, 0, 1, Wire::JOB_RUN_END_NOT_STARTED);
+        CPPUNIT_ASSERT(!book.job().hasBegun());
+        book.assign(0, 0, 2);
+        book.end(0, 0, 2, Wire::JOB_RUN_END_FAILED);
+        CPPUNIT_ASSERT(book.job().hasBegun());
+    }
+
+    void snapshotHoldsEverything()
+    {
+        Book book;
+        book.submit(spec({2, 1}));
+        book.assign(0, 0, 1);
+        book.end(0, 0, 1, Wire::JOB_RUN_END_FAILED);
+        book.assign(0, 1, 1);
+        Book other;
+        CPPUNIT_ASSERT(other.book.restore(book.book.snapshot()));
+        CPPUNIT_ASSERT_EQUAL(1U, other.job().task({{jobId, 0, 0}, 0})->failures);
+        CPPUNIT_ASSERT(other.job().task({{jobId, 0, 0}, 1})->state == TaskState::Assigned);
+        CPPUNIT_ASSERT(other.job().hasAssignedTasks());
+        other.end(0, 1, 1, Wire::JOB_RUN_END_DONE);
+        other.assign(0, 0, 2);
+        other.end(0, 0, 2, Wire::JOB_RUN_END_FAILED);
+        CPPUNIT_ASSERT(other.job().phase() == JobPhase::Failed);
+        CPPUNIT_ASSERT(!other.book.restore("not a snapshot \xff"));
+    }
+
+    void badJobsAreRefused()
+    {
+        CPPUNIT_ASSERT(checkJob(spec({1, 2})));
+        CPPUNIT_ASSERT(!checkJob(spec({})));
+        CPPUNIT_ASSERT(!checkJob(spec({0})));
+        CPPUNIT_ASSERT(!checkJob(spec({1'000'000})));
+        auto cycle = spec({1});
+        cycle.mutable_steps(0)->add_depends_on(0);
+        CPPUNIT_ASSERT(!checkJob(cycle));
+        auto large = spec({1});
+        large.set_payload(std::string(4001, 'x'));
+        CPPUNIT_ASSERT(!checkJob(large));
+        auto negative = spec({1});
+        negative.mutable_steps(0)->set_milli_cores(-1);
+        CPPUNIT_ASSERT(!checkJob(negative));
+    }
+
+    void badConfigurationsAreRefused()
+    {
+        CPPUNIT_ASSERT(checkConfiguration(configuration(1, "/q/")));
+        auto unknown = configuration(1, "/q/");
+        unknown.mutable_queues(0)->set_service("nobody");
+        CPPUNIT_ASSERT(!checkConfiguration(unknown));
+        auto twice = configuration(1, "/q/");
+        *twice.add_queues() = twice.queues(0);
+        CPPUNIT_ASSERT(!checkConfiguration(twice));
+        auto timeless = configuration(1, "/q/");
+        timeless.mutable_queues(0)->set_timeout_ms(0);
+        CPPUNIT_ASSERT(!checkConfiguration(timeless));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobBookTest);
--- /dev/null
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -0,0 +1,178 @@
+#include "simulatedcell.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobs;
+
+namespace
+{
+const std::string first = "0000000000000001";
+const std::string second = "0000000000000002";
+} // namespace
+
+class SchedulerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SchedulerTest);
+    CPPUNIT_TEST(jobRunsToItsEnd);
+    CPPUNIT_TEST(silentMinionLosesItsTasks);
+    CPPUNIT_TEST(slowClockIsWaitedFor);
+    CPPUNIT_TEST(cancelledJobStops);
+    CPPUNIT_TEST(drainingMinionGetsNothing);
+    CPPUNIT_TEST(gangStartsTogether);
+    CPPUNIT_TEST(jobOnAnUnreachableMinionIsPending);
+    CPPUNIT_TEST(newLeaderKeepsRunningTasks);
+    CPPUNIT_TEST(restartedMinionLosesItsTasksAtOnce);
+    CPPUNIT_TEST(longRunningTaskIsStartedAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void checkClean(const SimulatedCell &cell)
+    {
+        CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(), cell.violations.empty());
+    }
+
+public:
+    void jobRunsToItsEnd()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 1s);
+        cell.submit(first, 6, 1000);
+        cell.run(4s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        checkClean(cell);
+    }
+
+    // Unanswered orders must not prolong the lease that a silent minion is waited for.
+    void silentMinionLosesItsTasks()
+    {
+        SimulatedCell cell(1);
+        auto &lost = cell.addMinion("a", 4000, 20s);
+        cell.submit(first, 1, 1000);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.runsOn(first));
+        lost.isCut = true;
+        cell.addMinion("b", 4000, 5s);
+        cell.run(7s);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.runsOn(first));
+        cell.run(6s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        checkClean(cell);
+    }
+
+    // A task is started elsewhere only when the lease is over on a clock that is 2% slow.
+    void slowClockIsWaitedFor()
+    {
+        SimulatedCell cell(1);
+        auto &lost = cell.addMinion("a", 4000, 60s, 0.98);
+        cell.submit(first, 1, 1000);
+        cell.run(3s);
+        lost.isCut = true;
+        cell.addMinion("b", 4000, 30s);
+        cell.run(10s);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.runsOn(first));
+        checkClean(cell);
+    }
+
+    void cancelledJobStops()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 60s);
+        cell.submit(first, 3, 1000);
+        cell.run(1s);
+        cell.lostAnswers = 60;
+        cell.cancel(first);
+        cell.run(3s);
+        CPPUNIT_ASSERT(cell.runningOn(first).empty());
+    }
+
+    // A task on a minion that leaves would be cut off.
+    void drainingMinionGetsNothing()
+    {
+        SimulatedCell cell(1);
+        auto &leaving = cell.addMinion("a", 4000, 1s);
+        cell.run(1s);
+        leaving.report.draining = true;
+        ++leaving.report.sequence;
+        cell.report(leaving);
+        cell.run(100ms);
+        cell.submit(first, 1, 1000);
+        cell.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.starts);
+        // A late report from before must not bring it back.
+        leaving.report.draining = false;
+        cell.run(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.starts);
+    }
+
+    // Members that start alone hold room without working.
+    void gangStartsTogether()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 1s);
+        cell.submit(first, 1, 3000);
+        cell.run(300ms);
+        cell.submit(second, 4, 1000, [](Wire::JobStep &step) { step.set_gang(true); });
+        cell.run(300ms);
+        CPPUNIT_ASSERT(cell.runningOn(second).empty());
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.runningOn(second).size());
+        checkClean(cell);
+    }
+
+    // Such a job has not begun, so the queue must not be shown as empty.
+    void jobOnAnUnreachableMinionIsPending()
+    {
+        SimulatedCell cell(1);
+        auto &lost = cell.addMinion("a", 4000, 20s);
+        cell.run(500ms);
+        lost.isCut = true;
+        cell.submit(first, 1, 1000);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(1U, cell.pending());
+        lost.isCut = false;
+        cell.run(4s);
+        CPPUNIT_ASSERT_EQUAL(0U, cell.pending());
+    }
+
+    void newLeaderKeepsRunningTasks()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 5s);
+        cell.submit(first, 2, 1000);
+        cell.run(1s);
+        const auto starts = cell.starts;
+        cell.changeLeader();
+        cell.run(7s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(starts, cell.starts);
+        checkClean(cell);
+    }
+
+    void restartedMinionLosesItsTasksAtOnce()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 3s);
+        cell.submit(first, 1, 1000);
+        cell.run(1s);
+        minion.restart(cell.now().time);
+        cell.report(minion);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.starts);
+        cell.run(4s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+    }
+
+    void longRunningTaskIsStartedAgain()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 1s);
+        cell.submit(first, 1, 1000, [](Wire::JobStep &step) { step.set_long_running(true); });
+        cell.run(5s);
+        CPPUNIT_ASSERT(cell.starts >= 4);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Active);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerTest);
