Shorten elections of the job group, send changes to confirmed leaders only, forward operators' requests

Cause 1: an election took 1.2 to 2 s and a restarted voter kept silent for 1.2 s, so each loss of the leader cost 2 to 4 s of service. Entries now hold a change until a leader answered within 800 ms, and answer 503 otherwise. Followers now forward to the leader. Ruled out: a slow commit; it took 35 ms.

--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 constexpr Duration attemptLimit = 1s; ///< a commit takes tens of ms; longer means that the leader is gone
-constexpr Duration retryDelay = 80ms;
+constexpr Duration retryDelay = 50ms;
+constexpr Duration confirmedLimit = 800ms; ///< a few announcements are missing by then
 } // namespace
 
 struct CallerCalls::Attempt {
@@ -25,6 +26,7 @@
     std::string body;
     bool isChange = false;
     TimePoint deadline{};
+    TimePoint doubtDeadline{};
     Answered answered;
     Transport::Timer timer;
     bool mayHaveTakenEffect = false;
@@ -47,15 +49,23 @@
     if (ip != target_ || seeds_.empty())
         return;
     target_ = seeds_[nextSeed_++ % seeds_.size()];
+    confirmedAt_ = {};
 }
 
-void CallerCalls::call(const Wire::JobCall &call, Duration limit, Answered answered)
+void CallerCalls::leaderConfirmed(const std::string &ip)
+{
+    target_ = ip;
+    confirmedAt_ = EventLoop::now();
+}
+
+void CallerCalls::call(const Wire::JobCall &call, Duration limit, Duration doubtLimit, Answered answered)
 {
     auto attempt = std::make_shared<Attempt>();
     attempt->id = nextId_++;
     attempt->body = call.SerializeAsString();
     attempt->isChange = call.has_submission() || call.cancel();
     attempt->deadline = EventLoop::now() + limit;
+    attempt->doubtDeadline = EventLoop::now() + doubtLimit;
     attempt->answered = std::move(answered);
     open_[attempt->id] = attempt;
     ++inFlight_;
@@ -64,7 +74,8 @@
 
 void CallerCalls::send(const std::shared_ptr<Attempt> &attempt)
 {
-    const auto left = attempt->deadline - EventLoop::now();
+    const auto now = EventLoop::now();
+    const auto left = (attempt->mayHaveTakenEffect ? attempt->doubtDeadline : attempt->deadline) - now;
     if (left <= Duration::zero()) {
         Wire::JobReply reply;
         reply.set_verdict(attempt->mayHaveTakenEffect ? Wire::JOB_VERDICT_UNKNOWN : Wire::JOB_VERDICT_UNAVAILABLE);
@@ -72,6 +83,12 @@
         finish(attempt, reply);
         return;
     }
+    if (attempt->isChange && now > confirmedAt_ + confirmedLimit) {
+        if (attempt->reason.empty())
+            attempt->reason = "no leader is confirmed";
+        retry(attempt, retryDelay);
+        return;
+    }
     const auto ip = target_;
     peers_.call(ip, "/jobs/call", attempt->body, std::min(left, attemptLimit),
                 [this, attempt, ip](const Transport::CallResult &result) {
@@ -108,6 +125,7 @@
                         retry(attempt, retryDelay);
                         return;
                     }
+                    leaderConfirmed(ip);
                     // An earlier attempt may have got through where this one did not.
                     if (reply.verdict() == Wire::JOB_VERDICT_UNAVAILABLE && attempt->mayHaveTakenEffect)
                         reply.set_verdict(Wire::JOB_VERDICT_UNKNOWN);
--- a/src/libs/jobnode/callercalls.h
+++ b/src/libs/jobnode/callercalls.h
@@ -37,9 +37,14 @@
     CallerCalls(Transport::EventLoop &loop, Peers &peers, std::vector<std::string> seeds);
     ~CallerCalls();
 
-    /// \param limit until the last verdict is given: UNAVAILABLE when no attempt can have taken effect, else UNKNOWN
+    /// A change is sent only to a confirmed leader, so that it is rarely in doubt whether it took effect.
+    /// \param limit until UNAVAILABLE, when no attempt can have taken effect
+    /// \param doubtLimit until UNKNOWN, when one may have; attempts go on until then, since each may settle it
     /// \param answered called exactly once, later
-    void call(const Wire::JobCall &call, Duration limit, Answered answered);
+    void call(const Wire::JobCall &call, Duration limit, Duration doubtLimit, Answered answered);
+
+    /// The instance has answered as the leader.
+    void leaderConfirmed(const std::string &ip);
 
     /// \return the address believed to lead.
     [[nodiscard]] const std::string &target() const { return target_; }
@@ -59,6 +64,7 @@
     std::vector<std::string> seeds_;
     std::size_t nextSeed_ = 0;
     std::string target_;
+    TimePoint confirmedAt_{};
     std::size_t inFlight_ = 0;
     std::uint64_t nextId_ = 1;
     std::map<std::uint64_t, std::shared_ptr<Attempt>> open_;
--- a/src/libs/jobnode/controlservice.h
+++ b/src/libs/jobnode/controlservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/orders.h"
+#include "transport/message.h"
 
 #include <functional>
 #include <optional>
@@ -27,8 +28,12 @@
     /// \return whether this instance can answer for the group.
     [[nodiscard]] virtual bool canAnswer() const = 0;
 
-    /// \return the address of the instance that leads as far as this one knows, or an empty string.
-    [[nodiscard]] virtual std::string leaderIp() const = 0;
+    /// Hands a request to the instance that leads as far as this one knows; there it comes out of onForwarded().
+    /// \param answered gets its response; 503 when there is none
+    virtual void forward(const Transport::Request &request, std::function<void(Transport::Response)> answered) = 0;
+
+    /// \param handler answers requests that other instances forward
+    virtual void onForwarded(Transport::RequestHandler handler) = 0;
 
     /// \param stored gets whether what the report says is stored
     virtual void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) = 0;
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -28,11 +28,12 @@
 {
 
 constexpr Duration leaderTick = 20ms; ///< bounds how long a free minion waits for its next task
-constexpr Duration followerTick = 50ms;
+constexpr Duration followerTick = 40ms;
 constexpr Duration memberInterval = 500ms;
 constexpr Duration announceInterval = 1s;
 constexpr Duration announceLimit = 900ms;
 constexpr Duration leaseShare = 1s; ///< the lease is shorter than the minions' limit by this
+constexpr Duration forwardLimit = 900ms; ///< callers turn elsewhere after a second
 constexpr Duration stopLimit = 500ms;
 
 Jobs::Now momentNow()
@@ -100,6 +101,7 @@
     bool memberChangeOpen = false;
     std::uint64_t ledTerm = 0;
     std::string lastLeader;
+    Transport::RequestHandler forwarded;
 };
 
 JobControl::JobControl(const Settings::JobSettings &settings, NodeRuntime &runtime, MinionClient &minions,
@@ -253,6 +255,8 @@
         handleCall(request, responder);
     } else if (request.target == "/jobs/join") {
         handleJoin(request, responder);
+    } else if (request.target == "/jobs/forward") {
+        handleForwarded(request, responder);
     } else if (request.target == "/jobs/advice") {
         handleAdvice(request, responder);
     } else {
@@ -347,6 +351,50 @@
     return leader == d_->group->self() ? std::string() : std::string(ipOf(leader));
 }
 
+void JobControl::forward(const Transport::Request &request, std::function<void(Transport::Response)> answered)
+{
+    const auto leader = leaderIp();
+    if (leader.empty()) {
+        answered({503, {}, {}});
+        return;
+    }
+    Wire::JobForward message;
+    message.set_method(request.method);
+    message.set_target(request.target);
+    message.set_body(request.body);
+    d_->peers.call(leader, "/jobs/forward", message.SerializeAsString(), forwardLimit,
+                   [answered = std::move(answered)](const Transport::CallResult &result) {
+                       Wire::JobForwarded reply;
+                       if (!result || !reply.ParseFromString(result.value().body))
+                           reply.set_status(503);
+                       answered({reply.status(), {{"Content-Type", "application/json"}}, reply.body()});
+                   });
+}
+
+void JobControl::onForwarded(Transport::RequestHandler handler)
+{
+    d_->forwarded = std::move(handler);
+}
+
+void JobControl::handleForwarded(const Transport::Request &request, const Transport::Responder &responder)
+{
+    Wire::JobForward message;
+    if (!d_->forwarded || !message.ParseFromString(request.body)) {
+        responder.respond({400, {}, "not a forwarded request"});
+        return;
+    }
+    Transport::Request inner;
+    inner.method = message.method();
+    inner.target = message.target();
+    inner.body = message.body();
+    d_->forwarded(std::move(inner), Transport::Responder([responder](const Transport::Response &response) {
+                      Wire::JobForwarded reply;
+                      reply.set_status(response.status);
+                      reply.set_body(response.body);
+                      responder.respond(bytes(reply.SerializeAsString()));
+                  }));
+}
+
 void JobControl::minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored)
 {
     if (!d_->scheduler.isLeading()) {
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -42,7 +42,8 @@
 
     // ControlService
     [[nodiscard]] bool canAnswer() const override;
-    [[nodiscard]] std::string leaderIp() const override;
+    void forward(const Transport::Request &request, std::function<void(Transport::Response)> answered) override;
+    void onForwarded(Transport::RequestHandler handler) override;
     void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) override;
     void minionLeft(const Jobs::MinionLife &life) override;
     void configure(const Wire::JobConfiguration &configuration,
@@ -64,6 +65,8 @@
     void handleInternal(Transport::Request request, const Transport::Responder &responder);
     void handleCall(const Transport::Request &request, const Transport::Responder &responder);
     void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
+    void handleForwarded(const Transport::Request &request, const Transport::Responder &responder);
+    [[nodiscard]] std::string leaderIp() const;
     void handleAdvice(const Transport::Request &request, const Transport::Responder &responder);
     void logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took);
     void scheduleTick();
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -21,12 +21,13 @@
 namespace
 {
 
-constexpr Duration announceInterval = 700ms;
-constexpr Duration announceRetry = 200ms; ///< while no leader is known
-constexpr Duration announceLimit = 600ms;
+constexpr Duration announceInterval = 300ms;
+constexpr Duration announceRetry = 100ms; ///< while no leader is known
+constexpr Duration announceLimit = 400ms;
 constexpr Duration leaderSeenLimit = 3s; ///< an election is no reason to send callers elsewhere
 constexpr Duration longestCall = 1500ms; ///< then the caller is told to come again; an election takes as long
-constexpr Duration answerMargin = 250ms; ///< the answer reaches the caller within its deadline
+constexpr Duration answerMargin = 150ms; ///< the answer reaches the caller within its deadline
+constexpr int answerMarginShare = 4; ///< at most this part of a short deadline
 constexpr Duration stopLimit = 300ms;
 
 std::vector<std::string> seedIps(const Settings::JobSettings &settings)
@@ -130,8 +131,8 @@
 void JobEntry::call(const Wire::JobCall &call, Duration deadline, std::function<void(const Wire::JobReply &)> answered)
 {
     const auto begun = EventLoop::now();
-    const auto limit = std::max(Duration::zero(), std::min(deadline - answerMargin, longestCall));
-    d_->calls.call(call, limit, [this, call, begun, answered = std::move(answered)](const Wire::JobReply &reply) {
+    const auto usable = deadline - std::min(answerMargin, deadline / answerMarginShare);
+    d_->calls.call(call, std::min(usable, longestCall), usable, [this, call, begun, answered = std::move(answered)](const Wire::JobReply &reply) {
         const auto took = EventLoop::now() - begun;
         const std::string_view kind = call.has_submission() ? "submit" : call.cancel() ? "cancel" : "read";
         auto &metrics = d_->runtime.metrics();
--- a/src/libs/jobnode/jobgroup.cpp
+++ b/src/libs/jobnode/jobgroup.cpp
@@ -24,6 +24,7 @@
     options.group = GroupId("jobs");
     options.self = identity.id;
     options.initialMembers = identity.initialMembers;
+    options.timing = Replication::Timing::fast();
     options.joins = identity.initialMembers.voters.empty();
     options.folder = dataFolder + "/jobs";
     options.snapshotAfterEntries = snapshotAfterEntries;
--- a/src/libs/replication/election.cpp
+++ b/src/libs/replication/election.cpp
@@ -5,10 +5,11 @@
 namespace Pistachio::Replication
 {
 
-Election::Election(TimePoint now, const RandomSource &random)
+Election::Election(TimePoint now, const RandomSource &random, const Timing &timing)
     : random_(random)
-    , refuseUntil_(now + voteRefusal)
-    , deadline_(now + between(minElectionTimeout, maxElectionTimeout))
+    , timing_(timing)
+    , refuseUntil_(now + timing_.voteRefusal)
+    , deadline_(now + between(timing_.minElectionTimeout, timing_.maxElectionTimeout))
 {
 }
 
@@ -16,14 +17,14 @@
 {
     role_ = Role::Follower;
     leader_ = leader;
-    refuseUntil_ = now + voteRefusal;
-    deadline_ = now + between(minElectionTimeout, maxElectionTimeout);
+    refuseUntil_ = now + timing_.voteRefusal;
+    deadline_ = now + between(timing_.minElectionTimeout, timing_.maxElectionTimeout);
 }
 
 void Election::follow(TimePoint now)
 {
     if (role_ == Role::Leader)
-        deadline_ = now + between(minElectionTimeout, maxElectionTimeout);
+        deadline_ = now + between(timing_.minElectionTimeout, timing_.maxElectionTimeout);
     role_ = Role::Follower;
     leader_ = {};
 }
@@ -31,7 +32,7 @@
 void Election::yield(TimePoint now)
 {
     role_ = Role::Follower;
-    deadline_ = now + between(minElectionTimeout, maxElectionTimeout);
+    deadline_ = now + between(timing_.minElectionTimeout, timing_.maxElectionTimeout);
 }
 
 void Election::retryLater(TimePoint now)
@@ -44,7 +45,7 @@
     role_ = role;
     leader_ = {};
     votes_.clear();
-    deadline_ = now + between(minElectionRetry, maxElectionRetry);
+    deadline_ = now + between(timing_.minElectionRetry, timing_.maxElectionRetry);
 }
 
 void Election::lead(const InstanceId &self)
--- a/src/libs/replication/election.h
+++ b/src/libs/replication/election.h
@@ -3,6 +3,7 @@
 #include "core/identifier.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "replication/timing.h"
 
 #include <cstdint>
 #include <set>
@@ -13,31 +14,11 @@
 
 enum class Role : std::uint8_t { Follower, PreCandidate, Candidate, Leader };
 
-constexpr Duration heartbeatInterval = 300ms;
-
-/// Learners never campaign, so they need a leader's sign of life less often.
-constexpr Duration learnerHeartbeatInterval = 900ms;
-
-/// A leader has authority while a majority answered what it sent within this time. It is below the shortest election
-/// timeout by 300 ms, which covers clocks whose rates differ by 2% and the steps of the timers.
-constexpr Duration authorityDuration = 900ms;
-
-/// No vote is given for this long after a leader was heard or the process started.
-constexpr Duration voteRefusal = 1200ms;
-
-constexpr Duration minElectionTimeout = 1200ms;
-constexpr Duration maxElectionTimeout = 2000ms;
-constexpr Duration minElectionRetry = 150ms;
-constexpr Duration maxElectionRetry = 450ms;
-
-/// A leader without answers from a majority gives up its office after this time.
-constexpr Duration leaderStepDown = 1200ms;
-
 /// The role of a replica, its election timers and the votes that it counts.
 class Election
 {
 public:
-    Election(TimePoint now, const RandomSource &random);
+    Election(TimePoint now, const RandomSource &random, const Timing &timing);
 
     [[nodiscard]] Role role() const { return role_; }
 
@@ -77,6 +58,7 @@
     Duration between(Duration shortest, Duration longest);
 
     RandomSource random_;
+    const Timing timing_;
     Role role_ = Role::Follower;
     InstanceId leader_;
     TimePoint refuseUntil_;
--- a/src/libs/replication/leader.cpp
+++ b/src/libs/replication/leader.cpp
@@ -39,7 +39,7 @@
 
 void Replica::checkQuorum(TimePoint now)
 {
-    if (isLeader() && now - std::max(quorumStamp(now), electedAt_) >= leaderStepDown)
+    if (isLeader() && now - std::max(quorumStamp(now), electedAt_) >= timing_.leaderStepDown)
         becomeFollower(now, term());
 }
 
@@ -83,7 +83,7 @@
 {
     for (auto &[follower, progress] : followers_) {
         const bool isLearner = !contains(membership().voters, follower);
-        if (now - progress.lastSent() >= (isLearner ? learnerHeartbeatInterval : heartbeatInterval))
+        if (now - progress.lastSent() >= (isLearner ? timing_.learnerHeartbeat : timing_.heartbeat))
             sendHeartbeat(now, follower, progress);
     }
 }
@@ -288,7 +288,7 @@
         if (!isLearner)
             return failure(ErrorCode::InvalidArgument, name + " is not a learner");
         const Progress &progress = followers_.at(change.instance);
-        const bool isAlive = progress.ackedStamp() && now - *progress.ackedStamp() < leaderStepDown;
+        const bool isAlive = progress.ackedStamp() && now - *progress.ackedStamp() < timing_.leaderStepDown;
         if (!isAlive || progress.match() + promotionLagEntries < lastIndex())
             return failure(ErrorCode::Unavailable, name + " has not caught up");
         std::erase(members.learners, change.instance);
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -14,12 +14,13 @@
 } // namespace
 
 Replica::Replica(TimePoint now, InstanceId self, GroupId group, Membership initialMembers, RestoredState restored,
-                 const RandomSource &random)
+                 const RandomSource &random, const Timing &timing)
     : self_(std::move(self))
     , group_(std::move(group))
     , hardState_(std::move(restored.hardState))
     , log_(std::move(initialMembers), restored.snapshot, std::move(restored.entries))
-    , election_(now, random)
+    , timing_(timing)
+    , election_(now, random, timing)
     , now_(now)
     , persistedIndex_(log_.lastIndex())
     , handedOut_(log_.lastIndex())
@@ -124,7 +125,7 @@
 
 bool Replica::hasAuthority(TimePoint now) const
 {
-    return isLeader() && now - quorumStamp(now) < authorityDuration;
+    return isLeader() && now - quorumStamp(now) < timing_.authority;
 }
 
 TimePoint Replica::confirmedAt(TimePoint now) const
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -51,8 +51,9 @@
     /// \param initialMembers the members until the log or a snapshot tells others
     /// \param restored what was read from the files
     /// \param random the source of election timeouts
+    /// \param timing the timers of the group
     Replica(TimePoint now, InstanceId self, GroupId group, Membership initialMembers, RestoredState restored,
-            const RandomSource &random);
+            const RandomSource &random, const Timing &timing = {});
 
     /// Runs the timers: elections, heartbeats, retransmissions, the leader's own end of office.
     void tick(TimePoint now);
@@ -92,7 +93,7 @@
 
     [[nodiscard]] bool isLeader() const { return election_.role() == Role::Leader; }
 
-    /// \return whether a majority acknowledged what this leader sent in the last 900 ms.
+    /// \return whether a majority acknowledged what this leader sent within Timing::authority.
     [[nodiscard]] bool hasAuthority(TimePoint now) const;
 
     /// \return the newest time for which a majority acknowledged a message that this leader sent then or later, so that
@@ -173,6 +174,7 @@
     GroupId group_;
     HardState hardState_;
     ReplicaLog log_;
+    const Timing timing_;
     Election election_;
     TimePoint now_; ///< of the last event; the stamp of messages that takeReady() adds
 
--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -58,7 +58,7 @@
         BOOST_OUTCOME_TRYV(restore(*opened.state.snapshot));
     }
     replica_ = std::make_unique<Replica>(now, options_.self, options_.group, options_.initialMembers,
-                                         std::move(opened.state), random);
+                                         std::move(opened.state), random, options_.timing);
     return success();
 }
 
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -4,6 +4,7 @@
 #include "core/result.h"
 #include "core/time.h"
 #include "replication/message.h"
+#include "replication/timing.h"
 #include "replication/types.h"
 
 #include <cstddef>
@@ -32,11 +33,12 @@
     GroupId group;
     InstanceId self;
     Replication::Membership initialMembers; ///< counts until the log or a snapshot holds newer members
-    bool joins = false; ///< has no initial members: takes part once the leader has made it a member
     std::string folder; ///< the group's own folder below the data directory
     std::uint64_t snapshotAfterEntries = 10'000; ///< applied entries between two snapshots
     std::uint64_t snapshotAfterBytes = 4U << 20; ///< or this much log, or twice the last snapshot if that is more
     std::uint64_t keptEntries = 2'000; ///< entries kept before a snapshot for followers that are a little behind
+    bool joins = false; ///< has no initial members: takes part once the leader has made it a member
+    Replication::Timing timing = {};
 };
 
 /// The end of a proposal.
