Place work at once, ask for advice ahead, prefer fast minions for tight steps, move stalled tasks

Ruled out: room; no step waited for it. Change: a round of planning follows each event; advice for the next step is asked while its predecessor runs; run times are learned for each minion; tasks that stand still on a minion are tried once on another.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -170,6 +170,12 @@
     d_->runtime.loop().post([this] {
         d_->flushPosted = false;
         flush();
+        // Work that became ready, or room for it, is not left until the next tick.
+        if (d_->scheduler.isLeading() && d_->group->canAnswer(EventLoop::now())) {
+            d_->scheduler.planIfChanged(momentNow());
+        }
+        if (d_->flushPosted)
+            flush();
     });
 }
 
@@ -514,6 +520,7 @@
     d_->advisers.ask(EventLoop::now(), request,
                      [this, request](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
                          d_->scheduler.adviceAnswered(momentNow(), request, answered, approved);
+                         changed();
                      });
 }
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -94,6 +94,7 @@
     notDue_.clear();
     finished_.clear();
     begun_.clear();
+    movedTasks_.clear();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
         for (const auto &stored : waiting)
             stored(false);
@@ -111,6 +112,7 @@
     notDue_.clear();
     finished_.clear();
     begun_.clear();
+    movedTasks_.clear();
     for (const auto &[id, minion] : book_.minions()) {
         fleet_.add(toReport(minion));
         // An earlier leader may have given a lease up to now.
@@ -153,6 +155,7 @@
                 auto &run = minion->runs[{{job.id(), occurrence, number}, index}];
                 run.run = task.run;
                 run.reserved = reservedBy(job.spec(number));
+                run.estimate = std::chrono::milliseconds(job.spec(number).estimate_ms());
                 run.phase = RunPhase::Adopted;
                 run.phaseSince = now_.time;
             }
@@ -314,6 +317,7 @@
     finished_[now_.time + settings_.finishedRetention].push_back(job.id());
     queue_.removeJob(job.id());
     begun_.erase(job.id());
+    movedTasks_.erase(movedTasks_.lower_bound({{job.id(), 0, 0}, 0}), movedTasks_.lower_bound({{job.id() + '\0', 0, 0}, 0}));
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
             advice_.forgetStep({job.id(), occurrence, number});
@@ -494,4 +498,11 @@
         plan();
 }
 
+void JobScheduler::planIfChanged(const Now &now)
+{
+    now_ = now;
+    if (leading_ && dirty_)
+        plan();
+}
+
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -72,6 +72,9 @@
     /// Lets time pass; expected every 20 ms or so.
     void tick(const Now &now);
 
+    /// Gives out work if something has changed.
+    void planIfChanged(const Now &now);
+
     /// \return the active jobs of a queue, without repeating ones, of which no task is known to have begun.
     [[nodiscard]] std::uint32_t pendingJobs(const std::string &queueKey) const;
 
@@ -116,6 +119,8 @@
     void driveOrders();
     void driveRun(Minion &minion, const TaskName &task, Run &run);
     void takeActive(Minion &minion, const ActiveRun &active);
+    void noteProgress(const ActiveRun &active, Run &run);
+    void moveStalled(Minion &minion);
     void takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
     void endUnlisted(Minion &minion, const HoldAnswer &answer, TimePoint sent, Wire::JobCommand &command);
     void loseMinion(Minion &minion, std::string_view reason);
@@ -134,7 +139,8 @@
     [[nodiscard]] bool mayRun(const Minion &minion, const Job &job, const StepName &step) const;
     [[nodiscard]] bool fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const;
     Minion *bestMinion(const Job &job, const StepName &step, const TaskName &task, const std::string &rack);
-    bool askAdvice(const WaitingEntry &entry, const Job &job);
+    bool askAdvice(const StepName &name, const Job &job);
+    void askAhead(const Job &job, const StepName &name);
     void reserveFor(const WaitingEntry &entry, const Job &job);
 
     JobBook &book_;
@@ -151,6 +157,7 @@
     std::map<TimePoint, std::vector<std::string>> finished_; ///< jobs by the time at which they may be forgotten
     std::set<std::string> reserved_; ///< minions kept for a gang in this round
     std::map<std::string, TimePoint> services_; ///< that have waiting work
+    std::set<TaskName> movedTasks_; ///< away from a minion where they stood still; each only once
     std::set<std::string> begun_; ///< active jobs of which a start was confirmed
     bool dirty_ = true; ///< something changed since the last plan
     TimePoint lastPlan_{};
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -46,8 +46,10 @@
     bool isOrphan = false; ///< the book doesn't know it as the task's run
     std::string checkpoint;
     std::uint32_t percent = 0;
-    TimePoint progressAt{};
+    TimePoint progressAt{}; ///< of the last change of percent
     TimePoint startedAt{};
+    Duration estimate{}; ///< as declared
+    bool isStalled = false; ///< hardly moved between the last two looks
     std::int64_t measure = 0;
     std::uint32_t pace = 100;
 };
@@ -71,6 +73,7 @@
     TimePoint clockAt{};
 
     TimePoint avoidUntil{}; ///< nothing new is placed here before
+    double slowness = 1; ///< run times against the estimates, smoothed
     std::uint32_t failuresInRow = 0; ///< of different jobs
     std::string lastFailedJob;
     TimePoint lastHeard{}; ///< last report
@@ -86,6 +89,8 @@
     /// Extends the lease by \p lease from the last answer on, so that orders without an answer don't prolong it.
     /// \return the expiry on the minion's clock, or nothing before its clock is known.
     std::optional<std::int64_t> extendLease(Duration lease);
+    /// Takes note of the run time of a task that is done.
+    void learnRunTime(Duration took, Duration estimate);
     void clockRead(TimePoint now, std::int64_t clock);
 };
 
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -19,6 +19,8 @@
 constexpr Duration contactNeeded = 2500ms; ///< a minion that has not answered for this long gets nothing new
 constexpr Duration ticketMargin = 150ms; ///< commit of the assignment and the way to the minion
 constexpr Duration adviceRetry = 300ms;
+constexpr Duration tightSlack = 1500ms; ///< with less to spare, a fast minion is worth more than a full one
+constexpr double slownessWeight = 2; ///< against the share of a minion that stays free
 constexpr std::size_t maxReservations = 2; ///< of a service; more would leave minions empty
 constexpr std::size_t maxStepsAsked = 16; ///< in one round, so that pressing steps come first
 
@@ -57,7 +59,7 @@
         // A gang that waits for the rest of its last run to end needs nothing yet.
         if (placed || (isGang && entry->second.tasks.size() < job->spec(name.step).tasks()))
             continue;
-        if (asked < maxStepsAsked && askAdvice(*entry, *job))
+        if (asked < maxStepsAsked && askAdvice(name, *job))
             ++asked;
         if (isGang && reservations < maxReservations) {
             reserveFor(*entry, *job);
@@ -66,6 +68,21 @@
     }
 }
 
+/// Asks ahead for the steps that follow one whose tasks have all been given out, so that they need not wait for advice.
+void JobScheduler::askAhead(const Job &job, const StepName &name)
+{
+    const auto *queue = book_.queue(job.submission().queue());
+    if (!queue || !queue->needs_advice()
+        || std::chrono::milliseconds(job.spec(name.step).estimate_ms()) > std::chrono::milliseconds(queue->ticket_validity_ms()))
+        return;
+    for (std::uint32_t number = name.step + 1; number < job.stepsPerOccurrence(); ++number) {
+        const auto &needed = job.spec(number).depends_on();
+        const bool isNext = std::find(needed.begin(), needed.end(), name.step) != needed.end();
+        if (isNext)
+            askAdvice({job.id(), name.occurrence, number}, job);
+    }
+}
+
 std::optional<TimePoint> JobScheduler::ticketNeededUntil(const Job &job) const
 {
     const auto *queue = book_.queue(job.submission().queue());
@@ -101,6 +118,8 @@
 {
     const auto &step = job.spec(name.step);
     const auto needed = ticketNeededUntil(job);
+    const auto waiting = queue_.steps().find(name);
+    const bool isTight = waiting != queue_.steps().end() && waiting->second.latestStart < now_.time + tightSlack;
     Minion *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
     for (auto &[id, minion] : fleet_.minions()) {
@@ -120,6 +139,8 @@
             score += static_cast<double>(room.accelerators) / static_cast<double>(minion.report.accelerators);
         if (!step.data_rack().empty() && !minion.hasLabel(step.data_rack()))
             score += 10;
+        if (isTight)
+            score += minion.slowness * slownessWeight;
         if (score < bestScore) {
             bestScore = score;
             best = &minion;
@@ -140,6 +161,7 @@
         planned.reserved.milliCores = 0;
     }
     planned.phaseSince = now_.time;
+    planned.estimate = std::chrono::milliseconds(step.estimate_ms());
     minion.runs[task] = planned;
     auto &assignment = *command.add_assignments();
     fill(*assignment.mutable_task(), task);
@@ -172,6 +194,8 @@
                        {"waited_ms", (now_.time - since) / 1ms},
                        {"slack_ms", slack / 1ms}});
     }
+    if (placed == waiting.size())
+        askAhead(job, name);
     return placed == waiting.size();
 }
 
@@ -227,9 +251,8 @@
     return false;
 }
 
-bool JobScheduler::askAdvice(const WaitingEntry &entry, const Job &job)
+bool JobScheduler::askAdvice(const StepName &name, const Job &job)
 {
-    const auto &name = entry.first;
     if (!ticketNeededUntil(job) || advice_.isAsking(name) || ports_.idleAdvisers() == 0
         || now_.time < advice_.failedAt(name) + adviceRetry)
         return false;
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -26,6 +26,9 @@
 constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration forgetSilent = 6s; ///< several reports are missing by then
 constexpr Duration holdRetryLost = 1s; ///< of a minion whose lease is over
+constexpr Duration stallWindow = 700ms; ///< between two looks at a task's progress
+constexpr double stallShare = 0.3; ///< of the progress that the estimate promises
+constexpr Duration avoidAfterStall = 1500ms;
 constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the way of the last order
 constexpr double paceDownAbove = 0.85; ///< of the bound on a serving task's tail
 constexpr double paceUpBelow = 0.55;
@@ -268,6 +271,7 @@
     for (const auto &ended : answer.ended)
         takeEnded(*minion, ended, command);
     endUnlisted(*minion, answer, minion->holdSent, command);
+    moveStalled(*minion);
     if (!answer.ended.empty())
         minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
     if (command.ends_size() == 0) {
@@ -312,9 +316,7 @@
     auto &run = found->second;
     if (run.run != active.run)
         return;
-    if (active.percent != run.percent)
-        run.progressAt = now_.time;
-    run.percent = active.percent;
+    noteProgress(active, run);
     run.measure = active.measure;
     if (!active.checkpoint.empty())
         run.checkpoint = active.checkpoint;
@@ -329,6 +331,54 @@
     }
 }
 
+/// A task that hardly moves on a minion that does the same to others, or alone there, is tried once on another one.
+void JobScheduler::noteProgress(const ActiveRun &active, Run &run)
+{
+    const auto *job = book_.job(active.task.step.job);
+    const auto since = now_.time - run.progressAt;
+    if (!job || run.phase != RunPhase::Running || job->spec(active.task.step.step).long_running()
+        || run.estimate <= Duration::zero()) {
+        run.percent = active.percent;
+        run.progressAt = now_.time;
+        return;
+    }
+    if (since < stallWindow)
+        return;
+    const double expected = 100.0 * static_cast<double>(since.count()) / static_cast<double>(run.estimate.count());
+    const double moved = static_cast<double>(active.percent) - static_cast<double>(run.percent);
+    run.isStalled = active.percent < 100 && moved < std::min(expected, 100.0) * stallShare;
+    run.percent = active.percent;
+    run.progressAt = now_.time;
+}
+
+void JobScheduler::moveStalled(Minion &minion)
+{
+    std::size_t stalled = 0;
+    std::size_t moving = 0;
+    for (const auto &[task, run] : minion.runs) {
+        if (run.phase != RunPhase::Running || run.estimate <= Duration::zero())
+            continue;
+        (run.isStalled ? stalled : moving) += 1;
+    }
+    if (stalled == 0 || moving > stalled)
+        return;
+    minion.avoidUntil = std::max(minion.avoidUntil, now_.time + avoidAfterStall);
+    for (auto &[task, run] : minion.runs) {
+        const auto *job = book_.job(task.step.job);
+        if (!run.isStalled || run.phase != RunPhase::Running || !job || job->spec(task.step.step).gang()
+            || !movedTasks_.insert(task).second)
+            continue;
+        ports_.record(LogLevel::Info, "task-moved",
+                      {{"task", task.toString()},
+                       {"run", run.run},
+                       {"minion", minion.report.life.id},
+                       {"reason", "it stands still"},
+                       {"percent", run.percent},
+                       {"running_ms", (now_.time - run.startedAt) / 1ms}});
+        sendStop(minion, task, run);
+    }
+}
+
 void JobScheduler::takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command)
 {
     if (ended.number <= minion.seenEnd)
@@ -345,6 +395,8 @@
         }
     } else if (ended.how == RunEnd::Done) {
         minion.failuresInRow = 0;
+        if (isKnown && found->second.startedAt != TimePoint{} && found->second.checkpoint.empty())
+            minion.learnRunTime(now_.time - found->second.startedAt, found->second.estimate);
     }
     if (ended.how != RunEnd::Done) {
         ports_.record(LogLevel::Info, "run-ended",
--- a/tests/auto/jobs/simulatedminion.cpp
+++ b/tests/auto/jobs/simulatedminion.cpp
@@ -41,7 +41,7 @@
     if (found != runs.end() || order.run <= highestEnded_[order.task])
         return {OrderOutcome::OldRun, clock(now)};
     const auto how = failsEverything ? RunEnd::Failed : RunEnd::Done;
-    runs[order.task] = {order.run, now + runTime_, how, order.checkpoint + "+"};
+    runs[order.task] = {order.run, now + (standsStill ? Duration(1h) : runTime_), how, order.checkpoint + "+"};
     return {OrderOutcome::Done, clock(now)};
 }
 
@@ -84,11 +84,19 @@
     answer.clockMs = clock(now);
     answer.bornUnixMs = report.life.bornUnixMs;
     for (const auto &[task, work] : runs)
-        answer.active.push_back({task, work.run, work.checkpoint, 50, 0});
+        answer.active.push_back({task, work.run, work.checkpoint, percent(now, work), 0});
     answer.ended = ended_;
     return answer;
 }
 
+std::uint32_t SimulatedMinion::percent(TimePoint now, const Work &work) const
+{
+    if (standsStill)
+        return 0;
+    const auto left = std::max(Duration::zero(), work.endsAt - now);
+    return static_cast<std::uint32_t>(100 - std::min<std::int64_t>(100, 100 * left / runTime_));
+}
+
 void SimulatedMinion::end(const TaskName &task, RunEnd how)
 {
     const auto work = runs.at(task);
--- a/tests/auto/jobs/simulatedminion.h
+++ b/tests/auto/jobs/simulatedminion.h
@@ -45,11 +45,13 @@
     std::map<Pistachio::Jobs::TaskName, Work> runs;
     bool isCut = false; ///< nothing reaches it and nothing leaves it
     bool failsEverything = false;
+    bool standsStill = false; ///< what starts there makes no progress
     std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
 
 private:
     void end(const Pistachio::Jobs::TaskName &task, Pistachio::Jobs::RunEnd how);
     [[nodiscard]] Pistachio::Jobs::HoldAnswer lists(TimePoint now) const;
+    [[nodiscard]] std::uint32_t percent(TimePoint now, const Work &work) const;
     [[nodiscard]] bool accepts(std::uint64_t fence);
 
     Duration runTime_;
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -11,6 +11,11 @@
 {
 const std::string first = "0000000000000001";
 const std::string second = "0000000000000002";
+
+std::function<void(Wire::JobStep &)> estimate(Duration duration)
+{
+    return [duration](Wire::JobStep &step) { step.set_estimate_ms(duration / 1ms); };
+}
 } // namespace
 
 class SchedulerTest : public CppUnit::TestFixture
@@ -26,6 +31,7 @@
     CPPUNIT_TEST(newLeaderKeepsRunningTasks);
     CPPUNIT_TEST(restartedMinionLosesItsTasksAtOnce);
     CPPUNIT_TEST(longRunningTaskIsStartedAgain);
+    CPPUNIT_TEST(stalledTaskIsMovedOnce);
     CPPUNIT_TEST_SUITE_END();
 
     static void checkClean(const SimulatedCell &cell)
@@ -49,7 +55,7 @@
     {
         SimulatedCell cell(1);
         auto &lost = cell.addMinion("a", 4000, 20s);
-        cell.submit(first, 1, 1000);
+        cell.submit(first, 1, 1000, estimate(5s));
         cell.run(1s);
         CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.runsOn(first));
         lost.isCut = true;
@@ -66,7 +72,7 @@
     {
         SimulatedCell cell(1);
         auto &lost = cell.addMinion("a", 4000, 60s, 0.98);
-        cell.submit(first, 1, 1000);
+        cell.submit(first, 1, 1000, estimate(60s));
         cell.run(3s);
         lost.isCut = true;
         cell.addMinion("b", 4000, 30s);
@@ -140,7 +146,7 @@
     {
         SimulatedCell cell(1);
         cell.addMinion("a", 4000, 5s);
-        cell.submit(first, 2, 1000);
+        cell.submit(first, 2, 1000, estimate(5s));
         cell.run(1s);
         const auto starts = cell.starts;
         cell.changeLeader();
@@ -164,6 +170,21 @@
         CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
     }
 
+    // A minion on which work stands still keeps its lease, so nothing else would free the task.
+    void stalledTaskIsMovedOnce()
+    {
+        SimulatedCell cell(1);
+        auto &sick = cell.addMinion("a", 4000, 1s);
+        sick.standsStill = true;
+        cell.submit(first, 1, 1000);
+        cell.run(500ms);
+        cell.addMinion("b", 4000, 1s);
+        cell.run(5s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.starts);
+        checkClean(cell);
+    }
+
     void longRunningTaskIsStartedAgain()
     {
         SimulatedCell cell(1);
