Repeat orders sooner and hold minions in shorter turns; read the time once for authority and action

Cause 1: answers that get lost cost up to 2.7 s before the ends behind them were seen, and a start was repeated after 0.8 s. Holds now wait 0.5 s and orders are repeated after 0.32 s; the lease of 3.5 s still outlives a restart of all control instances. Conclusion: both changes stay.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -32,7 +32,6 @@
 constexpr Duration memberInterval = 500ms;
 constexpr Duration announceInterval = 1s;
 constexpr Duration announceLimit = 900ms;
-constexpr Duration leaseShare = 1s; ///< the lease is shorter than the minions' limit by this
 constexpr Duration forwardLimit = 900ms; ///< callers turn elsewhere after a second
 constexpr Duration stopLimit = 500ms;
 
@@ -49,7 +48,7 @@
 Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
 {
     Jobs::SchedulerSettings result;
-    result.lease = settings.longestLease > 2 * leaseShare ? settings.longestLease - leaseShare : settings.longestLease;
+    result.lease = std::min(result.lease, settings.longestLease);
     result.stopTimeout = settings.stopTimeout;
     return result;
 }
@@ -154,9 +153,11 @@
     const auto now = EventLoop::now();
     d_->group->tick(now);
     flush();
-    // Without a majority no order goes out: a later leader may exist.
-    if (d_->scheduler.isLeading() && d_->group->canAnswer(now))
-        d_->scheduler.tick(momentNow());
+    // Without a majority no order goes out: a later leader may exist. The time is read once more, since the process may
+    // have been suspended since.
+    const auto moment = momentNow();
+    if (d_->scheduler.isLeading() && d_->group->canAnswer(moment.time))
+        d_->scheduler.tick(moment);
     changeMembers();
     announce();
     flush();
@@ -171,9 +172,9 @@
         d_->flushPosted = false;
         flush();
         // Work that became ready, or room for it, is not left until the next tick.
-        if (d_->scheduler.isLeading() && d_->group->canAnswer(EventLoop::now())) {
-            d_->scheduler.planIfChanged(momentNow());
-        }
+        const auto moment = momentNow();
+        if (d_->scheduler.isLeading() && d_->group->canAnswer(moment.time))
+            d_->scheduler.planIfChanged(moment);
         if (d_->flushPosted)
             flush();
     });
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -15,13 +15,13 @@
 namespace
 {
 
-constexpr Duration holdWait = 1s; ///< leaves several tries within one lease
-constexpr Duration idleHoldWait = 2s; ///< of a minion that runs nothing
-constexpr Duration holdRetry = 150ms;
-constexpr Duration orderRetry = 100ms;
-constexpr std::uint32_t maxStartAttempts = 4;
+constexpr Duration holdWait = 500ms; ///< a lost answer delays what ended meanwhile by no more; leaves several tries within one lease
+constexpr Duration idleHoldWait = 1500ms; ///< of a minion that runs nothing
+constexpr Duration holdRetry = 50ms;
+constexpr Duration orderRetry = 20ms;
+constexpr std::uint32_t maxStartAttempts = 5;
 constexpr Duration avoidAfterRefusal = 1s;
-constexpr Duration avoidAfterSilence = 2s;
+constexpr Duration avoidAfterSilence = 500ms;
 constexpr std::uint32_t failuresBeforeAvoiding = 3;
 constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration forgetSilent = 6s; ///< several reports are missing by then
