--- a/src/libs/jobs/adviceledger.cpp
+++ b/src/libs/jobs/adviceledger.cpp
@@ -34,6 +34,19 @@
     return held->second.text;
 }
 
+std::vector<std::string_view> AdviceLedger::ticketHolders(const StepName &step, TimePoint until) const
+{
+    std::vector<std::string_view> result;
+    const auto found = steps_.find(step);
+    if (found == steps_.end())
+        return result;
+    for (const auto &[minion, ticket] : found->second.approved) {
+        if (ticket.validUntil >= until)
+            result.push_back(minion);
+    }
+    return result;
+}
+
 TimePoint AdviceLedger::failedAt(const StepName &step) const
 {
     const auto found = steps_.find(step);
--- a/src/libs/jobs/adviceledger.h
+++ b/src/libs/jobs/adviceledger.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Pistachio::Jobs
@@ -29,6 +30,9 @@
     [[nodiscard]] std::optional<std::string> ticket(const StepName &step, const std::string &minion,
                                                     TimePoint until) const;
 
+    /// \return the minions with a ticket that is valid until \p until at least.
+    [[nodiscard]] std::vector<std::string_view> ticketHolders(const StepName &step, TimePoint until) const;
+
     /// \return the last time a request about the step was given up; nothing is asked for a moment after it.
     [[nodiscard]] TimePoint failedAt(const StepName &step) const;
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -152,12 +152,13 @@
                     ports_.propose(std::move(command), {});
                     continue;
                 }
-                auto &run = minion->runs[{{job.id(), occurrence, number}, index}];
+                Run run;
                 run.run = task.run;
                 run.reserved = reservedBy(job.spec(number));
                 run.estimate = std::chrono::milliseconds(job.spec(number).estimate_ms());
                 run.phase = RunPhase::Adopted;
                 run.phaseSince = now_.time;
+                minion->add({{job.id(), occurrence, number}, index}, run);
             }
         }
     }
@@ -332,31 +333,41 @@
 
 void JobScheduler::stopRunsOf(const Job &job)
 {
-    for (auto &[id, minion] : fleet_.minions()) {
-        for (auto entry = minion.runs.lower_bound({{job.id(), 0, 0}, 0});
-             entry != minion.runs.end() && entry->first.step.job == job.id(); ++entry) {
-            auto &run = entry->second;
-            if (run.phase == RunPhase::Starting || run.phase == RunPhase::Running || run.phase == RunPhase::Adopted)
-                sendStop(minion, entry->first, run);
-        }
+    if (!job.hasAssignedTasks())
+        return;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
+        for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
+            stopRuns(job, {job.id(), occurrence, number});
     }
 }
 
+void JobScheduler::stopRuns(const Job &job, const StepName &step)
+{
+    const auto &tasks = job.step(step.occurrence, step.step)->tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        auto *minion = tasks[index].state == TaskState::Assigned ? holder(tasks[index]) : nullptr;
+        const auto found = minion ? minion->runs.find({step, index}) : std::map<TaskName, Run>::iterator();
+        if (minion && found != minion->runs.end())
+            sendStop(*minion, found->first, found->second);
+    }
+}
+
+Minion *JobScheduler::holder(const Task &task)
+{
+    return fleet_.find(MinionLife{task.minion, task.minionBorn});
+}
+
 void JobScheduler::jobForgotten(const std::string & /*job*/) { }
 
-void JobScheduler::taskAssigned(const Job & /*job*/, const TaskName &task, std::uint64_t run)
+void JobScheduler::taskAssigned(const Job &job, const TaskName &task, std::uint64_t run)
 {
-    if (!leading_)
-        return;
-    for (auto &[id, minion] : fleet_.minions()) {
-        const auto found = minion.runs.find(task);
-        if (found == minion.runs.end() || found->second.run != run || found->second.phase != RunPhase::Proposed)
-            continue;
-        found->second.phase = RunPhase::Starting;
-        found->second.phaseSince = now_.time;
-        sendStart(minion, task, found->second);
+    auto *minion = leading_ ? holder(*job.task(task)) : nullptr;
+    const auto found = minion ? minion->runs.find(task) : std::map<TaskName, Run>::iterator();
+    if (!minion || found == minion->runs.end() || found->second.run != run || found->second.phase != RunPhase::Proposed)
         return;
-    }
+    found->second.phase = RunPhase::Starting;
+    found->second.phaseSince = now_.time;
+    sendStart(*minion, task, found->second);
 }
 
 void JobScheduler::taskEnded(const Job &job, const Wire::JobEnd &end, bool changed)
@@ -366,14 +377,17 @@
     const auto name = toTaskName(end.task());
     const auto &step = job.spec(name.step.step);
     dirty_ = true;
-    for (auto &[id, minion] : fleet_.minions()) {
-        const auto found = minion.runs.find(name);
-        if (found == minion.runs.end())
+    // The run ended at the minion that reported it, which may be an earlier one than the task's last.
+    for (const auto &life : {MinionLife{end.minion(), end.minion_born_unix_ms()},
+                             MinionLife{job.task(name)->minion, job.task(name)->minionBorn}}) {
+        auto *minion = fleet_.find(life);
+        const auto found = minion ? minion->runs.find(name) : std::map<TaskName, Run>::iterator();
+        if (!minion || found == minion->runs.end())
             continue;
         if (found->second.run == end.run() && found->second.phase == RunPhase::Ending)
-            minion.runs.erase(found);
+            minion->remove(name);
         else if (changed && end.how() == Wire::JOB_RUN_END_DONE && !step.long_running())
-            sendStop(minion, name, found->second);
+            sendStop(*minion, name, found->second);
     }
     if (!changed || job.phase() != JobPhase::Active)
         return;
@@ -395,15 +409,8 @@
     if (record.tasks[name.index].state == TaskState::Waiting)
         enqueue(job, name);
     // The rest of a gang can't do anything without this member.
-    if (!step.gang())
-        return;
-    for (auto &[id, minion] : fleet_.minions()) {
-        for (auto entry = minion.runs.lower_bound({name.step, 0});
-             entry != minion.runs.end() && entry->first.step == name.step; ++entry) {
-            if (entry->second.run == end.run())
-                sendStop(minion, entry->first, entry->second);
-        }
-    }
+    if (step.gang())
+        stopRuns(job, name.step);
 }
 
 bool JobScheduler::hasBegun(const Job &job) const
@@ -429,6 +436,8 @@
     fill(*end.mutable_task(), task);
     end.set_run(run);
     end.set_how(static_cast<Wire::JobRunEnd>(how));
+    end.set_minion(minion.report.life.id);
+    end.set_minion_born_unix_ms(minion.report.life.bornUnixMs);
     const auto found = minion.runs.find(task);
     if (found == minion.runs.end() || found->second.run != run)
         return;
@@ -446,7 +455,7 @@
                   {{"assignments", command.assignments_size()}, {"ends", command.ends_size()}});
     for (const auto &assignment : command.assignments()) {
         if (auto *minion = fleet_.find(MinionLife{assignment.minion(), assignment.minion_born_unix_ms()}))
-            minion->runs.erase(toTaskName(assignment.task()));
+            minion->remove(toTaskName(assignment.task()));
         const auto *job = book_.job(assignment.task().job());
         if (job && job->phase() == JobPhase::Active)
             enqueue(*job, toTaskName(assignment.task()));
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -24,6 +24,7 @@
 
 class JobBook;
 class SchedulerPorts;
+struct Task;
 
 /// The time of an event as the process sees it.
 struct Now {
@@ -111,6 +112,8 @@
     void forgetFinished();
     void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int how);
     void stopRunsOf(const Job &job);
+    void stopRuns(const Job &job, const StepName &step);
+    Minion *holder(const Task &task);
 
     // runorders.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
--- a/src/libs/jobs/minion.cpp
+++ b/src/libs/jobs/minion.cpp
@@ -58,27 +58,29 @@
     return {report.milliCores, report.memoryMb, report.accelerators};
 }
 
-Amounts Minion::used() const
+Run &Minion::add(const TaskName &task, const Run &run)
 {
-    Amounts sum;
-    for (const auto &[task, run] : runs)
-        sum += run.reserved;
-    return sum;
+    remove(task);
+    used_ += run.reserved;
+    spareUsed_ += run.spareMilliCores;
+    return runs[task] = run;
 }
 
-Amounts Minion::room() const
+void Minion::remove(const TaskName &task)
 {
-    auto left = capacity();
-    left -= used();
-    return left;
+    const auto found = runs.find(task);
+    if (found == runs.end())
+        return;
+    used_ -= found->second.reserved;
+    spareUsed_ -= found->second.spareMilliCores;
+    runs.erase(found);
 }
 
-std::int64_t Minion::spareUsed() const
+Amounts Minion::room() const
 {
-    std::int64_t sum = 0;
-    for (const auto &[task, run] : runs)
-        sum += run.spareMilliCores;
-    return sum;
+    auto left = capacity();
+    left -= used_;
+    return left;
 }
 
 std::uint32_t Minion::tasksOf(const StepName &step) const
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -57,7 +57,7 @@
 /// What the leader knows of one life of a minion.
 struct Minion {
     MinionReport report;
-    std::map<TaskName, Run> runs;
+    std::map<TaskName, Run> runs; ///< changed through add() and remove() only
 
     bool isHeld = false; ///< has answered a hold of this leader, so earlier leaders' orders are void there
     bool holdOutstanding = false;
@@ -79,10 +79,14 @@
     TimePoint lastHeard{}; ///< last report
     bool isForgotten = false; ///< its removal is proposed
 
+    /// Adds a run, in place of an earlier one of the task.
+    Run &add(const TaskName &task, const Run &run);
+    void remove(const TaskName &task);
+
     [[nodiscard]] Amounts capacity() const;
-    [[nodiscard]] Amounts used() const;
     [[nodiscard]] Amounts room() const;
-    [[nodiscard]] std::int64_t spareUsed() const;
+    /// \return the cores that runs use without counting against the capacity.
+    [[nodiscard]] std::int64_t spareUsed() const { return spareUsed_; }
     [[nodiscard]] std::uint32_t tasksOf(const StepName &step) const;
     [[nodiscard]] bool hasLabel(const std::string &label) const;
 
@@ -92,6 +96,10 @@
     /// Takes note of the run time of a task that is done.
     void learnRunTime(Duration took, Duration estimate);
     void clockRead(TimePoint now, std::int64_t clock);
+
+private:
+    Amounts used_; ///< the sum over the runs
+    std::int64_t spareUsed_ = 0;
 };
 
 /// How much slower than real time a minion's clock may run.
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace Pistachio::Jobs
@@ -122,14 +123,11 @@
     const bool isTight = waiting != queue_.steps().end() && waiting->second.latestStart < now_.time + tightSlack;
     Minion *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
-    for (auto &[id, minion] : fleet_.minions()) {
-        if (!isUsable(minion) || reserved_.contains(id) || !mayRun(minion, job, name) || minion.runs.contains(task)
-            || !fits(minion, step, name))
-            continue;
-        if (!rack.empty() && !minion.hasLabel(rack))
-            continue;
-        if (needed && !advice_.ticket(name, id, *needed))
-            continue;
+    const auto consider = [&](Minion &minion) {
+        const auto &id = minion.report.life.id;
+        if (!isUsable(minion) || !fits(minion, step, name) || reserved_.contains(id) || !mayRun(minion, job, name)
+            || minion.runs.contains(task) || (!rack.empty() && !minion.hasLabel(rack)))
+            return;
         auto room = minion.room();
         room -= demandOf(step);
         // The fullest minion that still fits keeps whole minions free for large tasks.
@@ -145,6 +143,15 @@
             bestScore = score;
             best = &minion;
         }
+    };
+    if (needed) {
+        for (const auto &id : advice_.ticketHolders(name, *needed)) {
+            if (auto *minion = fleet_.find(std::string(id)))
+                consider(*minion);
+        }
+    } else {
+        for (auto &[id, minion] : fleet_.minions())
+            consider(minion);
     }
     return best;
 }
@@ -162,7 +169,7 @@
     }
     planned.phaseSince = now_.time;
     planned.estimate = std::chrono::milliseconds(step.estimate_ms());
-    minion.runs[task] = planned;
+    minion.add(task, planned);
     auto &assignment = *command.add_assignments();
     fill(*assignment.mutable_task(), task);
     assignment.set_run(run);
@@ -233,7 +240,7 @@
         }
         if (placed.size() < tasks.size()) {
             for (const auto &item : placed)
-                item.minion->runs.erase(item.task);
+                item.minion->remove(item.task);
             continue;
         }
         command.MergeFrom(attempt);
@@ -256,23 +263,21 @@
     if (!ticketNeededUntil(job) || advice_.isAsking(name) || ports_.idleAdvisers() == 0
         || now_.time < advice_.failedAt(name) + adviceRetry)
         return false;
-    std::vector<std::pair<std::int64_t, std::string>> unknown;
-    AdviceRequest request;
-    request.step = name;
+    // Those with room first, and those that are known to be approved before others.
+    std::vector<std::tuple<bool, bool, std::int64_t, std::string>> candidates;
+    const auto &step = job.spec(name.step);
     for (const auto &[id, minion] : fleet_.minions()) {
-        if (!isUsable(minion) || !mayRun(minion, job, name) || advice_.isDenied(name, id))
+        if (!isUsable(minion) || !mayRun(minion, job, name) || advice_.isDenied(name, id)
+            || advice_.ticket(name, id, now_.time + ticketMargin))
             continue;
-        if (!advice_.isApproved(name, id))
-            unknown.emplace_back(-minion.room().milliCores, id);
-        else if (!advice_.ticket(name, id, now_.time + ticketMargin))
-            request.minions.push_back(id);
-    }
-    std::sort(unknown.begin(), unknown.end());
-    for (const auto &[room, id] : unknown) {
-        if (request.minions.size() >= settings_.advisedMinions)
-            break;
-        request.minions.push_back(id);
+        candidates.emplace_back(!fits(minion, step, name), !advice_.isApproved(name, id), -minion.room().milliCores, id);
     }
+    const auto count = std::min(settings_.advisedMinions, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
+    AdviceRequest request;
+    request.step = name;
+    for (std::size_t number = 0; number < count; ++number)
+        request.minions.push_back(std::get<std::string>(candidates[number]));
     if (request.minions.empty())
         return false;
     advice_.asked(request);
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -27,7 +27,7 @@
 constexpr Duration forgetSilent = 6s; ///< several reports are missing by then
 constexpr Duration holdRetryLost = 1s; ///< of a minion whose lease is over
 constexpr Duration stallWindow = 700ms; ///< between two looks at a task's progress
-constexpr double stallShare = 0.3; ///< of the progress that the estimate promises
+constexpr double stallShare = 0.12; ///< of the progress that the estimate promises
 constexpr Duration avoidAfterStall = 1500ms;
 constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the way of the last order
 constexpr double paceDownAbove = 0.85; ///< of the bound on a serving task's tail
@@ -117,7 +117,6 @@
             sendHold(minion, minion.runs.empty() ? idleHoldWait : holdWait);
         for (auto &[task, run] : minion.runs)
             driveRun(minion, task, run);
-        pace(minion);
     }
 }
 
@@ -272,6 +271,7 @@
         takeEnded(*minion, ended, command);
     endUnlisted(*minion, answer, minion->holdSent, command);
     moveStalled(*minion);
+    pace(*minion);
     if (!answer.ended.empty())
         minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
     if (command.ends_size() == 0) {
@@ -307,7 +307,8 @@
             const auto &step = job->spec(active.task.step.step);
             orphan.reserved = {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
         }
-        found = minion.runs.emplace(active.task, orphan).first;
+        minion.add(active.task, orphan);
+        found = minion.runs.find(active.task);
         ports_.record(LogLevel::Warning, "orphan-run",
                       {{"task", active.task.toString()}, {"run", active.run}, {"minion", minion.report.life.id}});
         sendStop(minion, active.task, found->second);
@@ -395,7 +396,9 @@
         }
     } else if (ended.how == RunEnd::Done) {
         minion.failuresInRow = 0;
-        if (isKnown && found->second.startedAt != TimePoint{} && found->second.checkpoint.empty())
+        // A run that is far from its data, or resumed, says nothing about the minion.
+        if (isKnown && job && found->second.startedAt != TimePoint{} && found->second.checkpoint.empty()
+            && minion.hasLabel(job->spec(ended.task.step.step).data_rack()))
             minion.learnRunTime(now_.time - found->second.startedAt, found->second.estimate);
     }
     if (ended.how != RunEnd::Done) {
@@ -407,7 +410,7 @@
     }
     if (!job) {
         if (isKnown)
-            minion.runs.erase(found);
+            minion.remove(ended.task);
         return;
     }
     if (isKnown && !ended.checkpoint.empty())
@@ -437,7 +440,7 @@
         if (book_.job(task.step.job))
             proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED);
         else
-            minion.runs.erase(task);
+            minion.remove(task);
     }
 }
 
@@ -502,6 +505,8 @@
 
 void JobScheduler::pace(Minion &minion)
 {
+    if (minion.spareUsed() == 0)
+        return;
     double worst = 0;
     for (const auto &[task, run] : minion.runs) {
         const auto *job = run.phase == RunPhase::Running ? book_.job(task.step.job) : nullptr;
