Learn the speed of minions by kind

Ruled out: zones; within a zone both speeds occur. Change: SpeedTable holds the mean run time of each kind against the estimates; tight steps prefer fast kinds.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -3,6 +3,7 @@
 #include "jobs/adviceledger.h"
 #include "jobs/fleet.h"
 #include "jobs/jobbookobserver.h"
+#include "jobs/speedtable.h"
 #include "jobs/workqueue.h"
 
 #include <cstdint>
@@ -155,6 +156,7 @@
     Fleet fleet_;
     WorkQueue queue_;
     AdviceLedger advice_;
+    SpeedTable speeds_;
     std::map<std::string, std::vector<std::function<void(bool)>>> reportsToStore_; ///< by minion id
     std::map<std::int64_t, std::vector<TaskName>> notDue_; ///< first tasks of later occurrences, by due time
     std::map<TimePoint, std::vector<std::string>> finished_; ///< jobs by the time at which they may be forgotten
--- a/src/libs/jobs/minion.cpp
+++ b/src/libs/jobs/minion.cpp
@@ -106,14 +106,9 @@
     return *clockMs + lease / 1ms;
 }
 
-void Minion::learnRunTime(Duration took, Duration estimate)
+std::string Minion::kind() const
 {
-    constexpr double weight = 0.1; // estimates are off by a fifth and more, so that one run says little
-    constexpr double highestRatio = 4;
-    if (estimate <= Duration::zero())
-        return;
-    const double ratio = std::min(highestRatio, static_cast<double>(took.count()) / static_cast<double>(estimate.count()));
-    slowness += weight * (ratio - slowness);
+    return report.labels.empty() ? report.service : report.service + '/' + report.labels.front();
 }
 
 void Minion::clockRead(TimePoint now, std::int64_t clock)
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -73,7 +73,6 @@
     TimePoint clockAt{};
 
     TimePoint avoidUntil{}; ///< nothing new is placed here before
-    double slowness = 1; ///< run times against the estimates, smoothed
     std::uint32_t failuresInRow = 0; ///< of different jobs
     std::string lastFailedJob;
     TimePoint lastHeard{}; ///< last report
@@ -93,8 +92,8 @@
     /// Extends the lease by \p lease from the last answer on, so that orders without an answer don't prolong it.
     /// \return the expiry on the minion's clock, or nothing before its clock is known.
     std::optional<std::int64_t> extendLease(Duration lease);
-    /// Takes note of the run time of a task that is done.
-    void learnRunTime(Duration took, Duration estimate);
+    /// \return the service and the label that names the kind; minions of one kind are alike fast.
+    [[nodiscard]] std::string kind() const;
     void clockRead(TimePoint now, std::int64_t clock);
 
 private:
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -21,7 +21,8 @@
 constexpr Duration ticketMargin = 150ms; ///< commit of the assignment and the way to the minion
 constexpr Duration adviceRetry = 300ms;
 constexpr Duration tightSlack = 1500ms; ///< with less to spare, a fast minion is worth more than a full one
-constexpr double slownessWeight = 2; ///< against the share of a minion that stays free
+constexpr double tightSlownessWeight = 2; ///< against the share of a minion that stays free
+constexpr double looseSlownessWeight = -0.5; ///< leaves the fast ones to those who need them
 constexpr std::size_t maxReservations = 2; ///< of a service; more would leave minions empty
 constexpr std::size_t maxStepsAsked = 16; ///< in one round, so that pressing steps come first
 
@@ -121,6 +122,7 @@
     const auto needed = ticketNeededUntil(job);
     const auto waiting = queue_.steps().find(name);
     const bool isTight = waiting != queue_.steps().end() && waiting->second.latestStart < now_.time + tightSlack;
+    const double slownessWeight = isTight ? tightSlownessWeight : looseSlownessWeight;
     Minion *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
     const auto consider = [&](Minion &minion) {
@@ -137,8 +139,7 @@
             score += static_cast<double>(room.accelerators) / static_cast<double>(minion.report.accelerators);
         if (!step.data_rack().empty() && !minion.hasLabel(step.data_rack()))
             score += 10;
-        if (isTight)
-            score += minion.slowness * slownessWeight;
+        score += speeds_.slowness(minion.kind()) * slownessWeight;
         if (score < bestScore) {
             bestScore = score;
             best = &minion;
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -399,7 +399,7 @@
         // A run that is far from its data, or resumed, says nothing about the minion.
         if (isKnown && job && found->second.startedAt != TimePoint{} && found->second.checkpoint.empty()
             && minion.hasLabel(job->spec(ended.task.step.step).data_rack()))
-            minion.learnRunTime(now_.time - found->second.startedAt, found->second.estimate);
+            speeds_.learn(minion.kind(), now_.time - found->second.startedAt, found->second.estimate);
     }
     if (ended.how != RunEnd::Done) {
         ports_.record(LogLevel::Info, "run-ended",
--- /dev/null
+++ b/src/libs/jobs/speedtable.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <map>
+#include <string>
+
+namespace Pistachio::Jobs
+{
+
+/// How fast the kinds of minions are, learned from the run times of tasks against their estimates.
+class SpeedTable
+{
+public:
+    /// Takes note of a task that was done in one run.
+    void learn(const std::string &kind, Duration took, Duration estimate);
+
+    /// \return the mean run time in parts of the estimate; 1 while little is known.
+    [[nodiscard]] double slowness(const std::string &kind) const;
+
+private:
+    struct Mean {
+        double sum = 0;
+        double weight = 0;
+    };
+
+    std::map<std::string, Mean> kinds_;
+};
+
+} // namespace Pistachio::Jobs
