--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -34,7 +34,7 @@
 };
 
 struct SchedulerSettings {
-    Duration lease = 3500ms; ///< outlives a restart of all control instances and the election after it
+    Duration lease = 4000ms; ///< outlives a restart of all control instances and the election after it
     Duration stopTimeout = 400ms; ///< a stop takes at most this long
     Duration finishedRetention = 150s; ///< a finished job can be read for this long
     std::size_t advisedMinions = 32; ///< the most minions named in one request for advice
