Group the leader's writes under load, hold large fleets in longer turns, try fewer unplaceable steps a round

Cause: on the grown sites the leader was short of processor time: each event led to a write with a message to five members, 700 holds a second, and a planning round over every waiting step.

--- a/src/libs/jobnode/jobcalls.cpp
+++ b/src/libs/jobnode/jobcalls.cpp
@@ -68,7 +68,7 @@
     return result;
 }
 
-void JobCalls::handle(TimePoint now, const Wire::JobCall &call, Answered answered)
+void JobCalls::handle(TimePoint now, const Wire::JobCall &call, const Answered &answered)
 {
     if (!group_.canAnswer(now)) {
         answered(notLeader());
@@ -100,7 +100,7 @@
             return;
         }
         command.set_cancelled_job(id);
-        propose(now, command, std::move(answered));
+        propose(now, command, answered);
         return;
     }
     if (const auto valid = Jobs::checkJob(call.submission()); !valid) {
@@ -116,7 +116,7 @@
     submission.set_queue(key);
     *submission.mutable_spec() = call.submission();
     submission.set_accepted_unix_ms(unixMs_());
-    propose(now, command, std::move(answered));
+    propose(now, command, answered);
 }
 
 void JobCalls::read(const std::string &queueKey, const std::string &id, const Answered &answered) const
@@ -137,7 +137,7 @@
     answered(std::move(result));
 }
 
-void JobCalls::propose(TimePoint now, const Wire::JobCommand &command, Answered answered)
+void JobCalls::propose(TimePoint now, const Wire::JobCommand &command, const Answered &answered)
 {
     group_.propose(now, command.SerializeAsString(), [this, answered](const Result<std::string> &result) {
         if (result) {
--- a/src/libs/jobnode/jobcalls.h
+++ b/src/libs/jobnode/jobcalls.h
@@ -37,10 +37,10 @@
              std::function<std::int64_t()> unixMs);
 
     /// \param answered called exactly once, possibly before this function returns
-    void handle(TimePoint now, const Wire::JobCall &call, Answered answered);
+    void handle(TimePoint now, const Wire::JobCall &call, const Answered &answered);
 
     /// Proposes a command and passes on its verdict; NOT_LEADER and UNAVAILABLE mean that nothing was done.
-    void propose(TimePoint now, const Wire::JobCommand &command, Answered answered);
+    void propose(TimePoint now, const Wire::JobCommand &command, const Answered &answered);
 
     /// \return a reply that names the leader as far as it is known.
     [[nodiscard]] Wire::JobReply notLeader() const;
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -29,6 +29,7 @@
 
 constexpr Duration leaderTick = 20ms; ///< bounds how long a free minion waits for its next task
 constexpr Duration followerTick = 40ms;
+constexpr Duration flushInterval = 5ms; ///< about one sync of the disk; bounds the messages to the other members
 constexpr Duration memberInterval = 500ms;
 constexpr Duration announceInterval = 1s;
 constexpr Duration announceLimit = 900ms;
@@ -67,8 +68,8 @@
         , advisers(adviceClient, peers)
         , members(2 * jobSettings.toleratedLosses + 1)
         , server(nodeRuntime.loop(), serverLimits(),
-                 [&owner](Transport::Request request, const Transport::Responder &responder) {
-                     owner.handleInternal(std::move(request), responder);
+                 [&owner](const Transport::Request &request, const Transport::Responder &responder) {
+                     owner.handleInternal(request, responder);
                  })
     {
     }
@@ -97,6 +98,8 @@
     TimePoint nextMemberChange{};
     TimePoint nextAnnounce{};
     bool flushPosted = false;
+    TimePoint lastFlush{};
+    Transport::Timer flushTimer;
     bool memberChangeOpen = false;
     std::uint64_t ledTerm = 0;
     std::string lastLeader;
@@ -136,6 +139,7 @@
 void JobControl::stop(std::function<void()> finished)
 {
     d_->tickTimer.cancel();
+    d_->flushTimer.cancel();
     d_->scheduler.stopLeading();
     d_->server.stop(stopLimit, std::move(finished));
 }
@@ -163,21 +167,29 @@
     flush();
 }
 
-/// Events of one round share a write to the disk.
+/// Events of one round share a write to the disk, and under load those of a few milliseconds.
 void JobControl::changed()
 {
     if (std::exchange(d_->flushPosted, true))
         return;
-    d_->runtime.loop().post([this] {
-        d_->flushPosted = false;
+    const auto wait = d_->lastFlush + flushInterval - EventLoop::now();
+    if (wait <= Duration::zero())
+        d_->runtime.loop().post([this] { finishRound(); });
+    else
+        d_->flushTimer = d_->runtime.loop().callAfter(wait, [this] { finishRound(); });
+}
+
+void JobControl::finishRound()
+{
+    flush();
+    // Work that became ready, or room for it, is not left until the next tick.
+    const auto moment = momentNow();
+    if (d_->scheduler.isLeading() && d_->group->canAnswer(moment.time)) {
+        d_->scheduler.planIfChanged(moment);
         flush();
-        // Work that became ready, or room for it, is not left until the next tick.
-        const auto moment = momentNow();
-        if (d_->scheduler.isLeading() && d_->group->canAnswer(moment.time))
-            d_->scheduler.planIfChanged(moment);
-        if (d_->flushPosted)
-            flush();
-    });
+    }
+    d_->lastFlush = EventLoop::now();
+    d_->flushPosted = false;
 }
 
 void JobControl::flush()
@@ -251,7 +263,7 @@
     }
 }
 
-void JobControl::handleInternal(Transport::Request request, const Transport::Responder &responder)
+void JobControl::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
 {
     if (request.target == "/jobs/replication") {
         if (!d_->group->receive(EventLoop::now(), request.body))
@@ -408,7 +420,7 @@
         stored(false);
         return;
     }
-    d_->scheduler.minionReported(momentNow(), report, std::move(stored));
+    d_->scheduler.minionReported(momentNow(), report, stored);
     changed();
 }
 
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -62,7 +62,7 @@
     void record(Logging::LogLevel level, std::string_view event,
                 std::initializer_list<Logging::LogField> fields) override;
 
-    void handleInternal(Transport::Request request, const Transport::Responder &responder);
+    void handleInternal(const Transport::Request &request, const Transport::Responder &responder);
     void handleCall(const Transport::Request &request, const Transport::Responder &responder);
     void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
     void handleForwarded(const Transport::Request &request, const Transport::Responder &responder);
@@ -72,6 +72,7 @@
     void scheduleTick();
     void tick();
     void changed();
+    void finishRound();
     void flush();
     void followLeadership();
     void changeMembers();
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -132,28 +132,30 @@
 {
     const auto begun = EventLoop::now();
     const auto usable = deadline - std::min(answerMargin, deadline / answerMarginShare);
-    d_->calls.call(call, std::min(usable, longestCall), usable, [this, call, begun, answered = std::move(answered)](const Wire::JobReply &reply) {
-        const auto took = EventLoop::now() - begun;
-        const std::string_view kind = call.has_submission() ? "submit" : call.cancel() ? "cancel" : "read";
-        auto &metrics = d_->runtime.metrics();
-        metrics.add("caller_requests_total{kind=\"" + std::string(kind) + "\",verdict=\""
-                    + std::to_string(reply.verdict()) + "\"}");
-        metrics.observe("caller_request_seconds", static_cast<double>(took.count()) / 1e6);
-        const bool isFailure
-            = reply.verdict() != Wire::JOB_VERDICT_ACCEPTED && reply.verdict() != Wire::JOB_VERDICT_NO_SUCH_JOB;
-        if (isFailure || kind != "read") {
-            d_->runtime.logger().write(
-                isFailure ? LogLevel::Warning : LogLevel::Info, "caller-request",
-                {{"kind", kind},
-                 {"path", call.path()},
-                 {"verdict", static_cast<int>(reply.verdict())},
-                 {"reason", reply.reason()},
-                 {"leader", d_->calls.target()},
-                 {"leader_seen_ms", d_->leaderSeen == TimePoint{} ? -1 : (EventLoop::now() - d_->leaderSeen) / 1ms},
-                 {"took_ms", took / 1ms}});
-        }
-        answered(reply);
-    });
+    d_->calls.call(
+        call, std::min(usable, longestCall), usable,
+        [this, call, begun, answered = std::move(answered)](const Wire::JobReply &reply) {
+            const auto took = EventLoop::now() - begun;
+            const std::string_view kind = call.has_submission() ? "submit" : call.cancel() ? "cancel" : "read";
+            auto &metrics = d_->runtime.metrics();
+            metrics.add("caller_requests_total{kind=\"" + std::string(kind) + "\",verdict=\""
+                        + std::to_string(reply.verdict()) + "\"}");
+            metrics.observe("caller_request_seconds", static_cast<double>(took.count()) / 1e6);
+            const bool isFailure
+                = reply.verdict() != Wire::JOB_VERDICT_ACCEPTED && reply.verdict() != Wire::JOB_VERDICT_NO_SUCH_JOB;
+            if (isFailure || kind != "read") {
+                d_->runtime.logger().write(
+                    isFailure ? LogLevel::Warning : LogLevel::Info, "caller-request",
+                    {{"kind", kind},
+                     {"path", call.path()},
+                     {"verdict", static_cast<int>(reply.verdict())},
+                     {"reason", reply.reason()},
+                     {"leader", d_->calls.target()},
+                     {"leader_seen_ms", d_->leaderSeen == TimePoint{} ? -1 : (EventLoop::now() - d_->leaderSeen) / 1ms},
+                     {"took_ms", took / 1ms}});
+            }
+            answered(reply);
+        });
 }
 
 void JobEntry::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -166,6 +166,8 @@
     std::set<std::string> begun_; ///< active jobs of which a start was confirmed
     bool dirty_ = true; ///< something changed since the last plan
     TimePoint lastPlan_{};
+    TimePoint lastFullPlan_{};
+    bool isFullRound_ = true;
 };
 
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -24,6 +24,8 @@
 constexpr double tightSlownessWeight = 2; ///< against the share of a minion that stays free
 constexpr double looseSlownessWeight = -0.5; ///< leaves the fast ones to those who need them
 constexpr std::size_t maxReservations = 2; ///< of a service; more would leave minions empty
+constexpr Duration fullRoundInterval = 60ms;
+constexpr std::size_t failuresOfShortRound = 16;
 constexpr std::size_t maxStepsAsked = 16; ///< in one round, so that pressing steps come first
 
 Amounts demandOf(const Wire::JobStep &step)
@@ -37,6 +39,9 @@
 {
     dirty_ = false;
     lastPlan_ = now_.time;
+    isFullRound_ = now_.time >= lastFullPlan_ + fullRoundInterval;
+    if (isFullRound_)
+        lastFullPlan_ = now_.time;
     Wire::JobCommand command;
     for (const auto &[service, since] : services_) {
         reserved_.clear();
@@ -48,6 +53,9 @@
 
 void JobScheduler::planService(const std::string &service, Wire::JobCommand &command)
 {
+    // Most rounds try only the most pressing of the steps that don't fit; processor time is short under overload.
+    const std::size_t mostFailures = isFullRound_ ? std::numeric_limits<std::size_t>::max() : failuresOfShortRound;
+    std::size_t failures = 0;
     std::size_t asked = 0;
     std::size_t reservations = 0;
     for (const auto *entry : queue_.ordered(now_.time, service)) {
@@ -61,6 +69,8 @@
         // A gang that waits for the rest of its last run to end needs nothing yet.
         if (placed || (isGang && entry->second.tasks.size() < job->spec(name.step).tasks()))
             continue;
+        if (++failures > mostFailures)
+            return;
         if (asked < maxStepsAsked && askAdvice(name, *job))
             ++asked;
         if (isGang && reservations < maxReservations) {
@@ -75,7 +85,8 @@
 {
     const auto *queue = book_.queue(job.submission().queue());
     if (!queue || !queue->needs_advice()
-        || std::chrono::milliseconds(job.spec(name.step).estimate_ms()) > std::chrono::milliseconds(queue->ticket_validity_ms()))
+        || std::chrono::milliseconds(job.spec(name.step).estimate_ms())
+            > std::chrono::milliseconds(queue->ticket_validity_ms()))
         return;
     for (std::uint32_t number = name.step + 1; number < job.stepsPerOccurrence(); ++number) {
         const auto &needed = job.spec(number).depends_on();
@@ -271,7 +282,8 @@
         if (!isUsable(minion) || !mayRun(minion, job, name) || advice_.isDenied(name, id)
             || advice_.ticket(name, id, now_.time + ticketMargin))
             continue;
-        candidates.emplace_back(!fits(minion, step, name), !advice_.isApproved(name, id), -minion.room().milliCores, id);
+        candidates.emplace_back(!fits(minion, step, name), !advice_.isApproved(name, id), -minion.room().milliCores,
+                                id);
     }
     const auto count = std::min(settings_.advisedMinions, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -15,7 +15,9 @@
 namespace
 {
 
-constexpr Duration holdWait = 500ms; ///< a lost answer delays what ended meanwhile by no more; leaves several tries within one lease
+constexpr Duration holdWait
+    = 500ms; ///< a lost answer delays what ended meanwhile by no more; leaves several tries within one lease
+constexpr std::int64_t smallFleet = 100; ///< minions; a larger fleet is held in longer turns, to bound the calls
 constexpr Duration idleHoldWait = 1500ms; ///< of a minion that runs nothing
 constexpr Duration holdRetry = 50ms;
 constexpr Duration orderRetry = 20ms;
@@ -112,9 +114,11 @@
 
 void JobScheduler::driveOrders()
 {
+    const auto share = static_cast<std::int64_t>(fleet_.minions().size()) / smallFleet;
+    const auto wait = std::clamp(holdWait * share, holdWait, idleHoldWait);
     for (auto &[id, minion] : fleet_.minions()) {
         if (!minion.holdOutstanding && !minion.endsProposed && now_.time >= minion.nextHold)
-            sendHold(minion, minion.runs.empty() ? idleHoldWait : holdWait);
+            sendHold(minion, minion.runs.empty() ? idleHoldWait : wait);
         for (auto &[task, run] : minion.runs)
             driveRun(minion, task, run);
     }
@@ -427,8 +431,10 @@
             || (run.phase == RunPhase::Stopping && run.stopConfirmed);
         if (!settled || run.phaseSince >= sent)
             continue;
+        const auto &name = task;
+        const auto number = run.run;
         const auto listed = std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &active) {
-            return active.task == task && active.run == run.run;
+            return active.run == number && active.task == name;
         });
         if (!listed)
             gone.push_back(task);
--- a/src/libs/jobs/speedtable.cpp
+++ b/src/libs/jobs/speedtable.cpp
@@ -26,8 +26,7 @@
 double SpeedTable::slowness(const std::string &kind) const
 {
     const auto found = kinds_.find(kind);
-    return found == kinds_.end() || found->second.weight < samplesNeeded ? 1
-                                                                         : found->second.sum / found->second.weight;
+    return found == kinds_.end() || found->second.weight < samplesNeeded ? 1 : found->second.sum / found->second.weight;
 }
 
 } // namespace Pistachio::Jobs
--- a/tests/auto/jobs/tst_jobbook.cpp
+++ b/tests/auto/jobs/tst_jobbook.cpp
@@ -56,21 +56,21 @@
         apply(command);
     }
 
-    void assign(std::uint32_t step, std::uint32_t index_, std::uint64_t run)
+    void assign(std::uint32_t step, std::uint32_t number, std::uint64_t run)
     {
         Wire::JobCommand command;
         auto &assignment = *command.add_assignments();
-        fill(*assignment.mutable_task(), {{jobId, 0, step}, index_});
+        fill(*assignment.mutable_task(), {{jobId, 0, step}, number});
         assignment.set_run(run);
         assignment.set_minion("m");
         apply(command);
     }
 
-    void end(std::uint32_t step, std::uint32_t index_, std::uint64_t run, Wire::JobRunEnd how)
+    void end(std::uint32_t step, std::uint32_t number, std::uint64_t run, Wire::JobRunEnd how)
     {
         Wire::JobCommand command;
         auto &item = *command.add_ends();
-        fill(*item.mutable_task(), {{jobId, 0, step}, index_});
+        fill(*item.mutable_task(), {{jobId, 0, step}, number});
         item.set_run(run);
         item.set_how(how);
         apply(command);
