Keep the messages to a member in order

Ruled out: its processor time and its answers (the refusal now tells the entry it holds); the removal of the old member. Change: MessageQueue sends a large batch alone, and what waits meanwhile together. Conclusion: any member more than 64 KB behind could be kept out for good under load.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -63,7 +63,6 @@
         , runtime(nodeRuntime)
         , minions(minionClient)
         , advice(adviceClient)
-        , peers(nodeRuntime.loop(), jobSettings.internalPort)
         , scheduler(book, owner, schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
         , members(2 * jobSettings.toleratedLosses + 1)
@@ -71,6 +70,7 @@
                  [&owner](const Transport::Request &request, const Transport::Responder &responder) {
                      owner.handleInternal(request, responder);
                  })
+        , peers(nodeRuntime.loop(), jobSettings.internalPort)
     {
     }
 
@@ -86,7 +86,6 @@
     MinionClient &minions;
     AdviceClient &advice;
     Storage::PosixFileSystem files;
-    Peers peers;
     Jobs::JobBook book;
     Jobs::JobScheduler scheduler;
     AdviserPool advisers;
@@ -104,6 +103,7 @@
     std::uint64_t ledTerm = 0;
     std::string lastLeader;
     Transport::RequestHandler forwarded;
+    Peers peers; ///< last, since its calls end in the others
 };
 
 JobControl::JobControl(const Settings::JobSettings &settings, NodeRuntime &runtime, MinionClient &minions,
@@ -235,7 +235,7 @@
         d_->memberChangeOpen = false;
         d_->runtime.logger().write(LogLevel::Info, "membership-change",
                                    {{"kind", static_cast<int>(change.kind)},
-                                    {"instance", change.instance.value()},
+                                    {"member", change.instance.value()},
                                     {"result", result ? std::string("done") : result.error().message}});
     });
 }
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -51,25 +51,25 @@
         : settings(jobSettings)
         , runtime(nodeRuntime)
         , advice(adviceClient)
-        , peers(nodeRuntime.loop(), jobSettings.internalPort)
         , calls(nodeRuntime.loop(), peers, seedIps(jobSettings))
         , server(nodeRuntime.loop(), {},
                  [&owner](const Transport::Request &request, const Transport::Responder &responder) {
                      owner.handleInternal(request, responder);
                  })
+        , peers(nodeRuntime.loop(), jobSettings.internalPort)
     {
     }
 
     const Settings::JobSettings &settings;
     NodeRuntime &runtime;
     AdviceClient &advice;
-    Peers peers;
     CallerCalls calls;
     Transport::Http2Server server;
     Transport::Timer announceTimer;
     TimePoint leaderSeen{};
     bool wasReady = false;
     bool draining = false;
+    Peers peers; ///< last, since its calls end in the others
 };
 
 JobEntry::JobEntry(const Settings::JobSettings &settings, NodeRuntime &runtime, AdviceClient &advice)
--- a/src/libs/jobnode/jobgroup.cpp
+++ b/src/libs/jobnode/jobgroup.cpp
@@ -4,7 +4,7 @@
 #include "jobs/jobbook.h"
 #include "storage/replicatedgroup.h"
 
-#include <map>
+#include <set>
 #include <utility>
 
 namespace Pistachio::Jobnode
@@ -74,17 +74,27 @@
 
 void JobGroup::send(std::vector<Replication::Message> messages)
 {
-    std::map<std::string, std::vector<Replication::Message>> byPeer;
+    std::set<std::string> receivers;
     for (auto &message : messages) {
         std::string ip(ipOf(message.to));
-        byPeer[std::move(ip)].push_back(std::move(message));
-    }
-    for (const auto &[ip, batch] : byPeer) {
-        peers_.call(ip, "/jobs/replication", Replication::encode(batch), messageLimit,
-                    [](const Transport::CallResult &) {
-                        // Replication repeats what got lost, and the members' status shows who is silent.
-                    });
+        queues_[ip].add(std::move(message));
+        receivers.insert(std::move(ip));
     }
+    for (const auto &ip : receivers)
+        sendBatch(ip);
+}
+
+void JobGroup::sendBatch(const std::string &ip)
+{
+    auto batch = queues_[ip].takeBatch();
+    if (batch.empty())
+        return;
+    const auto size = batch.size();
+    peers_.call(ip, "/jobs/replication", std::move(batch), messageLimit,
+                [this, ip, size](const Transport::CallResult &result) {
+                    queues_[ip].finished(size, result.has_value());
+                    sendBatch(ip);
+                });
 }
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/jobgroup.h
+++ b/src/libs/jobnode/jobgroup.h
@@ -3,10 +3,12 @@
 #include "core/result.h"
 #include "core/time.h"
 #include "jobnode/instanceid.h"
+#include "jobnode/messagequeue.h"
 #include "replication/message.h"
 #include "storage/grouphost.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -59,9 +61,11 @@
 private:
     JobGroup(InstanceId self, Peers &peers, std::unique_ptr<Storage::GroupHost> host);
     void send(std::vector<Replication::Message> messages);
+    void sendBatch(const std::string &ip);
 
     InstanceId self_;
     Peers &peers_;
+    std::map<std::string, MessageQueue> queues_; ///< by the address of the member
     std::unique_ptr<Storage::GroupHost> host_;
 };
 
--- a/src/libs/jobnode/peers.cpp
+++ b/src/libs/jobnode/peers.cpp
@@ -20,11 +20,18 @@
 {
 }
 
-Peers::~Peers() = default;
+Peers::~Peers()
+{
+    // The clients end their calls now, and what follows from that is not begun any more.
+    closing_ = true;
+    clients_.clear();
+}
 
 void Peers::call(std::string_view ip, std::string_view target, std::string body, Duration limit,
                  Transport::CallCompletion completion)
 {
+    if (closing_)
+        return;
     auto found = clients_.find(ip);
     if (found == clients_.end()) {
         Transport::Http2ClientLimits limits;
--- a/src/libs/jobnode/peers.h
+++ b/src/libs/jobnode/peers.h
@@ -35,6 +35,7 @@
 private:
     Transport::EventLoop &loop_;
     const std::uint16_t port_;
+    bool closing_ = false;
     std::map<std::string, std::unique_ptr<Transport::Http2Client>, std::less<>> clients_;
 };
 
--- a/src/libs/replication/leader.cpp
+++ b/src/libs/replication/leader.cpp
@@ -290,7 +290,9 @@
         const Progress &progress = followers_.at(change.instance);
         const bool isAlive = progress.ackedStamp() && now - *progress.ackedStamp() < timing_.leaderStepDown;
         if (!isAlive || progress.match() + promotionLagEntries < lastIndex())
-            return failure(ErrorCode::Unavailable, name + " has not caught up");
+            return failure(ErrorCode::Unavailable,
+                           name + " has not caught up: it holds entry " + std::to_string(progress.match()) + " of "
+                               + std::to_string(lastIndex()) + (isAlive ? "" : " and does not answer in time"));
         std::erase(members.learners, change.instance);
         insert(members.voters, change.instance);
         return members;
--- a/src/libs/replication/timing.h
+++ b/src/libs/replication/timing.h
@@ -28,10 +28,7 @@
     Duration leaderStepDown = 1200ms;
 
     /// For a group that is alone on its disk and whose users wait for each election.
-    static Timing fast()
-    {
-        return {100ms, 300ms, 450ms, 600ms, 600ms, 1100ms, 100ms, 300ms, 600ms};
-    }
+    static Timing fast() { return {100ms, 300ms, 450ms, 600ms, 600ms, 1100ms, 100ms, 300ms, 600ms}; }
 };
 
 } // namespace Pistachio::Replication
--- /dev/null
+++ b/tests/auto/jobnode/tst_memberchanges.cpp
@@ -0,0 +1,142 @@
+#include "jobnode/memberchanges.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobnode;
+using Replication::MembershipChange;
+
+namespace
+{
+
+const TimePoint start{std::chrono::hours(1)};
+const InstanceId a{"10.0.0.1"};
+const InstanceId b{"10.0.0.2"};
+const InstanceId c{"10.0.0.3"};
+const InstanceId newC{"10.0.0.3~1f"};
+const InstanceId d{"10.0.0.4"};
+
+/// A group whose members all answer, but for those in `silent`.
+class Group
+{
+public:
+    std::optional<MembershipChange> next(TimePoint now)
+    {
+        std::vector<Replication::MemberStatus> status;
+        for (const auto *list : {&members.voters, &members.learners}) {
+            for (const auto &id : *list) {
+                if (id == a)
+                    continue;
+                const bool isSilent = std::find(silent.begin(), silent.end(), id) != silent.end();
+                Replication::MemberStatus item;
+                item.instance = id;
+                item.isVoter = list == &members.voters;
+                item.sinceAnswered = isSilent ? Duration(30s) : Duration(50ms);
+                status.push_back(item);
+            }
+        }
+        return changes.next(now, a, members, status);
+    }
+
+    void apply(const MembershipChange &change)
+    {
+        std::erase(members.voters, change.instance);
+        std::erase(members.learners, change.instance);
+        if (change.kind == MembershipChange::Kind::AddLearner)
+            members.learners.push_back(change.instance);
+        else if (change.kind == MembershipChange::Kind::Promote)
+            members.voters.push_back(change.instance);
+    }
+
+    MemberChanges changes{3};
+    Replication::Membership members{{a, b, c}, {}};
+    std::vector<InstanceId> silent;
+};
+
+} // namespace
+
+class MemberChangesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MemberChangesTest);
+    CPPUNIT_TEST(calmGroupStays);
+    CPPUNIT_TEST(lostDiskComesBackUnderANewId);
+    CPPUNIT_TEST(secondLossOfTheSameDisk);
+    CPPUNIT_TEST(spareTakesTheVoteOfOneThatIsGone);
+    CPPUNIT_TEST(silentVoterStaysWithoutASpare);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void calmGroupStays()
+    {
+        Group group;
+        group.changes.seen(start, b);
+        group.changes.seen(start, c);
+        CPPUNIT_ASSERT(!group.next(start));
+    }
+
+    // Two of the old voters and the one without a memory must never form a majority that forgets.
+    void lostDiskComesBackUnderANewId()
+    {
+        Group group;
+        group.silent = {c};
+        std::vector<MembershipChange::Kind> kinds;
+        for (auto now = start; now < start + 10s; now += 500ms) {
+            group.changes.seen(now, b);
+            group.changes.seen(now, newC);
+            if (const auto change = group.next(now)) {
+                kinds.push_back(change->kind);
+                group.apply(*change);
+                CPPUNIT_ASSERT(std::count(group.members.voters.begin(), group.members.voters.end(), a) == 1);
+                CPPUNIT_ASSERT(std::count(group.members.voters.begin(), group.members.voters.end(), b) == 1);
+            }
+        }
+        CPPUNIT_ASSERT((kinds
+                        == std::vector{MembershipChange::Kind::AddLearner, MembershipChange::Kind::Promote,
+                                       MembershipChange::Kind::Remove}));
+        CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, newC}));
+    }
+
+    void secondLossOfTheSameDisk()
+    {
+        Group group;
+        group.members = {{a, b, c}, {newC}};
+        group.silent = {c, newC};
+        const InstanceId newest{"10.0.0.3~2f"};
+        for (auto now = start; now < start + 10s; now += 500ms) {
+            group.changes.seen(now, b);
+            group.changes.seen(now, newest);
+            if (const auto change = group.next(now))
+                group.apply(*change);
+        }
+        CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, newest}));
+        CPPUNIT_ASSERT(group.members.learners.empty());
+    }
+
+    void spareTakesTheVoteOfOneThatIsGone()
+    {
+        Group group;
+        group.silent = {c};
+        for (auto now = start; now < start + 10s; now += 500ms) {
+            group.changes.seen(now, b);
+            group.changes.seen(now, d);
+            if (const auto change = group.next(now))
+                group.apply(*change);
+        }
+        CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, d}));
+    }
+
+    // Removing it would lower the number of losses that the group bears.
+    void silentVoterStaysWithoutASpare()
+    {
+        Group group;
+        group.silent = {c};
+        group.changes.seen(start, b);
+        CPPUNIT_ASSERT(!group.next(start));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MemberChangesTest);
--- /dev/null
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -0,0 +1,171 @@
+#include "logging/logger.h"
+#include "platform/platformclient.h"
+#include "transport/eventloop.h"
+#include "transport/httpserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Platform;
+using Jobs::OrderOutcome;
+using nlohmann::json;
+
+namespace
+{
+
+/// A minion that gives one prepared answer and keeps the last request.
+class ScriptedMinion
+{
+public:
+    ScriptedMinion()
+        : server(loop, {},
+                 [this](Transport::Request received, const Transport::Responder &responder) {
+                     request = std::move(received);
+                     responder.respond(answer);
+                 })
+        , logger("test", "test", "error", "/dev/null")
+        , port(server.listen({"127.0.0.1", 0}).value())
+        , client(loop, logger, {"127.0.0.1", port})
+    {
+    }
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+
+    Jobs::OrderAnswer start(const Jobs::StartOrder &order)
+    {
+        std::optional<Jobs::OrderAnswer> result;
+        client.start(order, [&](const Jobs::OrderAnswer &given) { result = given; });
+        while (!result)
+            loop.runFor(10ms);
+        return result.value();
+    }
+
+    Jobs::HoldAnswer hold(const Jobs::HoldOrder &order)
+    {
+        std::optional<Jobs::HoldAnswer> result;
+        client.hold(order, [&](const Jobs::HoldAnswer &given) { result = given; });
+        while (!result)
+            loop.runFor(10ms);
+        return result.value();
+    }
+
+    Transport::EventLoop loop;
+    Transport::HttpServer server;
+    Transport::Request request;
+    Transport::Response answer;
+    Logging::Logger logger;
+    std::uint16_t port;
+    PlatformClient client;
+};
+
+Transport::Response reply(int status, const json &body)
+{
+    return {status, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+} // namespace
+
+class PlatformClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformClientTest);
+    CPPUNIT_TEST(startCarriesEverything);
+    CPPUNIT_TEST(refusalsAreToldApart);
+    CPPUNIT_TEST(listsAreDecoded);
+    CPPUNIT_TEST(unreadableListsAreNoAnswer);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Jobs::StartOrder order(const std::string &address)
+    {
+        Jobs::StartOrder result;
+        result.minion = {"i-1", 1700};
+        result.address = address;
+        result.task = {{"5c0e7a21d94b36f8", 0, 1}, 3};
+        result.run = 2;
+        result.payload = "text";
+        result.checkpoint = "c";
+        result.ticket = "t";
+        result.leaseExpiresAtMs = 486'000;
+        result.fence = 7;
+        return result;
+    }
+
+public:
+    void startCarriesEverything()
+    {
+        ScriptedMinion minion;
+        minion.answer = reply(200, {{"clockMs", 482'113}});
+        const auto answer = minion.start(order(minion.address()));
+        CPPUNIT_ASSERT(answer.outcome == OrderOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{482'113}, answer.clockMs.value());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"),
+                             std::string(Transport::headerValue(minion.request.headers, "Expected-Instance")));
+        const auto body = json::parse(minion.request.body);
+        CPPUNIT_ASSERT(body
+                       == json({{"task", "5c0e7a21d94b36f8.0.1.3"},
+                                {"runId", 2},
+                                {"taskSpec", "text"},
+                                {"expiresAtMs", 486'000},
+                                {"fencingToken", 7},
+                                {"checkpoint", "c"},
+                                {"ticket", "t"}}));
+    }
+
+    // Taking a refusal for doubt costs time; taking doubt for a refusal may run a task twice.
+    void refusalsAreToldApart()
+    {
+        ScriptedMinion minion;
+        for (const auto &[reason, outcome] : {std::pair("fence", OrderOutcome::StaleFence),
+                                              {"old", OrderOutcome::OldRun},
+                                              {"late", OrderOutcome::LeaseTooShort},
+                                              {"room", OrderOutcome::NoRoom},
+                                              {"ticket", OrderOutcome::TicketRejected}}) {
+            minion.answer = reply(409, {{"clockMs", 1}, {"reason", reason}});
+            CPPUNIT_ASSERT(minion.start(order(minion.address())).outcome == outcome);
+        }
+        for (const auto &[status, outcome] : {std::pair(421, OrderOutcome::OtherLife),
+                                              {429, OrderOutcome::Refused},
+                                              {503, OrderOutcome::Refused},
+                                              {500, OrderOutcome::Unanswered},
+                                              {400, OrderOutcome::Invalid}}) {
+            minion.answer = {status, {}, {}};
+            CPPUNIT_ASSERT(minion.start(order(minion.address())).outcome == outcome);
+        }
+    }
+
+    void listsAreDecoded()
+    {
+        ScriptedMinion minion;
+        minion.answer = reply(200,
+                              {{"clockMs", 5},
+                               {"born", 1700},
+                               {"active", {{"5c0e7a21d94b36f8.0.1.17", 2, "cp", 41, 120}}},
+                               {"endedRuns", {{58, "5c0e7a21d94b36f8.0.1.9", 1, "lapsed", "x"}}}});
+        const auto answer = minion.hold({{"i-1", 1700}, minion.address(), 9000, 57, 500ms, 7});
+        CPPUNIT_ASSERT(answer.outcome == OrderOutcome::Done);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1700}, answer.bornUnixMs);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{120}, answer.active.at(0).measure);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, answer.ended.at(0).number);
+        CPPUNIT_ASSERT(answer.ended.at(0).how == Jobs::RunEnd::Lapsed);
+        CPPUNIT_ASSERT(json::parse(minion.request.body)
+                       == json({{"expiresAtMs", 9000}, {"fencingToken", 7}, {"ackCursor", 57}, {"waitMs", 500}}));
+    }
+
+    // A list that is read in part would show tasks as gone that still run.
+    void unreadableListsAreNoAnswer()
+    {
+        ScriptedMinion minion;
+        for (const auto &body : {json({{"clockMs", 5}, {"active", 7}}), json({{"clockMs", 5}, {"active", {7}}}),
+                                 json({{"clockMs", 5}, {"endedRuns", {{1, "a.0.0.0", 1, "vanished"}}}})}) {
+            minion.answer = reply(200, body);
+            CPPUNIT_ASSERT(minion.hold({{"i-1", 1}, minion.address(), {}, 0, 0ms, 7}).outcome
+                           == OrderOutcome::Unanswered);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
