Confirm the leader by announcements, and let entries relay for others that lost the way to it

Ruled out: the leader; it answered others within 40 ms. Change: an announcement confirms the leader and names three other entries, which carry requests when the leader can't be reached; an entry reports unready 1.5 s after it last heard of the leader.

--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -17,6 +17,7 @@
 namespace
 {
 constexpr Duration attemptLimit = 1s; ///< a commit takes tens of ms; longer means that the leader is gone
+constexpr Duration relayLimit = 700ms;
 constexpr Duration retryDelay = 50ms;
 constexpr Duration confirmedLimit = 800ms; ///< a few announcements are missing by then
 } // namespace
@@ -24,6 +25,8 @@
 struct CallerCalls::Attempt {
     std::uint64_t id = 0;
     std::string body;
+    std::string relayedBody;
+    bool isRelayed = false; ///< by another entry, to which it goes back if the leader can't be reached
     bool isChange = false;
     TimePoint deadline{};
     TimePoint doubtDeadline{};
@@ -63,6 +66,10 @@
     auto attempt = std::make_shared<Attempt>();
     attempt->id = nextId_++;
     attempt->body = call.SerializeAsString();
+    auto relayed = call;
+    relayed.set_relayed(true);
+    attempt->relayedBody = relayed.SerializeAsString();
+    attempt->isRelayed = call.relayed();
     attempt->isChange = call.has_submission() || call.cancel();
     attempt->deadline = EventLoop::now() + limit;
     attempt->doubtDeadline = EventLoop::now() + doubtLimit;
@@ -83,56 +90,78 @@
         finish(attempt, reply);
         return;
     }
-    if (attempt->isChange && now > confirmedAt_ + confirmedLimit) {
+    const bool mayRelay = !attempt->isRelayed && !relays_.empty();
+    if (!isLeaderConfirmed() && (attempt->isChange || mayRelay)) {
         if (attempt->reason.empty())
             attempt->reason = "no leader is confirmed";
-        retry(attempt, retryDelay);
+        if (mayRelay)
+            sendTo(attempt, relays_[nextRelay_++ % relays_.size()], std::min(left, relayLimit), true);
+        else
+            retry(attempt, retryDelay);
         return;
     }
-    const auto ip = target_;
-    peers_.call(ip, "/jobs/call", attempt->body, std::min(left, attemptLimit),
-                [this, attempt, ip](const Transport::CallResult &result) {
+    sendTo(attempt, target_, std::min(left, attemptLimit), false);
+}
+
+bool CallerCalls::isLeaderConfirmed() const
+{
+    return EventLoop::now() <= confirmedAt_ + confirmedLimit;
+}
+
+void CallerCalls::sendTo(const std::shared_ptr<Attempt> &attempt, const std::string &ip, Duration limit, bool isRelay)
+{
+    peers_.call(ip, "/jobs/call", isRelay ? attempt->relayedBody : attempt->body, limit,
+                [this, attempt, ip, isRelay](const Transport::CallResult &result) {
+                    Wire::JobReply reply;
                     if (!result) {
-                        attempt->reason = result.error().error.message;
                         attempt->mayHaveTakenEffect
                             = attempt->mayHaveTakenEffect || (attempt->isChange && result.error().written);
-                        targetFailed(ip);
-                        retry(attempt, retryDelay);
-                        return;
-                    }
-                    Wire::JobReply reply;
-                    if (result.value().status != 200 || !reply.ParseFromString(result.value().body)) {
-                        attempt->reason = "status " + std::to_string(result.value().status) + " from " + ip;
-                        targetFailed(ip);
-                        retry(attempt, retryDelay);
-                        return;
-                    }
-                    if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER) {
-                        attempt->reason = ip + " does not lead";
-                        if (reply.leader().empty()) {
-                            targetFailed(ip);
-                            retry(attempt, retryDelay);
-                        } else {
-                            const bool isNew = target_ == ip;
-                            target_ = ipOf(InstanceId(reply.leader()));
-                            retry(attempt, isNew ? Duration::zero() : retryDelay);
-                        }
-                        return;
-                    }
-                    if (reply.verdict() == Wire::JOB_VERDICT_UNKNOWN) {
-                        attempt->reason = reply.reason();
-                        attempt->mayHaveTakenEffect = true;
-                        retry(attempt, retryDelay);
-                        return;
+                        lost(attempt, ip, isRelay, result.error().error.message);
+                    } else if (result.value().status != 200 || !reply.ParseFromString(result.value().body)) {
+                        lost(attempt, ip, isRelay, "status " + std::to_string(result.value().status) + " from " + ip);
+                    } else {
+                        this->answered(attempt, ip, isRelay, std::move(reply));
                     }
-                    leaderConfirmed(ip);
-                    // An earlier attempt may have got through where this one did not.
-                    if (reply.verdict() == Wire::JOB_VERDICT_UNAVAILABLE && attempt->mayHaveTakenEffect)
-                        reply.set_verdict(Wire::JOB_VERDICT_UNKNOWN);
-                    finish(attempt, reply);
                 });
 }
 
+void CallerCalls::lost(const std::shared_ptr<Attempt> &attempt, const std::string &ip, bool isRelay, std::string reason)
+{
+    attempt->reason = std::move(reason);
+    if (!isRelay)
+        targetFailed(ip);
+    retry(attempt, retryDelay);
+}
+
+void CallerCalls::answered(const std::shared_ptr<Attempt> &attempt, const std::string &ip, bool isRelay,
+                           Wire::JobReply reply)
+{
+    if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER) {
+        attempt->reason = ip + (isRelay ? " can't reach the leader either" : " does not lead");
+        const bool isNews = !isRelay && !reply.leader().empty() && target_ == ip;
+        if (isNews)
+            target_ = ipOf(InstanceId(reply.leader()));
+        else if (!isRelay && reply.leader().empty())
+            targetFailed(ip);
+        retry(attempt, isNews ? Duration::zero() : retryDelay);
+        return;
+    }
+    if (reply.verdict() == Wire::JOB_VERDICT_UNKNOWN) {
+        attempt->reason = reply.reason();
+        attempt->mayHaveTakenEffect = true;
+        retry(attempt, retryDelay);
+        return;
+    }
+    if (isRelay)
+        relayedAt_ = EventLoop::now();
+    else
+        leaderConfirmed(ip);
+    // An earlier attempt may have got through where this one did not.
+    if (reply.verdict() == Wire::JOB_VERDICT_UNAVAILABLE && attempt->mayHaveTakenEffect)
+        reply.set_verdict(Wire::JOB_VERDICT_UNKNOWN);
+    finish(attempt, reply);
+}
+
 void CallerCalls::retry(const std::shared_ptr<Attempt> &attempt, Duration delay)
 {
     attempt->timer = loop_.callAfter(delay, [this, attempt] { send(attempt); });
--- a/src/libs/jobnode/callercalls.h
+++ b/src/libs/jobnode/callercalls.h
@@ -45,6 +45,13 @@
 
     /// The instance has answered as the leader.
     void leaderConfirmed(const std::string &ip);
+    [[nodiscard]] bool isLeaderConfirmed() const;
+
+    /// \param relays other entries, which reach the leader when this one does not
+    void setRelays(std::vector<std::string> relays) { relays_ = std::move(relays); }
+
+    /// \return when a relay last carried a request to the leader.
+    [[nodiscard]] TimePoint relayedAt() const { return relayedAt_; }
 
     /// \return the address believed to lead.
     [[nodiscard]] const std::string &target() const { return target_; }
@@ -56,6 +63,9 @@
 private:
     struct Attempt;
     void send(const std::shared_ptr<Attempt> &attempt);
+    void sendTo(const std::shared_ptr<Attempt> &attempt, const std::string &ip, Duration limit, bool isRelay);
+    void lost(const std::shared_ptr<Attempt> &attempt, const std::string &ip, bool isRelay, std::string reason);
+    void answered(const std::shared_ptr<Attempt> &attempt, const std::string &ip, bool isRelay, Wire::JobReply reply);
     void retry(const std::shared_ptr<Attempt> &attempt, Duration delay);
     void finish(const std::shared_ptr<Attempt> &attempt, const Wire::JobReply &reply);
 
@@ -65,6 +75,9 @@
     std::size_t nextSeed_ = 0;
     std::string target_;
     TimePoint confirmedAt_{};
+    std::vector<std::string> relays_;
+    std::size_t nextRelay_ = 0;
+    TimePoint relayedAt_{};
     std::size_t inFlight_ = 0;
     std::uint64_t nextId_ = 1;
     std::map<std::uint64_t, std::shared_ptr<Attempt>> open_;
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -16,6 +16,8 @@
 
 #include <jobs.pb.h>
 
+#include <algorithm>
+#include <map>
 #include <utility>
 
 namespace Pistachio::Jobnode
@@ -34,6 +36,8 @@
 constexpr Duration announceInterval = 1s;
 constexpr Duration announceLimit = 900ms;
 constexpr Duration forwardLimit = 900ms; ///< callers turn elsewhere after a second
+constexpr Duration entrySeenLimit = 3s;
+constexpr std::size_t relaysEach = 3; ///< entries named to another one, in case it loses the way to the leader
 constexpr Duration stopLimit = 500ms;
 
 Jobs::Now momentNow()
@@ -103,6 +107,7 @@
     std::uint64_t ledTerm = 0;
     std::string lastLeader;
     Transport::RequestHandler forwarded;
+    std::map<std::string, TimePoint> entries; ///< by address, with their last announcement
     Peers peers; ///< last, since its calls end in the others
 };
 
@@ -329,10 +334,22 @@
         return;
     }
     const InstanceId instance(join.instance());
-    if (!join.is_entry())
-        d_->members.seen(now, instance);
-    d_->advisers.peerSeen(now, std::string(ipOf(instance)));
+    const std::string ip(ipOf(instance));
+    d_->advisers.peerSeen(now, ip);
     Wire::JobReply reply;
+    if (join.is_entry()) {
+        d_->entries[ip] = now;
+        std::erase_if(d_->entries, [now](const auto &entry) { return now > entry.second + entrySeenLimit; });
+        // Those that follow in the order of addresses, so that the load of relaying is spread.
+        auto other = d_->entries.upper_bound(ip);
+        for (std::size_t count = 0; count < std::min(relaysEach, d_->entries.size() - 1); ++count, ++other) {
+            if (other == d_->entries.end())
+                other = d_->entries.begin();
+            reply.add_entries(other->first);
+        }
+    } else {
+        d_->members.seen(now, instance);
+    }
     reply.set_verdict(d_->book.configuration().version() > 0 ? Wire::JOB_VERDICT_ACCEPTED
                                                              : Wire::JOB_VERDICT_UNAVAILABLE);
     responder.respond(bytes(reply.SerializeAsString()));
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -24,7 +24,8 @@
 constexpr Duration announceInterval = 300ms;
 constexpr Duration announceRetry = 100ms; ///< while no leader is known
 constexpr Duration announceLimit = 400ms;
-constexpr Duration leaderSeenLimit = 3s; ///< an election is no reason to send callers elsewhere
+constexpr Duration leaderSeenLimit = 1500ms; ///< an election is no reason to send callers elsewhere
+constexpr Duration relayLimit = 600ms; ///< below what the entry that asks waits for
 constexpr Duration longestCall = 1500ms; ///< then the caller is told to come again; an election takes as long
 constexpr Duration answerMargin = 150ms; ///< the answer reaches the caller within its deadline
 constexpr int answerMarginShare = 4; ///< at most this part of a short deadline
@@ -89,7 +90,8 @@
 
 bool JobEntry::isReady() const
 {
-    return !d_->draining && d_->leaderSeen != TimePoint{} && EventLoop::now() < d_->leaderSeen + leaderSeenLimit;
+    const auto seen = std::max(d_->leaderSeen, d_->calls.relayedAt());
+    return !d_->draining && seen != TimePoint{} && EventLoop::now() < seen + leaderSeenLimit;
 }
 
 void JobEntry::setReady(bool ready, std::string_view reason)
@@ -115,13 +117,19 @@
                 reason = result.error().error.message;
             else if (!reply.ParseFromString(result.value().body))
                 reason = "unreadable answer";
-            const bool isLeader = reply.verdict() == Wire::JOB_VERDICT_ACCEPTED;
-            if (isLeader)
+            const bool isReadyLeader = reply.verdict() == Wire::JOB_VERDICT_ACCEPTED;
+            // A leader without a configuration refuses callers itself.
+            const bool isLeader = isReadyLeader || reply.verdict() == Wire::JOB_VERDICT_UNAVAILABLE;
+            if (isReadyLeader)
                 d_->leaderSeen = EventLoop::now();
-            else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty())
+            if (isLeader) {
+                d_->calls.leaderConfirmed(ip);
+                d_->calls.setRelays({reply.entries().begin(), reply.entries().end()});
+            } else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty()) {
                 d_->calls.learnLeader(std::string(ipOf(InstanceId(reply.leader()))));
-            else if (reply.verdict() != Wire::JOB_VERDICT_UNAVAILABLE)
+            } else {
                 d_->calls.targetFailed(ip);
+            }
             setReady(isReady(), reason);
             d_->announceTimer
                 = d_->runtime.loop().callAfter(isLeader ? announceInterval : announceRetry, [this] { announce(); });
@@ -160,6 +168,10 @@
 
 void JobEntry::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
 {
+    if (request.target == "/jobs/call") {
+        relay(request, responder);
+        return;
+    }
     Wire::JobAdviceCall call;
     if (request.target != "/jobs/advice" || !call.ParseFromString(request.body)) {
         responder.respond({404, {}, {}});
@@ -180,6 +192,27 @@
     });
 }
 
+/// Carries a request for an entry that lost the way to the leader.
+void JobEntry::relay(const Transport::Request &request, const Transport::Responder &responder)
+{
+    const auto answer = [responder](const Wire::JobReply &reply) {
+        responder.respond({200, {{"Content-Type", "application/x-protobuf"}}, reply.SerializeAsString()});
+    };
+    Wire::JobCall call;
+    if (!call.ParseFromString(request.body)) {
+        responder.respond({400, {}, "not a job call"});
+        return;
+    }
+    if (!d_->calls.isLeaderConfirmed()) {
+        Wire::JobReply reply;
+        reply.set_verdict(Wire::JOB_VERDICT_NOT_LEADER);
+        answer(reply);
+        return;
+    }
+    d_->runtime.metrics().add("relayed_requests_total");
+    d_->calls.call(call, relayLimit, relayLimit, answer);
+}
+
 void JobEntry::drain()
 {
     d_->draining = true;
--- a/src/libs/jobnode/jobentry.h
+++ b/src/libs/jobnode/jobentry.h
@@ -47,6 +47,7 @@
 
 private:
     void handleInternal(const Transport::Request &request, const Transport::Responder &responder);
+    void relay(const Transport::Request &request, const Transport::Responder &responder);
     void announce();
     void setReady(bool ready, std::string_view reason);
 
--- /dev/null
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -0,0 +1,180 @@
+#include "jobnode/adviceclient.h"
+#include "jobnode/jobentry.h"
+#include "jobnode/noderuntime.h"
+#include "transport/http2server.h"
+
+#include <jobs.pb.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobnode;
+
+namespace
+{
+
+constexpr Duration deadline = 3s;
+
+class NoAdvice : public AdviceClient
+{
+public:
+    void ask(const Jobs::AdviceRequest & /*request*/, Answered answered) override { answered(false, {}); }
+};
+
+/// Answers as a leader does, and counts what it gets.
+class FakeLeader
+{
+public:
+    FakeLeader(Transport::EventLoop &loop, const std::string &ip, std::uint16_t requestedPort)
+        : server(loop, {},
+                 [this](const Transport::Request &request, const Transport::Responder &responder) {
+                     Wire::JobReply reply;
+                     reply.set_verdict(verdict);
+                     if (request.target == "/jobs/join") {
+                         ++joins;
+                         if (!relay.empty())
+                             reply.add_entries(relay);
+                     } else {
+                         ++calls;
+                     }
+                     if (!isSilent)
+                         responder.respond({200, {}, reply.SerializeAsString()});
+                     else
+                         kept.push_back(responder);
+                 })
+        , port(server.listen({ip, requestedPort}).value())
+    {
+    }
+
+    Wire::JobVerdict verdict = Wire::JOB_VERDICT_ACCEPTED;
+    std::string relay;
+    bool isSilent = false;
+    int joins = 0;
+    int calls = 0;
+    std::vector<Transport::Responder> kept;
+    Transport::Http2Server server;
+    std::uint16_t port;
+};
+
+Settings::JobSettings settingsOf(const std::string &ip)
+{
+    Settings::JobSettings settings;
+    settings.instance = ip;
+    settings.ip = ip;
+    settings.zone = "z";
+    settings.log.file = "/dev/null";
+    settings.seeds = {{"127.0.0.2", 1}};
+    return settings;
+}
+
+Wire::JobCall submission()
+{
+    Wire::JobCall call;
+    call.set_host("h");
+    call.set_path("/q/0000000000000001");
+    call.mutable_submission()->add_steps()->set_tasks(1);
+    return call;
+}
+
+/// An entry at 127.0.0.1 whose only control instance is the fake leader at 127.0.0.2.
+class Fixture
+{
+public:
+    Fixture()
+        : settings(settingsOf("127.0.0.1"))
+        , runtime("test", settings)
+        , leader(runtime.loop(), "127.0.0.2", 0)
+    {
+        settings.internalPort = leader.port;
+        entry = std::make_unique<JobEntry>(settings, runtime, advice);
+        CPPUNIT_ASSERT(entry->open());
+    }
+
+    /// \return the verdict on a job handed in now.
+    Wire::JobVerdict submit(Duration limit = deadline)
+    {
+        std::optional<Wire::JobVerdict> verdict;
+        entry->call(submission(), limit, [&](const Wire::JobReply &reply) { verdict = reply.verdict(); });
+        while (!verdict)
+            runtime.loop().runFor(5ms);
+        return *verdict;
+    }
+
+    NoAdvice advice;
+    Settings::JobSettings settings;
+    NodeRuntime runtime;
+    FakeLeader leader;
+    std::unique_ptr<JobEntry> entry;
+};
+
+} // namespace
+
+class JobEntryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(JobEntryTest);
+    CPPUNIT_TEST(announcementConfirmsTheLeader);
+    CPPUNIT_TEST(leaderWithoutConfigurationRefusesAtOnce);
+    CPPUNIT_TEST(silentLeaderGetsNoJob);
+    CPPUNIT_TEST(jobInDoubtIsNotRefused);
+    CPPUNIT_TEST(otherEntryRelays);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Jobs waited until a read had confirmed the leader, up to their refusal.
+    void announcementConfirmsTheLeader()
+    {
+        Fixture fixture;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        CPPUNIT_ASSERT(fixture.leader.joins > 0);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.leader.calls);
+        CPPUNIT_ASSERT(fixture.entry->isReady());
+    }
+
+    void leaderWithoutConfigurationRefusesAtOnce()
+    {
+        Fixture fixture;
+        fixture.leader.verdict = Wire::JOB_VERDICT_UNAVAILABLE;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNAVAILABLE}, int{fixture.submit()});
+        CPPUNIT_ASSERT_EQUAL(1, fixture.leader.calls);
+        CPPUNIT_ASSERT(!fixture.entry->isReady());
+    }
+
+    // What was never sent can be refused truthfully, so that the caller may come again.
+    void silentLeaderGetsNoJob()
+    {
+        Fixture fixture;
+        fixture.leader.isSilent = true;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNAVAILABLE}, int{fixture.submit(600ms)});
+        CPPUNIT_ASSERT_EQUAL(0, fixture.leader.calls);
+    }
+
+    // The leader may have stored the job before it fell silent.
+    void jobInDoubtIsNotRefused()
+    {
+        Fixture fixture;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNKNOWN}, int{fixture.submit(600ms)});
+        CPPUNIT_ASSERT_EQUAL(2, fixture.leader.calls);
+    }
+
+    // An entry that is cut off from all control instances still reaches the other entries.
+    void otherEntryRelays()
+    {
+        Fixture fixture;
+        FakeLeader other(fixture.runtime.loop(), "127.0.0.3", fixture.leader.port);
+        fixture.leader.relay = "127.0.0.3";
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        fixture.runtime.loop().runFor(1200ms);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        CPPUNIT_ASSERT_EQUAL(1, other.calls);
+        CPPUNIT_ASSERT(fixture.entry->isReady());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobEntryTest);
