--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -196,6 +196,7 @@
     const auto since = entry.second.readySince;
     const auto slack = entry.second.latestStart - now_.time;
     std::size_t placed = 0;
+    std::string where;
     for (const auto index : waiting) {
         const TaskName task{name, index};
         auto *minion = bestMinion(job, name, task, {});
@@ -203,6 +204,7 @@
             break;
         place(job, task, job.task(task)->run + 1, *minion, command);
         queue_.remove(task);
+        where += (placed == 0 ? "" : " ") + std::to_string(index) + '@' + minion->report.life.id;
         ++placed;
     }
     if (placed > 0) {
@@ -210,6 +212,8 @@
                       {{"step", name.toString()},
                        {"tasks", placed},
                        {"of", waiting.size()},
+                       {"placed", where},
+                       {"configuration", book_.configuration().version()},
                        {"waited_ms", (now_.time - since) / 1ms},
                        {"slack_ms", slack / 1ms}});
     }
@@ -256,11 +260,16 @@
             continue;
         }
         command.MergeFrom(attempt);
+        std::string where;
+        for (const auto &item : placed)
+            where += (where.empty() ? "" : " ") + std::to_string(item.task.index) + '@' + item.minion->report.life.id;
         ports_.record(LogLevel::Info, "gang-assigned",
                       {{"step", name.toString()},
                        {"tasks", placed.size()},
                        {"run", run + 1},
                        {"rack", rack},
+                       {"placed", where},
+                       {"configuration", book_.configuration().version()},
                        {"waited_ms", (now_.time - entry.second.readySince) / 1ms},
                        {"slack_ms", (entry.second.latestStart - now_.time) / 1ms}});
         for (const auto &item : placed)
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -458,6 +458,13 @@
         if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending)
             continue;
         proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST);
+        ports_.record(LogLevel::Info, "run-lost",
+                      {{"task", task.toString()},
+                       {"run", run.run},
+                       {"minion", minion.report.life.id},
+                       {"reason", reason},
+                       {"running_ms", run.startedAt == TimePoint{} ? -1 : (now_.time - run.startedAt) / 1ms},
+                       {"checkpoint", !run.checkpoint.empty()}});
         ++lost;
     }
     minion.isHeld = false;
--- a/src/libs/operatorapi/operatorapi.cpp
+++ b/src/libs/operatorapi/operatorapi.cpp
@@ -94,7 +94,7 @@
     }
     if (!allowed.empty())
         return wrongMethod(request.method, allowed);
-    return failureAnswer(404, "not-found", "there is no such path", "See docs/operations.md for the paths.");
+    return failureAnswer(404, "not-found", "there is no such path", "See docs/OPERATIONS.md for the paths.");
 }
 
 } // namespace Pistachio::Operatorapi
--- a/src/tools/pistachioctl/exitcode.h
+++ b/src/tools/pistachioctl/exitcode.h
@@ -3,7 +3,7 @@
 namespace Pistachio::Pistachioctl
 {
 
-/// The exit codes that scripts can rely on; docs/operations.md lists them.
+/// The exit codes that scripts can rely on; docs/OPERATIONS.md lists them.
 enum class ExitCode : int {
     Done = 0,
     Usage = 2, ///< the command line or a local file can't be used
