Let a new leader wait before it removes voters, and let an empty instance find a leader that is no seed

Ruled out: catching up (no learner was added at all). Change: silence counts from the start of the term at the earliest; an instance follows the leader that others name. Tests: MemberChangesTest newLeaderWaitsBeforeItRemovesVoters, JobControlTest on loopback. Conclusion: both faults needed a leader outside the seeds, which only deployments with more than three control instances have.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -105,6 +105,8 @@
     Transport::Timer flushTimer;
     bool memberChangeOpen = false;
     std::uint64_t ledTerm = 0;
+    TimePoint ledSince{};
+    std::string namedLeader; ///< by another instance, while this one has heard of none
     std::string lastLeader;
     Transport::RequestHandler forwarded;
     std::map<std::string, TimePoint> entries; ///< by address, with their last announcement
@@ -217,6 +219,7 @@
         d_->scheduler.stopLeading();
     if (leads && !d_->scheduler.isLeading()) {
         d_->ledTerm = replica.term();
+        d_->ledSince = EventLoop::now();
         d_->scheduler.lead(momentNow(), replica.term());
         changed();
     }
@@ -234,7 +237,8 @@
         return;
     d_->nextMemberChange = now + memberInterval;
     const auto &replica = d_->group->replica();
-    const auto change = d_->members.next(now, d_->group->self(), replica.membership(), replica.memberStatus(now));
+    const auto change
+        = d_->members.next(now, d_->group->self(), d_->ledSince, replica.membership(), replica.memberStatus(now));
     if (!change)
         return;
     d_->memberChangeOpen = true;
@@ -261,15 +265,29 @@
     const auto body = join.SerializeAsString();
     const auto leader = leaderIp();
     if (!leader.empty()) {
-        d_->peers.call(leader, "/jobs/join", body, announceLimit, [](const Transport::CallResult &) {});
+        announceTo(leader, body);
         return;
     }
+    if (!d_->namedLeader.empty())
+        announceTo(d_->namedLeader, body);
     for (const auto &seed : d_->settings.seeds) {
-        if (seed.ip != d_->settings.ip)
-            d_->peers.call(seed.ip, "/jobs/join", body, announceLimit, [](const Transport::CallResult &) {});
+        if (seed.ip != d_->settings.ip && seed.ip != d_->namedLeader)
+            announceTo(seed.ip, body);
     }
 }
 
+void JobControl::announceTo(const std::string &ip, const std::string &body)
+{
+    d_->peers.call(ip, "/jobs/join", body, announceLimit, [this, ip](const Transport::CallResult &result) {
+        Wire::JobReply reply;
+        const bool isReply = result && reply.ParseFromString(result.value().body);
+        if (isReply && reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty())
+            d_->namedLeader = ipOf(InstanceId(reply.leader()));
+        else if (!isReply && ip == d_->namedLeader)
+            d_->namedLeader.clear();
+    });
+}
+
 void JobControl::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
 {
     if (request.target == "/jobs/replication") {
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -77,6 +77,7 @@
     void followLeadership();
     void changeMembers();
     void announce();
+    void announceTo(const std::string &ip, const std::string &body);
 
     struct Private;
     std::unique_ptr<Private> d_;
--- a/src/libs/jobnode/memberchanges.cpp
+++ b/src/libs/jobnode/memberchanges.cpp
@@ -41,7 +41,7 @@
     seen_[instance] = now;
 }
 
-std::optional<MembershipChange> MemberChanges::next(TimePoint now, const InstanceId &leader,
+std::optional<MembershipChange> MemberChanges::next(TimePoint now, const InstanceId &leader, TimePoint ledSince,
                                                     const Replication::Membership &members,
                                                     std::span<const Replication::MemberStatus> status) const
 {
@@ -77,7 +77,8 @@
         return std::nullopt;
     // A voter that is gone for good gives way to a spare instance.
     for (const auto &item : status) {
-        const bool isSilent = item.isVoter && (!item.sinceAnswered || *item.sinceAnswered > silentVoterLimit);
+        const auto silence = item.sinceAnswered.value_or(now - ledSince);
+        const bool isSilent = item.isVoter && silence > silentVoterLimit;
         if (isSilent && !isPresent(item.instance) && members.voters.size() > 1)
             return MembershipChange{MembershipChange::Kind::Remove, item.instance};
     }
--- a/src/libs/jobnode/memberchanges.h
+++ b/src/libs/jobnode/memberchanges.h
@@ -22,11 +22,13 @@
     /// An instance looks for the group.
     void seen(TimePoint now, const InstanceId &instance);
 
+    /// \param leader this instance
+    /// \param ledSince when it became the leader; it knows nothing of members from before
     /// \param members the members now
     /// \param status what the leader knows of the other members
     /// \return the next change, or nothing.
     [[nodiscard]] std::optional<Replication::MembershipChange>
-    next(TimePoint now, const InstanceId &leader, const Replication::Membership &members,
+    next(TimePoint now, const InstanceId &leader, TimePoint ledSince, const Replication::Membership &members,
          std::span<const Replication::MemberStatus> status) const;
 
 private:
--- /dev/null
+++ b/tests/auto/jobnode/fakeleader.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "transport/http2server.h"
+#include "transport/message.h"
+
+#include <jobs.pb.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Answers as a leader does, and counts what it gets.
+class FakeLeader
+{
+public:
+    FakeLeader(Pistachio::Transport::EventLoop &loop, const std::string &ip, std::uint16_t requestedPort)
+        : server(
+            loop, {},
+            [this](const Pistachio::Transport::Request &request, const Pistachio::Transport::Responder &responder) {
+                Pistachio::Wire::JobReply reply;
+                reply.set_verdict(verdict);
+                if (request.target == "/jobs/join") {
+                    ++joins;
+                    reply.set_leader(otherLeader);
+                    if (!relay.empty())
+                        reply.add_entries(relay);
+                } else {
+                    ++calls;
+                }
+                if (!isSilent)
+                    responder.respond({200, {}, reply.SerializeAsString()});
+                else
+                    kept.push_back(responder);
+            })
+        , port(server.listen({ip, requestedPort}).value())
+    {
+    }
+
+    Pistachio::Wire::JobVerdict verdict = Pistachio::Wire::JOB_VERDICT_ACCEPTED;
+    std::string relay;
+    std::string otherLeader;
+    bool isSilent = false;
+    int joins = 0;
+    int calls = 0;
+    std::vector<Pistachio::Transport::Responder> kept;
+    Pistachio::Transport::Http2Server server;
+    std::uint16_t port;
+};
--- /dev/null
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -0,0 +1,125 @@
+#include "fakeleader.h"
+#include "jobnode/adviceclient.h"
+#include "jobnode/jobcontrol.h"
+#include "jobnode/minionclient.h"
+#include "jobnode/noderuntime.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <optional>
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobnode;
+
+namespace
+{
+
+class NoAdvice : public AdviceClient
+{
+public:
+    void ask(const Jobs::AdviceRequest & /*request*/, Answered answered) override { answered(false, {}); }
+};
+
+class NoMinions : public MinionClient
+{
+public:
+    void start(const Jobs::StartOrder & /*order*/, Answered answered) override { answered({}); }
+    void stop(const Jobs::StopOrder & /*order*/, Answered answered) override { answered({}); }
+    void pace(const Jobs::PaceOrder & /*order*/, Answered answered) override { answered({}); }
+    void hold(const Jobs::HoldOrder & /*order*/, std::function<void(const Jobs::HoldAnswer &)> answered) override
+    {
+        answered({});
+    }
+};
+
+class TemporaryFolder
+{
+public:
+    TemporaryFolder()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "pistachio-XXXXXX").string();
+        path = ::mkdtemp(name.data());
+    }
+    ~TemporaryFolder() { std::filesystem::remove_all(path); }
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    std::string path;
+};
+
+Settings::JobSettings settingsOf(const std::string &ip, const std::string &folder)
+{
+    Settings::JobSettings settings;
+    settings.instance = ip;
+    settings.ip = ip;
+    settings.zone = "z";
+    settings.dataFolder = folder;
+    settings.log.file = "/dev/null";
+    settings.seeds = {{"127.0.0.2", 1}};
+    return settings;
+}
+
+} // namespace
+
+class JobControlTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(JobControlTest);
+    CPPUNIT_TEST(aloneItLeadsAndStoresAConfiguration);
+    CPPUNIT_TEST(emptyInstanceFindsALeaderThatIsNoSeed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void aloneItLeadsAndStoresAConfiguration()
+    {
+        TemporaryFolder folder;
+        auto settings = settingsOf("127.0.0.1", folder.path);
+        settings.seeds = {{"127.0.0.1", 1}};
+        settings.bootstrap = true;
+        settings.toleratedLosses = 0;
+        NodeRuntime runtime("test", settings);
+        NoAdvice advice;
+        NoMinions minions;
+        JobControl control(settings, runtime, minions, advice);
+        CPPUNIT_ASSERT(control.open());
+        while (!control.canAnswer())
+            runtime.loop().runFor(10ms);
+        Wire::JobConfiguration configuration;
+        configuration.set_version(3);
+        configuration.set_document("as sent");
+        std::optional<Wire::JobVerdict> verdict;
+        control.configure(configuration, [&](const Wire::JobReply &reply) { verdict = reply.verdict(); });
+        while (!verdict)
+            runtime.loop().runFor(10ms);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{*verdict});
+        std::optional<std::string> document;
+        control.readConfiguration([&](const std::optional<std::string> &text) { document = text.value_or(""); });
+        while (!document)
+            runtime.loop().runFor(10ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("as sent"), *document);
+    }
+
+    // It asked only the seeds, which did not lead, and stayed outside the group for the rest of the day.
+    void emptyInstanceFindsALeaderThatIsNoSeed()
+    {
+        TemporaryFolder folder;
+        auto settings = settingsOf("127.0.0.4", folder.path);
+        NodeRuntime runtime("test", settings);
+        FakeLeader seed(runtime.loop(), "127.0.0.2", 0);
+        FakeLeader leader(runtime.loop(), "127.0.0.3", seed.port);
+        seed.verdict = Wire::JOB_VERDICT_NOT_LEADER;
+        seed.otherLeader = "127.0.0.3";
+        settings.internalPort = seed.port;
+        NoAdvice advice;
+        NoMinions minions;
+        JobControl control(settings, runtime, minions, advice);
+        CPPUNIT_ASSERT(control.open());
+        for (int round = 0; round < 400 && leader.joins == 0; ++round)
+            runtime.loop().runFor(10ms);
+        CPPUNIT_ASSERT(leader.joins > 0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobControlTest);
--- a/tests/auto/jobnode/tst_jobentry.cpp
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -1,7 +1,7 @@
+#include "fakeleader.h"
 #include "jobnode/adviceclient.h"
 #include "jobnode/jobentry.h"
 #include "jobnode/noderuntime.h"
-#include "transport/http2server.h"
 
 #include <jobs.pb.h>
 
@@ -25,41 +25,6 @@
     void ask(const Jobs::AdviceRequest & /*request*/, Answered answered) override { answered(false, {}); }
 };
 
-/// Answers as a leader does, and counts what it gets.
-class FakeLeader
-{
-public:
-    FakeLeader(Transport::EventLoop &loop, const std::string &ip, std::uint16_t requestedPort)
-        : server(loop, {},
-                 [this](const Transport::Request &request, const Transport::Responder &responder) {
-                     Wire::JobReply reply;
-                     reply.set_verdict(verdict);
-                     if (request.target == "/jobs/join") {
-                         ++joins;
-                         if (!relay.empty())
-                             reply.add_entries(relay);
-                     } else {
-                         ++calls;
-                     }
-                     if (!isSilent)
-                         responder.respond({200, {}, reply.SerializeAsString()});
-                     else
-                         kept.push_back(responder);
-                 })
-        , port(server.listen({ip, requestedPort}).value())
-    {
-    }
-
-    Wire::JobVerdict verdict = Wire::JOB_VERDICT_ACCEPTED;
-    std::string relay;
-    bool isSilent = false;
-    int joins = 0;
-    int calls = 0;
-    std::vector<Transport::Responder> kept;
-    Transport::Http2Server server;
-    std::uint16_t port;
-};
-
 Settings::JobSettings settingsOf(const std::string &ip)
 {
     Settings::JobSettings settings;
--- a/tests/auto/jobnode/tst_memberchanges.cpp
+++ b/tests/auto/jobnode/tst_memberchanges.cpp
@@ -35,11 +35,14 @@
                 Replication::MemberStatus item;
                 item.instance = id;
                 item.isVoter = list == &members.voters;
-                item.sinceAnswered = isSilent ? Duration(30s) : Duration(50ms);
+                if (!isSilent)
+                    item.sinceAnswered = Duration(50ms);
+                else if (now > ledSince + 5s)
+                    item.sinceAnswered = now - ledSince - 1s;
                 status.push_back(item);
             }
         }
-        return changes.next(now, a, members, status);
+        return changes.next(now, a, ledSince, members, status);
     }
 
     void apply(const MembershipChange &change)
@@ -54,7 +57,8 @@
 
     MemberChanges changes{3};
     Replication::Membership members{{a, b, c}, {}};
-    std::vector<InstanceId> silent;
+    std::vector<InstanceId> silent; ///< answered last one second after the leader began, as far as it remembers
+    TimePoint ledSince = start - std::chrono::minutes(1);
 };
 
 } // namespace
@@ -67,6 +71,7 @@
     CPPUNIT_TEST(secondLossOfTheSameDisk);
     CPPUNIT_TEST(spareTakesTheVoteOfOneThatIsGone);
     CPPUNIT_TEST(silentVoterStaysWithoutASpare);
+    CPPUNIT_TEST(newLeaderWaitsBeforeItRemovesVoters);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,6 +134,20 @@
         CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, d}));
     }
 
+    // A new leader removed two voters of five that it had not heard of yet; two lost disks then left no majority.
+    void newLeaderWaitsBeforeItRemovesVoters()
+    {
+        Group group;
+        group.members = {{a, b, c}, {d}};
+        group.silent = {c};
+        group.ledSince = start;
+        for (auto now = start; now < start + 20s; now += 500ms) {
+            group.changes.seen(now, b);
+            group.changes.seen(now, d);
+            CPPUNIT_ASSERT(!group.next(now));
+        }
+    }
+
     // Removing it would lower the number of losses that the group bears.
     void silentVoterStaysWithoutASpare()
     {
