Split the scheduler and the control instance by duty, share the start of both programs and the advice handler

The scheduler's reactions to the book, the lists of minions and the stored form of minions have files of their own, and so have the ports of the control instance; both mains and both advice handlers were the same code twice. SIGHUP checks the settings and says that they apply at the next start.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -1,18 +1,7 @@
 #include "jobnode/jobcontrol.h"
 
-#include "jobnode/adviceclient.h"
-#include "jobnode/adviserpool.h"
-#include "jobnode/jobcalls.h"
-#include "jobnode/jobgroup.h"
-#include "jobnode/memberchanges.h"
-#include "jobnode/minionclient.h"
-#include "jobnode/noderuntime.h"
-#include "jobnode/peers.h"
-#include "jobs/jobbook.h"
-#include "jobs/jobscheduler.h"
-#include "storage/posixfilesystem.h"
-#include "storage/replicatedgroup.h"
-#include "transport/http2server.h"
+#include "jobnode/advicerequests.h"
+#include "jobnode/jobcontrolprivate.h"
 
 #include <jobs.pb.h>
 
@@ -23,6 +12,7 @@
 namespace Pistachio::Jobnode
 {
 
+using Internal::momentNow;
 using Logging::LogLevel;
 using Transport::EventLoop;
 
@@ -40,79 +30,13 @@
 constexpr std::size_t relaysEach = 3; ///< entries named to another one, in case it loses the way to the leader
 constexpr Duration stopLimit = 500ms;
 
-Jobs::Now momentNow()
-{
-    return {EventLoop::now(), NodeRuntime::unixMs()};
-}
-
 Transport::Response bytes(std::string body)
 {
     return {200, {{"Content-Type", "application/x-protobuf"}}, std::move(body)};
 }
 
-Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
-{
-    Jobs::SchedulerSettings result;
-    result.lease = std::min(result.lease, settings.longestLease);
-    result.stopTimeout = settings.stopTimeout;
-    return result;
-}
-
 } // namespace
 
-struct JobControl::Private {
-    Private(const Settings::JobSettings &jobSettings, NodeRuntime &nodeRuntime, MinionClient &minionClient,
-            AdviceClient &adviceClient, JobControl &owner)
-        : settings(jobSettings)
-        , runtime(nodeRuntime)
-        , minions(minionClient)
-        , advice(adviceClient)
-        , scheduler(book, owner, schedulerSettings(jobSettings))
-        , advisers(adviceClient, peers)
-        , members(2 * jobSettings.toleratedLosses + 1)
-        , server(nodeRuntime.loop(), serverLimits(),
-                 [&owner](const Transport::Request &request, const Transport::Responder &responder) {
-                     owner.handleInternal(request, responder);
-                 })
-        , peers(nodeRuntime.loop(), jobSettings.internalPort)
-    {
-    }
-
-    static Transport::Http2ServerLimits serverLimits()
-    {
-        Transport::Http2ServerLimits limits;
-        limits.bodyBytes = 64U << 20;
-        return limits;
-    }
-
-    const Settings::JobSettings &settings;
-    NodeRuntime &runtime;
-    MinionClient &minions;
-    AdviceClient &advice;
-    Storage::PosixFileSystem files;
-    Jobs::JobBook book;
-    Jobs::JobScheduler scheduler;
-    AdviserPool advisers;
-    MemberChanges members;
-    std::unique_ptr<JobGroup> group;
-    std::unique_ptr<JobCalls> calls;
-    Transport::Http2Server server;
-    Transport::Timer tickTimer;
-    TimePoint nextMemberChange{};
-    TimePoint nextAnnounce{};
-    bool flushPosted = false;
-    TimePoint lastFlush{};
-    Transport::Timer flushTimer;
-    bool memberChangeOpen = false;
-    std::uint64_t ledTerm = 0;
-    TimePoint ledSince{};
-    std::string namedLeader; ///< by another instance, while this one has heard of none
-    std::string lastLeader;
-    Transport::RequestHandler forwarded;
-    std::map<std::string, TimePoint> entries; ///< by address, with their last announcement
-    Peers peers; ///< last, since its calls end in the others
-};
-
 JobControl::JobControl(const Settings::JobSettings &settings, NodeRuntime &runtime, MinionClient &minions,
                        AdviceClient &advice)
     : d_(std::make_unique<Private>(settings, runtime, minions, advice, *this))
@@ -302,7 +226,7 @@
     } else if (request.target == "/jobs/forward") {
         handleForwarded(request, responder);
     } else if (request.target == "/jobs/advice") {
-        handleAdvice(request, responder);
+        answerAdviceRequest(d_->advice, request, responder);
     } else {
         responder.respond({404, {}, {}});
     }
@@ -375,27 +299,6 @@
     responder.respond(bytes(reply.SerializeAsString()));
 }
 
-void JobControl::handleAdvice(const Transport::Request &request, const Transport::Responder &responder)
-{
-    Wire::JobAdviceCall call;
-    if (!call.ParseFromString(request.body)) {
-        responder.respond({400, {}, "not a request for advice"});
-        return;
-    }
-    Jobs::AdviceRequest asked{{call.job(), call.occurrence(), call.step()},
-                              {call.minions().begin(), call.minions().end()}};
-    d_->advice.ask(asked, [responder](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
-        Wire::JobAdviceReply reply;
-        reply.set_answered(answered);
-        for (const auto &row : approved) {
-            auto &ticket = *reply.add_approved();
-            ticket.set_minion(row.minion);
-            ticket.set_ticket(row.ticket);
-        }
-        responder.respond(bytes(reply.SerializeAsString()));
-    });
-}
-
 bool JobControl::canAnswer() const
 {
     return d_->group->canAnswer(EventLoop::now());
@@ -499,84 +402,4 @@
     changed();
 }
 
-void JobControl::propose(Wire::JobCommand command, std::function<void(bool applied)> ended)
-{
-    auto text = command.SerializeAsString();
-    d_->group->propose(
-        EventLoop::now(), std::move(text),
-        [this, command = std::move(command), ended = std::move(ended)](const Result<std::string> &result) {
-            if (result) {
-                if (ended)
-                    ended(true);
-                return;
-            }
-            // Told later, since the scheduler may be in the middle of a round. After Unknown the leadership is gone,
-            // and what was applied is read from the book again.
-            const bool isKnown = result.error().code != ErrorCode::Unknown;
-            d_->runtime.loop().post([this, command, ended, isKnown] {
-                if (isKnown)
-                    d_->scheduler.proposalFailed(momentNow(), command);
-                if (ended)
-                    ended(false);
-            });
-        });
-    changed();
-}
-
-void JobControl::start(const Jobs::StartOrder &order)
-{
-    d_->runtime.metrics().add("start_orders_total");
-    d_->minions.start(order, [this, order](const Jobs::OrderAnswer &answer) {
-        d_->runtime.metrics().add("start_answers_total{outcome=\"" + toString(answer.outcome) + "\"}");
-        d_->scheduler.startAnswered(momentNow(), order, answer);
-        changed();
-    });
-}
-
-void JobControl::stop(const Jobs::StopOrder &order)
-{
-    d_->runtime.metrics().add("stop_orders_total");
-    d_->minions.stop(order, [this, order](const Jobs::OrderAnswer &answer) {
-        d_->scheduler.stopAnswered(momentNow(), order, answer);
-        changed();
-    });
-}
-
-void JobControl::hold(const Jobs::HoldOrder &order)
-{
-    d_->runtime.metrics().add("hold_orders_total");
-    d_->minions.hold(order, [this, order](const Jobs::HoldAnswer &answer) {
-        d_->scheduler.holdAnswered(momentNow(), order, answer);
-        changed();
-    });
-}
-
-void JobControl::pace(const Jobs::PaceOrder &order)
-{
-    d_->runtime.metrics().add("pace_orders_total");
-    d_->minions.pace(order, [this, order](const Jobs::OrderAnswer &answer) {
-        d_->scheduler.paceAnswered(momentNow(), order, answer);
-    });
-}
-
-std::size_t JobControl::idleAdvisers() const
-{
-    return d_->advisers.idle(EventLoop::now());
-}
-
-void JobControl::askAdvice(const Jobs::AdviceRequest &request)
-{
-    d_->runtime.metrics().add("advice_requests_total");
-    d_->advisers.ask(EventLoop::now(), request,
-                     [this, request](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
-                         d_->scheduler.adviceAnswered(momentNow(), request, answered, approved);
-                         changed();
-                     });
-}
-
-void JobControl::record(LogLevel level, std::string_view event, std::initializer_list<Logging::LogField> fields)
-{
-    d_->runtime.logger().write(level, event, fields);
-}
-
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -67,7 +67,6 @@
     void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
     void handleForwarded(const Transport::Request &request, const Transport::Responder &responder);
     [[nodiscard]] std::string leaderIp() const;
-    void handleAdvice(const Transport::Request &request, const Transport::Responder &responder);
     void logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took);
     void scheduleTick();
     void tick();
--- /dev/null
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "jobnode/adviceclient.h"
+#include "jobnode/adviserpool.h"
+#include "jobnode/jobcalls.h"
+#include "jobnode/jobcontrol.h"
+#include "jobnode/jobgroup.h"
+#include "jobnode/memberchanges.h"
+#include "jobnode/minionclient.h"
+#include "jobnode/noderuntime.h"
+#include "jobnode/peers.h"
+#include "jobs/jobbook.h"
+#include "jobs/jobscheduler.h"
+#include "storage/posixfilesystem.h"
+#include "storage/replicatedgroup.h"
+#include "transport/http2server.h"
+
+#include <jobs.pb.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace Pistachio::Jobnode
+{
+
+namespace Internal
+{
+
+/// \return the time of an event that happens now.
+inline Jobs::Now momentNow()
+{
+    return {Transport::EventLoop::now(), NodeRuntime::unixMs()};
+}
+
+/// \return what the scheduler takes from the settings.
+inline Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
+{
+    Jobs::SchedulerSettings result;
+    result.lease = std::min(result.lease, settings.longestLease);
+    result.stopTimeout = settings.stopTimeout;
+    return result;
+}
+
+} // namespace Internal
+
+struct JobControl::Private {
+    Private(const Settings::JobSettings &jobSettings, NodeRuntime &nodeRuntime, MinionClient &minionClient,
+            AdviceClient &adviceClient, JobControl &owner)
+        : settings(jobSettings)
+        , runtime(nodeRuntime)
+        , minions(minionClient)
+        , advice(adviceClient)
+        , scheduler(book, owner, Internal::schedulerSettings(jobSettings))
+        , advisers(adviceClient, peers)
+        , members(2 * jobSettings.toleratedLosses + 1)
+        , server(nodeRuntime.loop(), serverLimits(),
+                 [&owner](const Transport::Request &request, const Transport::Responder &responder) {
+                     owner.handleInternal(request, responder);
+                 })
+        , peers(nodeRuntime.loop(), jobSettings.internalPort)
+    {
+    }
+
+    static Transport::Http2ServerLimits serverLimits()
+    {
+        Transport::Http2ServerLimits limits;
+        limits.bodyBytes = 64U << 20;
+        return limits;
+    }
+
+    const Settings::JobSettings &settings;
+    NodeRuntime &runtime;
+    MinionClient &minions;
+    AdviceClient &advice;
+    Storage::PosixFileSystem files;
+    Jobs::JobBook book;
+    Jobs::JobScheduler scheduler;
+    AdviserPool advisers;
+    MemberChanges members;
+    std::unique_ptr<JobGroup> group;
+    std::unique_ptr<JobCalls> calls;
+    Transport::Http2Server server;
+    Transport::Timer tickTimer;
+    TimePoint nextMemberChange{};
+    TimePoint nextAnnounce{};
+    bool flushPosted = false;
+    TimePoint lastFlush{};
+    Transport::Timer flushTimer;
+    bool memberChangeOpen = false;
+    std::uint64_t ledTerm = 0;
+    TimePoint ledSince{};
+    std::string namedLeader; ///< by another instance, while this one has heard of none
+    std::string lastLeader;
+    Transport::RequestHandler forwarded;
+    std::map<std::string, TimePoint> entries; ///< by address, with their last announcement
+    Peers peers; ///< last, since its calls end in the others
+};
+
+} // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -1,6 +1,7 @@
 #include "jobnode/jobentry.h"
 
 #include "jobnode/adviceclient.h"
+#include "jobnode/advicerequests.h"
 #include "jobnode/callercalls.h"
 #include "jobnode/instanceid.h"
 #include "jobnode/noderuntime.h"
@@ -172,24 +173,12 @@
         relay(request, responder);
         return;
     }
-    Wire::JobAdviceCall call;
-    if (request.target != "/jobs/advice" || !call.ParseFromString(request.body)) {
+    if (request.target != "/jobs/advice") {
         responder.respond({404, {}, {}});
         return;
     }
-    Jobs::AdviceRequest asked{{call.job(), call.occurrence(), call.step()},
-                              {call.minions().begin(), call.minions().end()}};
     d_->runtime.metrics().add("advice_requests_total");
-    d_->advice.ask(asked, [responder](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
-        Wire::JobAdviceReply reply;
-        reply.set_answered(answered);
-        for (const auto &row : approved) {
-            auto &ticket = *reply.add_approved();
-            ticket.set_minion(row.minion);
-            ticket.set_ticket(row.ticket);
-        }
-        responder.respond({200, {{"Content-Type", "application/x-protobuf"}}, reply.SerializeAsString()});
-    });
+    answerAdviceRequest(d_->advice, request, responder);
 }
 
 /// Carries a request for an entry that lost the way to the leader.
--- a/src/libs/jobnode/noderuntime.cpp
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -29,6 +29,15 @@
     return success();
 }
 
+void NodeRuntime::checkReload(const std::string &path)
+{
+    const auto loaded = Settings::JobSettings::load(path);
+    if (loaded)
+        logger_.write(Logging::LogLevel::Info, "reload", {{"settings", path}, {"applies", "at the next start"}});
+    else
+        logger_.write(Logging::LogLevel::Warning, "reload", {{"settings", path}, {"reason", loaded.error().message}});
+}
+
 std::int64_t NodeRuntime::unixMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
--- a/src/libs/jobnode/noderuntime.h
+++ b/src/libs/jobnode/noderuntime.h
@@ -29,6 +29,9 @@
     /// Serves the metrics where the settings say so.
     Result<void> listen(const Settings::JobSettings &settings);
 
+    /// Checks and logs changed settings; they take effect at the next start, since addresses and seeds are used then.
+    void checkReload(const std::string &path);
+
     [[nodiscard]] Transport::EventLoop &loop() { return loop_; }
     [[nodiscard]] Logging::Logger &logger() { return logger_; }
     [[nodiscard]] Metrics::Registry &metrics() { return metrics_; }
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -1,6 +1,7 @@
 #include "jobs/jobscheduler.h"
 
 #include "jobs/jobbook.h"
+#include "jobs/minionrecord.h"
 #include "jobs/schedulerports.h"
 
 #include <jobs.pb.h>
@@ -18,38 +19,6 @@
 
 constexpr Duration planInterval = 200ms; ///< without a change; tickets expire and minions become usable again
 
-MinionReport toReport(const Wire::JobMinion &minion)
-{
-    MinionReport report;
-    report.life = {minion.id(), minion.born_unix_ms()};
-    report.address = minion.address();
-    report.service = minion.service();
-    report.zone = minion.zone();
-    report.milliCores = minion.milli_cores();
-    report.memoryMb = minion.memory_mb();
-    report.accelerators = minion.accelerators();
-    report.labels.assign(minion.labels().begin(), minion.labels().end());
-    report.draining = minion.draining();
-    return report;
-}
-
-Wire::JobMinion toWire(const MinionReport &report)
-{
-    Wire::JobMinion minion;
-    minion.set_id(report.life.id);
-    minion.set_born_unix_ms(report.life.bornUnixMs);
-    minion.set_address(report.address);
-    minion.set_service(report.service);
-    minion.set_zone(report.zone);
-    minion.set_milli_cores(report.milliCores);
-    minion.set_memory_mb(report.memoryMb);
-    minion.set_accelerators(report.accelerators);
-    for (const auto &label : report.labels)
-        minion.add_labels(label);
-    minion.set_draining(report.draining);
-    return minion;
-}
-
 Amounts reservedBy(const Wire::JobStep &step)
 {
     return {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
@@ -217,42 +186,6 @@
     ports_.propose(std::move(command), {});
 }
 
-void JobScheduler::minionRecorded(const Wire::JobMinion &minion)
-{
-    if (!leading_)
-        return;
-    auto report = toReport(minion);
-    auto *known = fleet_.find(report.life);
-    if (known) {
-        known->report.draining = known->report.draining || report.draining;
-    } else {
-        fleet_.add(std::move(report));
-        fleet_.find(minion.id())->lastHeard = now_.time;
-        advice_.forgetMinion(minion.id());
-    }
-    dirty_ = true;
-    const auto waiting = reportsToStore_.extract(minion.id());
-    if (waiting.empty())
-        return;
-    for (const auto &stored : waiting.mapped())
-        stored(true);
-}
-
-void JobScheduler::minionForgotten(const std::string &minion)
-{
-    if (!leading_)
-        return;
-    fleet_.remove(minion);
-    advice_.forgetMinion(minion);
-}
-
-void JobScheduler::configurationChanged()
-{
-    dirty_ = true;
-    if (leading_)
-        ports_.record(LogLevel::Info, "configuration-in-force", {{"version", book_.configuration().version()}});
-}
-
 TimePoint JobScheduler::acceptedTime(const Job &job, std::uint32_t occurrence) const
 {
     const auto due = job.dueUnixMs(occurrence);
@@ -311,109 +244,6 @@
     }
 }
 
-void JobScheduler::jobEnded(const Job &job)
-{
-    if (!leading_)
-        return;
-    finished_[now_.time + settings_.finishedRetention].push_back(job.id());
-    queue_.removeJob(job.id());
-    begun_.erase(job.id());
-    movedTasks_.erase(movedTasks_.lower_bound({{job.id(), 0, 0}, 0}),
-                      movedTasks_.lower_bound({{job.id() + '\0', 0, 0}, 0}));
-    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
-        for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
-            advice_.forgetStep({job.id(), occurrence, number});
-    }
-    stopRunsOf(job);
-    ports_.record(LogLevel::Info, "job-ended",
-                  {{"job", job.id()},
-                   {"queue", job.submission().queue()},
-                   {"phase", static_cast<int>(job.phase())},
-                   {"age_ms", now_.unixMs - job.submission().accepted_unix_ms()}});
-}
-
-void JobScheduler::stopRunsOf(const Job &job)
-{
-    if (!job.hasAssignedTasks())
-        return;
-    for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
-        for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
-            stopRuns(job, {job.id(), occurrence, number});
-    }
-}
-
-void JobScheduler::stopRuns(const Job &job, const StepName &step)
-{
-    const auto &tasks = job.step(step.occurrence, step.step)->tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        auto *minion = tasks[index].state == TaskState::Assigned ? holder(tasks[index]) : nullptr;
-        const auto found = minion ? minion->runs.find({step, index}) : std::map<TaskName, Run>::iterator();
-        if (minion && found != minion->runs.end())
-            sendStop(*minion, found->first, found->second);
-    }
-}
-
-Minion *JobScheduler::holder(const Task &task)
-{
-    return fleet_.find(MinionLife{task.minion, task.minionBorn});
-}
-
-void JobScheduler::jobForgotten(const std::string & /*job*/) { }
-
-void JobScheduler::taskAssigned(const Job &job, const TaskName &task, std::uint64_t run)
-{
-    auto *minion = leading_ ? holder(*job.task(task)) : nullptr;
-    const auto found = minion ? minion->runs.find(task) : std::map<TaskName, Run>::iterator();
-    if (!minion || found == minion->runs.end() || found->second.run != run || found->second.phase != RunPhase::Proposed)
-        return;
-    found->second.phase = RunPhase::Starting;
-    found->second.phaseSince = now_.time;
-    sendStart(*minion, task, found->second);
-}
-
-void JobScheduler::taskEnded(const Job &job, const Wire::JobEnd &end, bool changed)
-{
-    if (!leading_)
-        return;
-    const auto name = toTaskName(end.task());
-    const auto &step = job.spec(name.step.step);
-    dirty_ = true;
-    // The run ended at the minion that reported it, which may be an earlier one than the task's last.
-    for (const auto &life : {MinionLife{end.minion(), end.minion_born_unix_ms()},
-                             MinionLife{job.task(name)->minion, job.task(name)->minionBorn}}) {
-        auto *minion = fleet_.find(life);
-        const auto found = minion ? minion->runs.find(name) : std::map<TaskName, Run>::iterator();
-        if (!minion || found == minion->runs.end())
-            continue;
-        if (found->second.run == end.run() && found->second.phase == RunPhase::Ending)
-            minion->remove(name);
-        else if (changed && end.how() == Wire::JOB_RUN_END_DONE && !step.long_running())
-            sendStop(*minion, name, found->second);
-    }
-    if (!changed || job.phase() != JobPhase::Active)
-        return;
-    const auto &record = *job.step(name.step.occurrence, name.step.step);
-    if (end.how() == Wire::JOB_RUN_END_DONE && !step.long_running()) {
-        if (!record.isDone())
-            return;
-        advice_.forgetStep(name.step);
-        for (std::uint32_t number = name.step.step + 1; number < job.stepsPerOccurrence(); ++number) {
-            const auto &needed = job.spec(number).depends_on();
-            if (std::find(needed.begin(), needed.end(), name.step.step) == needed.end()
-                || !job.isUnlocked(name.step.occurrence, number))
-                continue;
-            for (std::uint32_t index = 0; index < job.spec(number).tasks(); ++index)
-                enqueue(job, {{job.id(), name.step.occurrence, number}, index});
-        }
-        return;
-    }
-    if (record.tasks[name.index].state == TaskState::Waiting)
-        enqueue(job, name);
-    // The rest of a gang can't do anything without this member.
-    if (step.gang())
-        stopRuns(job, name.step);
-}
-
 bool JobScheduler::hasBegun(const Job &job) const
 {
     return job.hasBegun() || begun_.contains(job.id());
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -104,7 +104,7 @@
     };
     using WaitingEntry = std::pair<const StepName, WaitingStep>;
 
-    // jobscheduler.cpp
+    // jobscheduler.cpp and bookevents.cpp
     void enqueueJob(const Job &job);
     void enqueue(const Job &job, const TaskName &task);
     void adoptRuns(const Job &job);
@@ -116,7 +116,7 @@
     void stopRuns(const Job &job, const StepName &step);
     Minion *holder(const Task &task);
 
-    // runorders.cpp
+    // runorders.cpp and runlists.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
     void sendStop(Minion &minion, const TaskName &task, Run &run);
     void sendHold(Minion &minion, Duration wait);
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -1,3 +1,5 @@
+// Orders to minions and their leases.
+
 #include "jobs/jobbook.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/schedulerports.h"
@@ -19,43 +21,17 @@
     = 500ms; ///< a lost answer delays what ended meanwhile by no more; leaves several tries within one lease
 constexpr std::int64_t smallFleet = 100; ///< minions; a larger fleet is held in longer turns, to bound the calls
 constexpr Duration idleHoldWait = 1500ms; ///< of a minion that runs nothing
-constexpr Duration holdRetry = 50ms;
 constexpr Duration orderRetry = 20ms;
 constexpr std::uint32_t maxStartAttempts = 5;
 constexpr Duration avoidAfterRefusal = 1s;
 constexpr Duration avoidAfterSilence = 500ms;
-constexpr std::uint32_t failuresBeforeAvoiding = 3;
-constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration forgetSilent = 6s; ///< several reports are missing by then
-constexpr Duration holdRetryLost = 1s; ///< of a minion whose lease is over
-constexpr Duration stallWindow = 700ms; ///< between two looks at a task's progress
-constexpr double stallShare = 0.12; ///< of the progress that the estimate promises
-constexpr Duration avoidAfterStall = 1500ms;
 constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the way of the last order
 constexpr double paceDownAbove = 0.85; ///< of the bound on a serving task's tail
 constexpr double paceUpBelow = 0.55;
 constexpr std::uint32_t lowestPace = 5;
 constexpr Duration paceInterval = 400ms;
 
-Wire::JobRunEnd toWire(RunEnd how)
-{
-    switch (how) {
-    case RunEnd::Done:
-        return Wire::JOB_RUN_END_DONE;
-    case RunEnd::Failed:
-        return Wire::JOB_RUN_END_FAILED;
-    case RunEnd::Stopped:
-        return Wire::JOB_RUN_END_STOPPED;
-    case RunEnd::Lapsed:
-        return Wire::JOB_RUN_END_LAPSED;
-    case RunEnd::Broken:
-        return Wire::JOB_RUN_END_BROKEN;
-    case RunEnd::Alone:
-        return Wire::JOB_RUN_END_ALONE;
-    }
-    return Wire::JOB_RUN_END_UNSPECIFIED;
-}
-
 } // namespace
 
 void JobScheduler::sendStart(Minion &minion, const TaskName &task, Run &run)
@@ -238,218 +214,6 @@
         found->second.pace = order.percent;
 }
 
-void JobScheduler::holdAnswered(const Now &now, const HoldOrder &order, const HoldAnswer &answer)
-{
-    now_ = now;
-    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
-    if (!minion)
-        return;
-    minion->holdOutstanding = false;
-    minion->nextHold = now.time + holdRetry;
-    const bool otherLife
-        = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
-    if (answer.outcome == OrderOutcome::OtherLife || otherLife) {
-        loseMinion(*minion, "its address answers for another life");
-        return;
-    }
-    if (answer.outcome != OrderOutcome::Done) {
-        if (now.time > minion->leaseGone)
-            minion->nextHold = now.time + holdRetryLost;
-        ports_.record(LogLevel::Info, "hold-not-done",
-                      {{"minion", order.minion.id},
-                       {"outcome", toString(answer.outcome)},
-                       {"silent_ms", (now.time - minion->lastContact) / 1ms}});
-        return;
-    }
-    if (answer.clockMs)
-        minion->clockRead(now.time, *answer.clockMs);
-    const bool first = !minion->isHeld;
-    minion->isHeld = true;
-    minion->lastContact = now.time;
-    minion->nextHold = now.time;
-    dirty_ = dirty_ || first;
-    for (const auto &active : answer.active)
-        takeActive(*minion, active);
-    Wire::JobCommand command;
-    for (const auto &ended : answer.ended)
-        takeEnded(*minion, ended, command);
-    endUnlisted(*minion, answer, minion->holdSent, command);
-    moveStalled(*minion);
-    pace(*minion);
-    if (!answer.ended.empty())
-        minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
-    if (command.ends_size() == 0) {
-        minion->acknowledgedEnd = minion->seenEnd;
-        return;
-    }
-    minion->endsProposed = true;
-    ports_.propose(std::move(command), [this, life = order.minion, last = minion->seenEnd](bool applied) {
-        auto *later = leading_ ? fleet_.find(life) : nullptr;
-        if (!later)
-            return;
-        later->endsProposed = false;
-        if (applied)
-            later->acknowledgedEnd = std::max(later->acknowledgedEnd, last);
-        else
-            later->seenEnd = later->acknowledgedEnd;
-    });
-}
-
-void JobScheduler::takeActive(Minion &minion, const ActiveRun &active)
-{
-    auto found = minion.runs.find(active.task);
-    const auto *job = book_.job(active.task.step.job);
-    if (found == minion.runs.end() || found->second.run < active.run) {
-        if (found != minion.runs.end())
-            return;
-        // A run that the book doesn't know as current, such as one that started late.
-        Run orphan;
-        orphan.run = active.run;
-        orphan.isOrphan = true;
-        orphan.phase = RunPhase::Running;
-        if (job && active.task.step.step < job->stepsPerOccurrence()) {
-            const auto &step = job->spec(active.task.step.step);
-            orphan.reserved = {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
-        }
-        minion.add(active.task, orphan);
-        found = minion.runs.find(active.task);
-        ports_.record(LogLevel::Warning, "orphan-run",
-                      {{"task", active.task.toString()}, {"run", active.run}, {"minion", minion.report.life.id}});
-        sendStop(minion, active.task, found->second);
-        return;
-    }
-    auto &run = found->second;
-    if (run.run != active.run)
-        return;
-    noteProgress(active, run);
-    run.measure = active.measure;
-    if (!active.checkpoint.empty())
-        run.checkpoint = active.checkpoint;
-    if (run.phase == RunPhase::Adopted || run.phase == RunPhase::Starting) {
-        begun_.insert(active.task.step.job);
-        run.phase = RunPhase::Running;
-        run.phaseSince = now_.time;
-        run.startedAt = now_.time;
-        run.progressAt = now_.time;
-        if (job && job->phase() != JobPhase::Active)
-            sendStop(minion, active.task, run);
-    }
-}
-
-/// A task that hardly moves on a minion that does the same to others, or alone there, is tried once on another one.
-void JobScheduler::noteProgress(const ActiveRun &active, Run &run)
-{
-    const auto *job = book_.job(active.task.step.job);
-    const auto since = now_.time - run.progressAt;
-    if (!job || run.phase != RunPhase::Running || job->spec(active.task.step.step).long_running()
-        || run.estimate <= Duration::zero()) {
-        run.percent = active.percent;
-        run.progressAt = now_.time;
-        return;
-    }
-    if (since < stallWindow)
-        return;
-    const double expected = 100.0 * static_cast<double>(since.count()) / static_cast<double>(run.estimate.count());
-    const double moved = static_cast<double>(active.percent) - static_cast<double>(run.percent);
-    run.isStalled = active.percent < 100 && moved < std::min(expected, 100.0) * stallShare;
-    run.percent = active.percent;
-    run.progressAt = now_.time;
-}
-
-void JobScheduler::moveStalled(Minion &minion)
-{
-    std::size_t stalled = 0;
-    std::size_t moving = 0;
-    for (const auto &[task, run] : minion.runs) {
-        if (run.phase != RunPhase::Running || run.estimate <= Duration::zero())
-            continue;
-        (run.isStalled ? stalled : moving) += 1;
-    }
-    if (stalled == 0 || moving > stalled)
-        return;
-    minion.avoidUntil = std::max(minion.avoidUntil, now_.time + avoidAfterStall);
-    for (auto &[task, run] : minion.runs) {
-        const auto *job = book_.job(task.step.job);
-        if (!run.isStalled || run.phase != RunPhase::Running || !job || job->spec(task.step.step).gang()
-            || !movedTasks_.insert(task).second)
-            continue;
-        ports_.record(LogLevel::Info, "task-moved",
-                      {{"task", task.toString()},
-                       {"run", run.run},
-                       {"minion", minion.report.life.id},
-                       {"reason", "it stands still"},
-                       {"percent", run.percent},
-                       {"running_ms", (now_.time - run.startedAt) / 1ms}});
-        sendStop(minion, task, run);
-    }
-}
-
-void JobScheduler::takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command)
-{
-    if (ended.number <= minion.seenEnd)
-        return;
-    const auto *job = book_.job(ended.task.step.job);
-    const auto found = minion.runs.find(ended.task);
-    const bool isKnown = found != minion.runs.end() && found->second.run == ended.run;
-    if (ended.how == RunEnd::Failed && minion.lastFailedJob != ended.task.step.job) {
-        minion.lastFailedJob = ended.task.step.job;
-        if (++minion.failuresInRow >= failuresBeforeAvoiding) {
-            minion.avoidUntil = now_.time + avoidAfterFailures;
-            ports_.record(LogLevel::Warning, "minion-avoided",
-                          {{"minion", minion.report.life.id}, {"failures", minion.failuresInRow}});
-        }
-    } else if (ended.how == RunEnd::Done) {
-        minion.failuresInRow = 0;
-        // A run that is far from its data, or resumed, says nothing about the minion.
-        if (isKnown && job && found->second.startedAt != TimePoint{} && found->second.checkpoint.empty()
-            && minion.hasLabel(job->spec(ended.task.step.step).data_rack()))
-            speeds_.learn(minion.kind(), now_.time - found->second.startedAt, found->second.estimate);
-    }
-    if (ended.how != RunEnd::Done) {
-        ports_.record(LogLevel::Info, "run-ended",
-                      {{"task", ended.task.toString()},
-                       {"run", ended.run},
-                       {"minion", minion.report.life.id},
-                       {"how", static_cast<int>(ended.how)}});
-    }
-    if (!job) {
-        if (isKnown)
-            minion.remove(ended.task);
-        return;
-    }
-    if (isKnown && !ended.checkpoint.empty())
-        found->second.checkpoint = ended.checkpoint;
-    if (isKnown || ended.how == RunEnd::Done)
-        proposeEnd(command, minion, ended.task, ended.run, toWire(ended.how));
-}
-
-void JobScheduler::endUnlisted(Minion &minion, const HoldAnswer &answer, TimePoint sent, Wire::JobCommand &command)
-{
-    std::vector<TaskName> gone;
-    for (auto &[task, run] : minion.runs) {
-        const bool settled = run.phase == RunPhase::Adopted || run.phase == RunPhase::Running
-            || (run.phase == RunPhase::Stopping && run.stopConfirmed);
-        if (!settled || run.phaseSince >= sent)
-            continue;
-        const auto &name = task;
-        const auto number = run.run;
-        const auto listed = std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &active) {
-            return active.run == number && active.task == name;
-        });
-        if (!listed)
-            gone.push_back(task);
-    }
-    for (const auto &task : gone) {
-        const auto run = minion.runs.at(task).run;
-        ports_.record(LogLevel::Info, "run-not-listed",
-                      {{"task", task.toString()}, {"run", run}, {"minion", minion.report.life.id}});
-        if (book_.job(task.step.job))
-            proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED);
-        else
-            minion.remove(task);
-    }
-}
-
 void JobScheduler::loseMinion(Minion &minion, std::string_view reason)
 {
     std::size_t lost = 0;
--- a/tests/auto/platform/tst_controlprotocol.cpp
+++ b/tests/auto/platform/tst_controlprotocol.cpp
@@ -75,9 +75,11 @@
     void badConfigurationsAreRefused()
     {
         const std::string good = R"({"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"service":"s"})";
+        auto twice = good;
+        twice.append(",").append(good);
         CPPUNIT_ASSERT(ControlProtocol::decodeConfiguration(configuration(good)));
         for (const std::string &body :
-             {configuration(good).substr(0, 60), configuration(good + "," + good),
+             {configuration(good).substr(0, 60), configuration(twice),
               configuration(R"({"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":0,"service":"s"})"),
               configuration(R"({"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"service":"nobody"})"),
               configuration("7"), std::string(R"({"routes":[],"services":[]})")}) {
