Let gangs displace work with checkpoints of their own standing

A normal gang could displace spare work only, and in a full night none runs, so the room was gathered from ends alone.

--- a/src/libs/placement/displacement.cpp
+++ b/src/libs/placement/displacement.cpp
@@ -107,7 +107,10 @@
 
 bool mayDisplace(const Work &work, Standing standing)
 {
-    return work.standing == Standing::Normal ? standing == Standing::Spare : standing >= Standing::Normal;
+    // Room for all tasks of a gang rarely appears by itself, and stands idle while it is gathered.
+    if (work.standing == Standing::Normal && work.kind != WorkKind::Gang)
+        return standing == Standing::Spare;
+    return standing >= Standing::Normal;
 }
 
 std::vector<Displacement> findDisplacementsFor(const Unit &holder, const std::vector<WorkerSlot> &reserved,
--- a/tests/auto/placement/tst_placement.cpp
+++ b/tests/auto/placement/tst_placement.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(waitingWorkCostsNothingUntilItsShapeFits);
     CPPUNIT_TEST(acceleratorsAreKeptForWorkThatNeedsThem);
     CPPUNIT_TEST(gangIsNotOvertakenForEver);
+    CPPUNIT_TEST(gangDisplacesWorkWithCheckpointsOfItsStanding);
     CPPUNIT_TEST(backfillEndsBeforeTheReservedStart);
     CPPUNIT_TEST(oneReservationForEachClass);
     CPPUNIT_TEST(quotaHoldsBackOnlyItsTeam);
@@ -190,6 +191,33 @@
         CPPUNIT_ASSERT(gangRuns);
     }
 
+    // Guards against reserved workers that stand idle for minutes while a gang waits for the last of them.
+    void gangDisplacesWorkWithCheckpointsOfItsStanding()
+    {
+        Cell cell;
+        for (int i = 0; i < 3; ++i) {
+            cell.add({4000, 8 * gibibyte, 0});
+            Unit unit = cell.unit("batch" + std::to_string(i), {4000, gibibyte, 0}, 1, WorkKind::Batch,
+                                  Standing::Normal, 1h);
+            auto work = std::make_shared<Work>(*unit.work);
+            work->checkpoint = i > 0;
+            unit.work = work;
+            cell.planner.enqueue(std::move(unit));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, cell.assigned(start).size());
+        cell.planner.enqueue(cell.unit("gang", {4000, gibibyte, 0}, 2, WorkKind::Gang));
+        std::vector<std::string> displaced;
+        for (int second = 0; second < 150; ++second) {
+            for (const PlannedStep &step : cell.planner.plan(start + std::chrono::seconds(second), 100)) {
+                CPPUNIT_ASSERT(step.kind != PlannedStep::Kind::Assign);
+                if (step.kind == PlannedStep::Kind::Displace)
+                    displaced.push_back(step.victim.booking.value());
+            }
+        }
+        std::sort(displaced.begin(), displaced.end());
+        CPPUNIT_ASSERT(Names({"batch1", "batch2"}) == displaced);
+    }
+
     // Guards against backfill that delays the job for which the workers are kept, and against idle reserved workers.
     void backfillEndsBeforeTheReservedStart()
     {
