Elect a new leader as soon as the old one's process refuses connections

Each election waited 0.66 to 0.9 s for a leader that was gone, and short jobs have 0.8 s to spare.

Change: a lost connection to the leader is opened again at once; if nothing listens there, the voter needs not wait for its authority any more and campaigns within 40 ms. A leader whose members refuse connections relies on none of their earlier answers, since a cut may refuse in the name of members that go on. Silent leaders (power, freeze, cut) are followed after 0.36 to 0.56 s instead of 0.6 to 1.1 s; authority ends after 0.27 s.

Ruled out: elections without cause under load.

Replication schedules now also run with these timers and with stops told.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -175,6 +175,25 @@
     });
 }
 
+void JobControl::connectionLost(const std::string &ip)
+{
+    // Whether only the connection is gone or the leader as well, the next connect tells at once.
+    if (ip != leaderIp())
+        return;
+    Wire::JobJoin join;
+    join.set_instance(d_->group->self().value());
+    d_->runtime.loop().post([this, ip, body = join.SerializeAsString()] { announceTo(ip, body); });
+}
+
+void JobControl::connectionRefused(const std::string &ip)
+{
+    if (ip == leaderIp())
+        d_->runtime.logger().write(LogLevel::Warning, "leader-stopped",
+                                   {{"leader", ip}, {"term", d_->group->replica().term()}});
+    d_->group->memberStopped(EventLoop::now(), ip);
+    changed();
+}
+
 /// Tells the leader that this instance is there, so that it can be a member and ask for advice.
 void JobControl::announce()
 {
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -2,6 +2,7 @@
 
 #include "core/result.h"
 #include "jobnode/controlservice.h"
+#include "jobnode/peerobserver.h"
 #include "jobs/schedulerports.h"
 #include "settings/jobsettings.h"
 #include "transport/message.h"
@@ -23,7 +24,7 @@
 class NodeRuntime;
 
 /// A control instance of the job cell: a replica of the job group, and the scheduler while it leads.
-class JobControl : public ControlService, private Jobs::SchedulerPorts
+class JobControl : public ControlService, private Jobs::SchedulerPorts, private PeerObserver
 {
 public:
     /// \param settings checked settings
@@ -62,6 +63,10 @@
     void record(Logging::LogLevel level, std::string_view event,
                 std::initializer_list<Logging::LogField> fields) override;
 
+    // PeerObserver
+    void connectionLost(const std::string &ip) override;
+    void connectionRefused(const std::string &ip) override;
+
     void handleInternal(const Transport::Request &request, const Transport::Responder &responder);
     void handleCall(const Transport::Request &request, const Transport::Responder &responder);
     void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
--- a/src/libs/jobnode/jobgroup.cpp
+++ b/src/libs/jobnode/jobgroup.cpp
@@ -65,6 +65,17 @@
     return true;
 }
 
+void JobGroup::memberStopped(TimePoint now, std::string_view ip)
+{
+    const auto members = host_->group().membership();
+    for (const auto *list : {&members.voters, &members.learners}) {
+        for (const auto &member : *list) {
+            if (ipOf(member) == ip)
+                host_->group().memberStopped(now, member);
+        }
+    }
+}
+
 void JobGroup::flush(TimePoint now)
 {
     const auto sender = [this](std::vector<Replication::Message> messages) { send(std::move(messages)); };
--- a/src/libs/jobnode/jobgroup.h
+++ b/src/libs/jobnode/jobgroup.h
@@ -51,6 +51,9 @@
     bool receive(TimePoint now, std::string_view batch);
     void tick(TimePoint now) { host_->tick(now); }
 
+    /// \param ip the address of members whose processes have ended
+    void memberStopped(TimePoint now, std::string_view ip);
+
     /// Writes, sends and applies what has come up.
     void flush(TimePoint now);
 
--- a/src/libs/jobnode/peers.cpp
+++ b/src/libs/jobnode/peers.cpp
@@ -1,5 +1,7 @@
 #include "jobnode/peers.h"
 
+#include "jobnode/peerobserver.h"
+
 #include <functional>
 #include <utility>
 
@@ -14,9 +16,10 @@
 constexpr Duration reconnectMax = 250ms;
 } // namespace
 
-Peers::Peers(Transport::EventLoop &loop, std::uint16_t port)
+Peers::Peers(Transport::EventLoop &loop, std::uint16_t port, PeerObserver *observer)
     : loop_(loop)
     , port_(port)
+    , observer_(observer)
 {
 }
 
@@ -42,12 +45,24 @@
         auto client = std::make_unique<Transport::Http2Client>(loop_, Transport::Endpoint{std::string(ip), port_},
                                                                limits, std::hash<std::string_view>{}(ip));
         found = clients_.emplace(std::string(ip), std::move(client)).first;
+        if (observer_)
+            found->second->onConnectionLost([this, name = found->first] { observer_->connectionLost(name); });
     }
     Transport::Request request;
     request.method = "POST";
     request.target = target;
     request.body = std::move(body);
-    found->second->call(std::move(request), limit, std::move(completion));
+    if (!observer_) {
+        found->second->call(std::move(request), limit, std::move(completion));
+        return;
+    }
+    found->second->call(
+        std::move(request), limit,
+        [this, name = found->first, completion = std::move(completion)](const Transport::CallResult &result) {
+            if (!closing_ && !result && result.error().refused)
+                observer_->connectionRefused(name);
+            completion(result);
+        });
 }
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/peers.h
+++ b/src/libs/jobnode/peers.h
@@ -17,13 +17,16 @@
 namespace Pistachio::Jobnode
 {
 
+class PeerObserver;
+
 /// The connections to the internal ports of other instances, one for each.
 class Peers
 {
 public:
     /// \param loop outlives the peers
     /// \param port the internal port of every instance
-    Peers(Transport::EventLoop &loop, std::uint16_t port);
+    /// \param observer is told of lost connections; null: nobody
+    Peers(Transport::EventLoop &loop, std::uint16_t port, PeerObserver *observer = nullptr);
     ~Peers();
 
     /// \param ip the other instance
@@ -35,6 +38,7 @@
 private:
     Transport::EventLoop &loop_;
     const std::uint16_t port_;
+    PeerObserver *const observer_;
     bool closing_ = false;
     std::map<std::string, std::unique_ptr<Transport::Http2Client>, std::less<>> clients_;
 };
--- a/src/libs/replication/election.cpp
+++ b/src/libs/replication/election.cpp
@@ -21,6 +21,13 @@
     deadline_ = now + between(timing_.minElectionTimeout, timing_.maxElectionTimeout);
 }
 
+void Election::leaderStopped(TimePoint now)
+{
+    leader_ = {};
+    refuseUntil_ = now;
+    deadline_ = now + between(Duration::zero(), timing_.maxStoppedLeaderDelay);
+}
+
 void Election::follow(TimePoint now)
 {
     if (role_ == Role::Leader)
--- a/src/libs/replication/election.h
+++ b/src/libs/replication/election.h
@@ -34,6 +34,9 @@
     /// A message of the term's leader arrived.
     void heardLeader(TimePoint now, const InstanceId &leader);
 
+    /// The leader's process has ended, so nothing relies on this voter's silence.
+    void leaderStopped(TimePoint now);
+
     /// Becomes a follower that knows no leader. A retry that is already due sooner stays.
     void follow(TimePoint now);
 
--- a/src/libs/replication/leader.cpp
+++ b/src/libs/replication/leader.cpp
@@ -43,14 +43,28 @@
         becomeFollower(now, term());
 }
 
-TimePoint Replica::quorumStamp(TimePoint now) const
+void Replica::memberStopped(TimePoint now, const InstanceId &member)
+{
+    now_ = now;
+    const auto follower = followers_.find(member);
+    if (isLeader() && follower != followers_.end())
+        follower->second.noteStopped();
+    else if (!isLeader() && leaderHint() == member)
+        election_.leaderStopped(now);
+}
+
+TimePoint Replica::quorumStamp(TimePoint now, StoppedMembers stopped) const
 {
     std::vector<TimePoint> stamps;
     for (const InstanceId &voter : membership().voters) {
         const auto follower = followers_.find(voter);
         if (voter == self_)
             stamps.push_back(now);
-        else if (follower != followers_.end())
+        else if (follower == followers_.end())
+            continue;
+        else if (stopped == StoppedMembers::Ignore && follower->second.isStopped())
+            stamps.push_back(neverAnswered);
+        else
             stamps.push_back(follower->second.ackedStamp().value_or(neverAnswered));
     }
     return quorumValue(std::move(stamps));
--- a/src/libs/replication/progress.cpp
+++ b/src/libs/replication/progress.cpp
@@ -41,6 +41,7 @@
     if (ackedStamp_ && *ackedStamp_ >= stamp)
         return false;
     ackedStamp_ = stamp;
+    isStopped_ = false;
     return true;
 }
 
--- a/src/libs/replication/progress.h
+++ b/src/libs/replication/progress.h
@@ -62,6 +62,10 @@
     /// \return whether it is newer than all answered before.
     bool acknowledgedStamp(TimePoint stamp);
 
+    /// Notes that the follower's process has ended; an answer tells that it runs again.
+    void noteStopped() { isStopped_ = true; }
+    [[nodiscard]] bool isStopped() const { return isStopped_; }
+
     /// \param index the last entry known to be equal to the leader's and durable
     void acknowledged(TimePoint now, LogIndex index);
 
@@ -96,6 +100,7 @@
     std::uint64_t snapshotSent_ = 0;
     std::uint64_t snapshotAcked_ = 0;
     bool hasLostFiles_ = false;
+    bool isStopped_ = false;
 };
 
 } // namespace Pistachio::Replication
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -125,7 +125,7 @@
 
 bool Replica::hasAuthority(TimePoint now) const
 {
-    return isLeader() && now - quorumStamp(now) < timing_.authority;
+    return isLeader() && now - quorumStamp(now, StoppedMembers::Ignore) < timing_.authority;
 }
 
 TimePoint Replica::confirmedAt(TimePoint now) const
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -62,6 +62,11 @@
     /// \param message a message for this replica; others are ignored
     void receive(TimePoint now, const Message &message);
 
+    /// The process of a member has ended: nothing listens at its address. If it led, the others need not wait for its
+    /// authority to run out. A leader relies on no earlier answers of it, since it may be cut off by a network that
+    /// answers in its place.
+    void memberStopped(TimePoint now, const InstanceId &member);
+
     /// \return the index of the new entry, NotLeader with the leader as message, or Unavailable when too much is
     /// uncommitted already.
     Result<LogIndex> propose(TimePoint now, std::string payload);
@@ -139,7 +144,8 @@
 
     // The sending side of the log, in leader.cpp
     void checkQuorum(TimePoint now);
-    [[nodiscard]] TimePoint quorumStamp(TimePoint now) const;
+    enum class StoppedMembers : std::uint8_t { Count, Ignore };
+    [[nodiscard]] TimePoint quorumStamp(TimePoint now, StoppedMembers stopped = StoppedMembers::Count) const;
     void receiveFromFollower(TimePoint now, const Message &answer);
     void receiveAppendAnswer(TimePoint now, const Message &answer, Progress &progress, bool isNewest);
     void receiveSnapshotAnswer(TimePoint now, const Message &answer, Progress &progress, bool isNewest);
--- a/src/libs/replication/timing.h
+++ b/src/libs/replication/timing.h
@@ -24,11 +24,14 @@
     Duration minElectionRetry = 150ms;
     Duration maxElectionRetry = 450ms;
 
+    /// After the leader's process has ended, a voter campaigns within this time. The spread avoids split votes.
+    Duration maxStoppedLeaderDelay = 40ms;
+
     /// A leader without answers from a majority gives up its office after this time.
     Duration leaderStepDown = 1200ms;
 
     /// For a group that is alone on its disk and whose users wait for each election.
-    static Timing fast() { return {100ms, 300ms, 450ms, 600ms, 600ms, 1100ms, 100ms, 300ms, 600ms}; }
+    static Timing fast() { return {60ms, 300ms, 270ms, 360ms, 360ms, 560ms, 60ms, 180ms, 40ms, 360ms}; }
 };
 
 } // namespace Pistachio::Replication
--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -77,6 +77,12 @@
         replica_->receive(now, message);
 }
 
+void ReplicatedGroup::memberStopped(TimePoint now, const InstanceId &member)
+{
+    if (!isStopped())
+        replica_->memberStopped(now, member);
+}
+
 Result<LogIndex> ReplicatedGroup::propose(TimePoint now, std::string command)
 {
     if (isStopped())
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -82,6 +82,9 @@
     /// \param message a message of this group
     void receive(TimePoint now, const Replication::Message &message);
 
+    /// \param member whose process has ended, see Replica::memberStopped()
+    void memberStopped(TimePoint now, const InstanceId &member);
+
     /// Proposes a command. Its end comes from takeCompletions() with the same index and term.
     /// \return the index, NotLeader with the leader's id as message, or Unavailable when nothing was proposed.
     Result<Replication::LogIndex> propose(TimePoint now, std::string command);
--- a/src/libs/transport/http2client.cpp
+++ b/src/libs/transport/http2client.cpp
@@ -36,7 +36,7 @@
         function(std::move(result));
     }
 
-    void fail(const Error &error) { complete(CallError{error, written}); }
+    void fail(const Error &error, bool refused = false) { complete(CallError{error, written, refused}); }
 };
 
 using CallPointer = std::shared_ptr<PendingCall>;
@@ -191,8 +191,11 @@
         connectWhenAllowed();
     }
 
+    void onConnectionLost(std::function<void()> lost) { onConnectionLost_ = std::move(lost); }
+
     void close()
     {
+        onConnectionLost_ = nullptr;
         const auto error = failure(ErrorCode::Unavailable, "the client was closed");
         const auto open = connections_;
         for (const auto &connection : open)
@@ -262,7 +265,8 @@
         if (error || !socket.is_open()) {
             delayNextConnect();
             failWaiting(
-                failure(ErrorCode::Unavailable, "can't connect to " + peer_.toString() + ": " + error.message()));
+                failure(ErrorCode::Unavailable, "can't connect to " + peer_.toString() + ": " + error.message()),
+                error == boost::asio::error::connection_refused);
             return;
         }
         boost::system::error_code ignored;
@@ -294,6 +298,8 @@
         connections_.erase(connection);
         if (current_ == connection)
             current_.reset();
+        if (onConnectionLost_)
+            onConnectionLost_();
     }
 
     void delayNextConnect()
@@ -306,11 +312,11 @@
         notBefore_ = EventLoop::now() + half + Duration(random_.below(static_cast<std::uint64_t>(half.count()) + 1));
     }
 
-    void failWaiting(const Error &error)
+    void failWaiting(const Error &error, bool refused = false)
     {
         const auto waiting = std::exchange(waiting_, {});
         for (const auto &call : waiting)
-            call->fail(error);
+            call->fail(error, refused);
     }
 
     EventLoop &loop_;
@@ -321,6 +327,7 @@
     std::set<std::shared_ptr<ClientConnection>> connections_;
     std::shared_ptr<ClientConnection> current_;
     std::shared_ptr<Internal::Tcp::socket> connectingSocket_;
+    std::function<void()> onConnectionLost_;
     Timer connectTimer_;
     Timer backoff_;
     TimePoint notBefore_;
@@ -345,6 +352,11 @@
     implementation_->call(std::move(request), timeout, std::move(completion));
 }
 
+void Http2Client::onConnectionLost(std::function<void()> lost)
+{
+    implementation_->onConnectionLost(std::move(lost));
+}
+
 std::size_t Http2Client::pendingCalls() const
 {
     return implementation_->pendingCalls();
--- a/src/libs/transport/http2client.h
+++ b/src/libs/transport/http2client.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 namespace Pistachio::Transport
@@ -43,6 +44,9 @@
     /// \param completion gets the response or the failure
     void call(Request request, Duration timeout, CallCompletion completion);
 
+    /// \param lost called when the connection ends, whatever ended it
+    void onConnectionLost(std::function<void()> lost);
+
     /// \return the number of calls without a response.
     [[nodiscard]] std::size_t pendingCalls() const;
 
--- a/src/libs/transport/message.h
+++ b/src/libs/transport/message.h
@@ -47,6 +47,8 @@
     /// False only when no byte of the request was handed to the connection, or the peer stated that it did not process
     /// it.
     bool written = true;
+    /// Nothing listens at the peer's address.
+    bool refused = false;
 };
 
 /// The complete response, or why there is none. A truncated response is an error.
--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -139,6 +139,7 @@
     Storage::GroupOptions options{GroupId("zone:svealand"), node.id, initial_, "data/zone"};
     options.snapshotAfterEntries = snapshotAfterEntries;
     options.keptEntries = 20;
+    options.timing = timing;
     node.files.forgetSyncs = false;
     auto opened = Storage::ReplicatedGroup::open(local(node), options, node.files, *node.machine,
                                                  RandomSource(random.below(1ULL << 32)));
@@ -162,6 +163,22 @@
     node.group.reset();
     node.files.crash(random);
     ++node.life;
+    if (tellsStops)
+        tellStop(node);
+}
+
+void Cluster::tellStop(const Node &stopped)
+{
+    for (auto &other : nodes) {
+        if (other.get() == &stopped || network.cuts.contains({stopped.id, other->id}))
+            continue;
+        schedule(network.delay, [this, &node = *other, id = stopped.id, life = other->life] {
+            if (node.life != life || !node.group || node.isPaused)
+                return;
+            node.group->memberStopped(local(node), id);
+            afterEvent(node);
+        });
+    }
 }
 
 void Cluster::pause(Node &node, bool isPaused)
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -3,6 +3,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "replication/statemachine.h"
+#include "replication/timing.h"
 #include "storage/memoryfilesystem.h"
 #include "storage/replicatedgroup.h"
 
@@ -141,9 +142,11 @@
     std::uint64_t bytes = 0;
     bool countBytes = false;
     std::set<std::string> acceptedCommands;
+    Timing timing;
     Duration tickInterval = 50ms;
     Duration syncDuration = 1ms;
     std::uint64_t snapshotAfterEntries = 60;
+    bool tellsStops = false; ///< that a node crashed is told to those that reach it
     bool hasLyingDisks = false; ///< what running replicas sync is lost at a crash
 
 private:
@@ -154,6 +157,7 @@
         bool operator>(const Event &other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
     };
 
+    void tellStop(const Node &stopped);
     void schedule(Duration delay, std::function<void()> action);
     void scheduleTick(Node &node);
     void deliver(const Message &message);
--- a/tests/auto/replication/schedule.cpp
+++ b/tests/auto/replication/schedule.cpp
@@ -18,6 +18,12 @@
     : cluster(seed, seed % 4 == 3 ? 5 : 3, seed % 2, 1)
 {
     cluster.network.delay = linkDelays[seed % linkDelays.size()];
+    cluster.tellsStops = seed % 5 == 4;
+    if (seed % 7 == 6) {
+        cluster.timing = Timing::fast();
+        cluster.tickInterval = 20ms;
+        cluster.restartAll();
+    }
     cluster.syncDuration = syncDurations[seed / linkDelays.size() % syncDurations.size()];
 }
 
--- a/tests/auto/replication/tst_replication.cpp
+++ b/tests/auto/replication/tst_replication.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(checkerReportsForgottenVotesAndEntries);
     CPPUNIT_TEST(checkerReportsOverlappingAuthority);
     CPPUNIT_TEST(secondLossRightAfterRepair);
+    CPPUNIT_TEST(stoppedLeaderIsFollowedAtOnce);
+    CPPUNIT_TEST(leaderDoesNotRelyOnStoppedMembers);
     CPPUNIT_TEST(memberCutOffForAnHour);
     CPPUNIT_TEST(pausedLeaderDoesNothingOnItsOldAuthority);
     CPPUNIT_TEST(restartedVoterWaitsForTheOldAuthority);
@@ -120,6 +122,41 @@
         assertSound(cluster);
     }
 
+    // Guards against waiting for the authority of a leader whose process has ended: no work starts meanwhile.
+    void stoppedLeaderIsFollowedAtOnce()
+    {
+        for (std::uint64_t seed = 0; seed < 50; ++seed) {
+            Cluster cluster(seed, 3);
+            cluster.network.delay = 8ms;
+            cluster.tickInterval = 20ms;
+            cluster.tellsStops = true;
+            cluster.proposeAndWait("before");
+            cluster.crash(*cluster.leader());
+            const TimePoint since = cluster.now;
+            CPPUNIT_ASSERT(cluster.proposeAndWait("after"));
+            CPPUNIT_ASSERT(cluster.now - since < 400ms);
+            assertSound(cluster);
+        }
+    }
+
+    // Guards against two leaders that answer: a network may refuse connections in the name of members that go on.
+    void leaderDoesNotRelyOnStoppedMembers()
+    {
+        Cluster cluster(15, 3);
+        Cluster::Node &leader = cluster.awaitLeader();
+        cluster.run(1s);
+        CPPUNIT_ASSERT(leader.group->hasAuthority(cluster.local(leader)));
+        cluster.isolate(leader);
+        for (auto &node : cluster.nodes) {
+            if (node.get() != &leader)
+                leader.group->memberStopped(cluster.local(leader), node->id);
+        }
+        CPPUNIT_ASSERT(!leader.group->hasAuthority(cluster.local(leader)));
+        cluster.healAll();
+        cluster.run(1s);
+        CPPUNIT_ASSERT(cluster.awaitLeader().group->hasAuthority(cluster.local(cluster.awaitLeader())));
+    }
+
     // Guards against a returning member that raises the term and so unseats the leader.
     void memberCutOffForAnHour()
     {
--- a/tests/auto/transport/tst_http2.cpp
+++ b/tests/auto/transport/tst_http2.cpp
@@ -132,14 +132,19 @@
         auto server = std::make_unique<Http2Server>(loop_, Http2ServerLimits{}, handler);
         const auto port = server->listen({"127.0.0.1", 0}).value();
         Http2Client client(loop_, {"127.0.0.1", port}, {}, 1);
+        int lost = 0;
+        client.onConnectionLost([&] { ++lost; });
         client.call({}, 10s, keep());
         CPPUNIT_ASSERT(runUntil(loop_, [&] { return held.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(0, lost);
         server.reset();
         awaitResult();
         CPPUNIT_ASSERT(result_->has_error() && result_->error().written);
+        CPPUNIT_ASSERT(!result_->error().refused); // the connection was lost, which proves nothing of the peer
+        CPPUNIT_ASSERT(runUntil(loop_, [&] { return lost == 1; }));
         client.call({}, 10s, keep());
         awaitResult();
-        CPPUNIT_ASSERT(result_->has_error() && !result_->error().written);
+        CPPUNIT_ASSERT(result_->has_error() && !result_->error().written && result_->error().refused);
         CPPUNIT_ASSERT_EQUAL(1, handled);
 
         server = std::make_unique<Http2Server>(loop_, Http2ServerLimits{}, handler);
