Keep and make room for large tasks, and learn run times by queue and step

Change: each large task that does not fit has room kept on the minion where it is expected first, by the progress of what runs there; others get what is left over. If that takes over a second, work of later queues that can go on from a checkpoint and has time to spare is stopped, each task at most twice. Expected run times come from a line fitted for each queue and from the tasks of the same step that have ended.

Tests without the bench: RoomPlanTest, and two of SchedulerTest that fail without the change.

--- a/src/libs/jobs/bookevents.cpp
+++ b/src/libs/jobs/bookevents.cpp
@@ -58,8 +58,11 @@
     finished_[now_.time + settings_.finishedRetention].push_back(job.id());
     queue_.removeJob(job.id());
     begun_.erase(job.id());
+    durations_.forgetJob(job.id());
     movedTasks_.erase(movedTasks_.lower_bound({{job.id(), 0, 0}, 0}),
                       movedTasks_.lower_bound({{job.id() + '\0', 0, 0}, 0}));
+    preemptions_.erase(preemptions_.lower_bound({{job.id(), 0, 0}, 0}),
+                       preemptions_.lower_bound({{job.id() + '\0', 0, 0}, 0}));
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
             advice_.forgetStep({job.id(), occurrence, number});
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -1,5 +1,6 @@
 #include "jobs/jobscheduler.h"
 
+#include "jobs/demand.h"
 #include "jobs/jobbook.h"
 #include "jobs/minionrecord.h"
 #include "jobs/schedulerports.h"
@@ -19,11 +20,6 @@
 
 constexpr Duration planInterval = 200ms; ///< without a change; tickets expire and minions become usable again
 
-Amounts reservedBy(const Wire::JobStep &step)
-{
-    return {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
-}
-
 } // namespace
 
 JobScheduler::JobScheduler(JobBook &book, SchedulerPorts &ports, const SchedulerSettings &settings)
@@ -64,6 +60,8 @@
     finished_.clear();
     begun_.clear();
     movedTasks_.clear();
+    durations_.clearSteps();
+    preemptions_.clear();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
         for (const auto &stored : waiting)
             stored(false);
@@ -82,6 +80,8 @@
     finished_.clear();
     begun_.clear();
     movedTasks_.clear();
+    durations_.clearSteps();
+    preemptions_.clear();
     for (const auto &[id, minion] : book_.minions()) {
         fleet_.add(toReport(minion));
         // An earlier leader may have given a lease up to now.
@@ -124,7 +124,7 @@
                 Run run;
                 run.run = task.run;
                 run.reserved = reservedBy(job.spec(number));
-                run.estimate = std::chrono::milliseconds(job.spec(number).estimate_ms());
+                run.expected = expectedRunTime(job, {job.id(), occurrence, number});
                 run.phase = RunPhase::Adopted;
                 run.phaseSince = now_.time;
                 minion->add({{job.id(), occurrence, number}, index}, run);
@@ -194,6 +194,29 @@
     return now_.time - std::chrono::milliseconds(age);
 }
 
+StepTimes JobScheduler::timesOf(const Job &job, const Wire::JobQueue &queue, const StepName &step) const
+{
+    return stepTimes(job, queue, step, acceptedTime(job, step.occurrence), durations_);
+}
+
+Duration JobScheduler::expectedRunTime(const Job &job, const StepName &step) const
+{
+    return durations_.expected(job.submission().queue(), step,
+                               std::chrono::milliseconds(job.spec(step.step).estimate_ms()));
+}
+
+void JobScheduler::learnRunTime(const Job &job, const TaskName &task, Duration took)
+{
+    durations_.learn(job.submission().queue(), task.step,
+                     std::chrono::milliseconds(job.spec(task.step.step).estimate_ms()), took);
+    const auto *queue = book_.queue(job.submission().queue());
+    for (std::uint32_t number = 0; queue && number < job.stepsPerOccurrence(); ++number) {
+        const StepName step{job.id(), task.step.occurrence, number};
+        if (queue_.steps().contains(step))
+            queue_.update(step, timesOf(job, *queue, step));
+    }
+}
+
 void JobScheduler::jobAccepted(const Job &job)
 {
     if (leading_)
@@ -226,7 +249,8 @@
     const auto *queue = book_.queue(job.submission().queue());
     if (!queue)
         return;
-    queue_.add(now_.time, job, *queue, task, acceptedTime(job, task.step.occurrence));
+    const auto &step = job.spec(task.step.step);
+    queue_.add(now_.time, queue->service(), step, task, timesOf(job, *queue, task.step));
     services_[queue->service()] = now_.time;
     dirty_ = true;
 }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "jobs/adviceledger.h"
+#include "jobs/durationmodel.h"
 #include "jobs/fleet.h"
 #include "jobs/jobbookobserver.h"
+#include "jobs/roomplan.h"
 #include "jobs/speedtable.h"
 #include "jobs/workqueue.h"
 
@@ -17,6 +19,7 @@
 namespace Pistachio::Wire
 {
 class JobCommand;
+class JobQueue;
 class JobStep;
 } // namespace Pistachio::Wire
 
@@ -108,6 +111,9 @@
     void enqueueJob(const Job &job);
     void enqueue(const Job &job, const TaskName &task);
     void adoptRuns(const Job &job);
+    [[nodiscard]] StepTimes timesOf(const Job &job, const Wire::JobQueue &queue, const StepName &step) const;
+    [[nodiscard]] Duration expectedRunTime(const Job &job, const StepName &step) const;
+    void learnRunTime(const Job &job, const TaskName &task, Duration took);
     [[nodiscard]] TimePoint acceptedTime(const Job &job, std::uint32_t occurrence) const;
     void releaseDueOccurrences();
     void forgetFinished();
@@ -145,7 +151,13 @@
     Minion *bestMinion(const Job &job, const StepName &step, const TaskName &task, const std::string &rack);
     bool askAdvice(const StepName &name, const Job &job);
     void askAhead(const Job &job, const StepName &name);
+
+    // reservations.cpp
     void reserveFor(const WaitingEntry &entry, const Job &job);
+    void keepRoom(const WaitingEntry &entry, const Job &job);
+    [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
+                                     const Wire::JobQueue &queue) const;
+    void preemptFor(const WaitingEntry &entry, const Job &job, Minion &minion);
 
     JobBook &book_;
     SchedulerPorts &ports_;
@@ -157,12 +169,15 @@
     WorkQueue queue_;
     AdviceLedger advice_;
     SpeedTable speeds_;
+    DurationModel durations_;
     std::map<std::string, std::vector<std::function<void(bool)>>> reportsToStore_; ///< by minion id
     std::map<std::int64_t, std::vector<TaskName>> notDue_; ///< first tasks of later occurrences, by due time
     std::map<TimePoint, std::vector<std::string>> finished_; ///< jobs by the time at which they may be forgotten
     std::set<std::string> reserved_; ///< minions kept for a gang in this round
+    RoomPlan roomPlan_;
     std::map<std::string, TimePoint> services_; ///< that have waiting work
     std::set<TaskName> movedTasks_; ///< away from a minion where they stood still; each only once
+    std::map<TaskName, std::uint32_t> preemptions_; ///< of active jobs
     std::set<std::string> begun_; ///< active jobs of which a start was confirmed
     bool dirty_ = true; ///< something changed since the last plan
     TimePoint lastPlan_{};
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -48,7 +48,7 @@
     std::uint32_t percent = 0;
     TimePoint progressAt{}; ///< of the last change of percent
     TimePoint startedAt{};
-    Duration estimate{}; ///< as declared
+    Duration expected{}; ///< run time from its start to its end
     bool isStalled = false; ///< hardly moved between the last two looks
     std::int64_t measure = 0;
     std::uint32_t pace = 100;
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -1,3 +1,4 @@
+#include "jobs/demand.h"
 #include "jobs/jobbook.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/schedulerports.h"
@@ -28,11 +29,6 @@
 constexpr std::size_t failuresOfShortRound = 16;
 constexpr std::size_t maxStepsAsked = 16; ///< in one round, so that pressing steps come first
 
-Amounts demandOf(const Wire::JobStep &step)
-{
-    return {step.milli_cores(), step.memory_mb(), step.accelerators()};
-}
-
 } // namespace
 
 void JobScheduler::plan()
@@ -45,6 +41,7 @@
     Wire::JobCommand command;
     for (const auto &[service, since] : services_) {
         reserved_.clear();
+        roomPlan_.clear();
         planService(service, command);
     }
     if (command.assignments_size() > 0)
@@ -76,6 +73,8 @@
         if (entry->second.lasts || (isGang && reservations < maxReservations)) {
             reserveFor(*entry, *job);
             reservations += isGang ? 1 : 0;
+        } else if (!isGang) {
+            keepRoom(*entry, *job);
         }
     }
 }
@@ -85,8 +84,7 @@
 {
     const auto *queue = book_.queue(job.submission().queue());
     if (!queue || !queue->needs_advice()
-        || std::chrono::milliseconds(job.spec(name.step).estimate_ms())
-            > std::chrono::milliseconds(queue->ticket_validity_ms()))
+        || expectedRunTime(job, name) > std::chrono::milliseconds(queue->ticket_validity_ms()))
         return;
     for (std::uint32_t number = name.step + 1; number < job.stepsPerOccurrence(); ++number) {
         const auto &needed = job.spec(number).depends_on();
@@ -132,14 +130,15 @@
     const auto &step = job.spec(name.step);
     const auto needed = ticketNeededUntil(job);
     const auto waiting = queue_.steps().find(name);
-    const bool isTight = waiting != queue_.steps().end() && waiting->second.latestStart < now_.time + tightSlack;
+    const bool isTight = waiting != queue_.steps().end() && waiting->second.times.latestStart < now_.time + tightSlack;
     const double slownessWeight = isTight ? tightSlownessWeight : looseSlownessWeight;
     Minion *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
     const auto consider = [&](Minion &minion) {
         const auto &id = minion.report.life.id;
         if (!isUsable(minion) || !fits(minion, step, name) || reserved_.contains(id) || !mayRun(minion, job, name)
-            || minion.runs.contains(task) || (!rack.empty() && !minion.hasLabel(rack)))
+            || !roomPlan_.allows(id, demandOf(step)) || minion.runs.contains(task)
+            || (!rack.empty() && !minion.hasLabel(rack)))
             return;
         auto room = minion.room();
         room -= demandOf(step);
@@ -174,14 +173,12 @@
     const auto &step = job.spec(task.step.step);
     Run planned;
     planned.run = run;
-    planned.reserved = demandOf(step);
-    if (step.uses_spare_cores()) {
-        planned.spareMilliCores = step.milli_cores();
-        planned.reserved.milliCores = 0;
-    }
+    planned.reserved = reservedBy(step);
+    planned.spareMilliCores = step.uses_spare_cores() ? step.milli_cores() : 0;
     planned.phaseSince = now_.time;
-    planned.estimate = std::chrono::milliseconds(step.estimate_ms());
+    planned.expected = expectedRunTime(job, task.step);
     minion.add(task, planned);
+    roomPlan_.taken(minion.report.life.id, planned.reserved);
     auto &assignment = *command.add_assignments();
     fill(*assignment.mutable_task(), task);
     assignment.set_run(run);
@@ -194,7 +191,7 @@
     const StepName name = entry.first;
     const auto waiting = entry.second.tasks;
     const auto since = entry.second.readySince;
-    const auto slack = entry.second.latestStart - now_.time;
+    const auto slack = entry.second.times.latestStart - now_.time;
     std::size_t placed = 0;
     std::string where;
     for (const auto index : waiting) {
@@ -271,7 +268,7 @@
                        {"placed", where},
                        {"configuration", book_.configuration().version()},
                        {"waited_ms", (now_.time - entry.second.readySince) / 1ms},
-                       {"slack_ms", (entry.second.latestStart - now_.time) / 1ms}});
+                       {"slack_ms", (entry.second.times.latestStart - now_.time) / 1ms}});
         for (const auto &item : placed)
             queue_.remove(item.task);
         return true;
@@ -307,40 +304,6 @@
     return true;
 }
 
-void JobScheduler::reserveFor(const WaitingEntry &entry, const Job &job)
-{
-    const auto &name = entry.first;
-    const auto needsTicket = ticketNeededUntil(job).has_value();
-    // The minions with the most room are free first.
-    std::vector<std::pair<std::int64_t, std::string>> candidates;
-    for (const auto &[id, minion] : fleet_.minions()) {
-        if (!isUsable(minion) || reserved_.contains(id) || !mayRun(minion, job, name))
-            continue;
-        if (needsTicket && !advice_.isApproved(name, id))
-            continue;
-        const auto room = minion.room();
-        candidates.emplace_back(-(room.accelerators * 100'000 + room.milliCores), id);
-    }
-    std::sort(candidates.begin(), candidates.end());
-    const auto &step = job.spec(name.step);
-    std::uint32_t covered = 0;
-    for (const auto &[room, id] : candidates) {
-        if (covered >= entry.second.tasks.size())
-            return;
-        const auto capacity = fleet_.find(id)->capacity();
-        std::uint32_t here = 0;
-        Amounts sum = demandOf(step);
-        while (sum.fitsIn(capacity) && here < step.tasks()) {
-            ++here;
-            sum += demandOf(step);
-        }
-        if (step.max_per_minion() > 0)
-            here = std::min(here, step.max_per_minion());
-        covered += here;
-        reserved_.insert(id);
-    }
-}
-
 void JobScheduler::adviceAnswered(const Now &now, const AdviceRequest &request, bool answered,
                                   const std::vector<ApprovedMinion> &approved)
 {
--- /dev/null
+++ b/src/libs/jobs/reservations.cpp
@@ -0,0 +1,139 @@
+// Room kept for work that does not fit yet, and work stopped to make it.
+
+#include "jobs/demand.h"
+#include "jobs/jobbook.h"
+#include "jobs/jobscheduler.h"
+#include "jobs/schedulerports.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Pistachio::Jobs
+{
+
+using Logging::LogLevel;
+
+namespace
+{
+constexpr Duration openingAwaited = 1s; ///< stopping work and starting it elsewhere takes about as long
+constexpr Duration preemptedSlack = 2s; ///< left to the job of a stopped task, or it would miss its objective
+constexpr std::uint32_t mostPreemptions = 2; ///< of one task
+} // namespace
+
+/// Keeps room for large tasks where it is expected first.
+void JobScheduler::keepRoom(const WaitingEntry &entry, const Job &job)
+{
+    const auto &name = entry.first;
+    const auto &step = job.spec(name.step);
+    const auto demand = demandOf(step);
+    const bool needsTicket = ticketNeededUntil(job).has_value();
+    std::vector<std::pair<RoomPlan::Opening, std::string>> openings;
+    for (const auto &[id, minion] : fleet_.minions()) {
+        if (!isLarge(demand, minion.capacity()) || !isUsable(minion) || roomPlan_.isKept(id) || reserved_.contains(id)
+            || !mayRun(minion, job, name) || (needsTicket && !advice_.isApproved(name, id)))
+            continue;
+        if (const auto opening = RoomPlan::openingFor(minion, demand, now_.time))
+            openings.emplace_back(*opening, id);
+    }
+    const auto count = std::min(entry.second.tasks.size(), openings.size());
+    std::partial_sort(openings.begin(), openings.begin() + static_cast<std::ptrdiff_t>(count), openings.end(),
+                      [](const auto &left, const auto &right) { return left.first.at < right.first.at; });
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto &[opening, id] = openings[number];
+        roomPlan_.keep(id, opening);
+        if (opening.at > now_.time + openingAwaited)
+            preemptFor(entry, job, *fleet_.find(id));
+    }
+}
+
+bool JobScheduler::isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
+                                 const Wire::JobQueue &queue) const
+{
+    const auto *job = book_.job(task.step.job);
+    const auto *other = job ? book_.queue(job->submission().queue()) : nullptr;
+    if (!other || other->priority() <= queue.priority() || run.phase != RunPhase::Running)
+        return false;
+    const auto &step = job->spec(task.step.step);
+    if (!step.checkpointing() || step.gang() || step.long_running())
+        return false;
+    const auto count = preemptions_.find(task);
+    if (count != preemptions_.end() && count->second >= mostPreemptions)
+        return false;
+    return timesOf(*job, *other, task.step).latestStart
+        > std::max(now_.time + preemptedSlack, entry.second.times.latestStart);
+}
+
+/// Stops work of queues that come later, and can go on from a checkpoint, so that a large task fits at once.
+void JobScheduler::preemptFor(const WaitingEntry &entry, const Job &job, Minion &minion)
+{
+    const auto *queue = book_.queue(job.submission().queue());
+    const auto demand = demandOf(job.spec(entry.first.step));
+    auto room = minion.room();
+    std::vector<std::pair<TaskName, Run *>> victims;
+    for (auto &[task, run] : minion.runs) {
+        if (run.phase == RunPhase::Stopping || run.phase == RunPhase::Ending)
+            room += run.reserved;
+        else if (isPreemptable(task, run, entry, *queue))
+            victims.emplace_back(task, &run);
+    }
+    // Those that would hold the room longest.
+    std::sort(victims.begin(), victims.end(), [this](const auto &left, const auto &right) {
+        return RoomPlan::expectedEnd(*left.second, now_.time) > RoomPlan::expectedEnd(*right.second, now_.time);
+    });
+    std::size_t needed = 0;
+    while (!demand.fitsIn(room) && needed < victims.size())
+        room += victims[needed++].second->reserved;
+    if (!demand.fitsIn(room))
+        return;
+    for (std::size_t number = 0; number < needed; ++number) {
+        const auto &[task, run] = victims[number];
+        ++preemptions_[task];
+        ports_.record(LogLevel::Info, "task-preempted",
+                      {{"task", task.toString()},
+                       {"run", run->run},
+                       {"minion", minion.report.life.id},
+                       {"percent", run->percent},
+                       {"for", entry.first.toString()},
+                       {"slack_ms", (entry.second.times.latestStart - now_.time) / 1ms}});
+        sendStop(minion, task, *run);
+    }
+}
+
+void JobScheduler::reserveFor(const WaitingEntry &entry, const Job &job)
+{
+    const auto &name = entry.first;
+    const auto needsTicket = ticketNeededUntil(job).has_value();
+    // The minions with the most room are free first.
+    std::vector<std::pair<std::int64_t, std::string>> candidates;
+    for (const auto &[id, minion] : fleet_.minions()) {
+        if (!isUsable(minion) || reserved_.contains(id) || !mayRun(minion, job, name))
+            continue;
+        if (needsTicket && !advice_.isApproved(name, id))
+            continue;
+        const auto room = minion.room();
+        candidates.emplace_back(-(room.accelerators * 100'000 + room.milliCores), id);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    const auto &step = job.spec(name.step);
+    std::uint32_t covered = 0;
+    for (const auto &[room, id] : candidates) {
+        if (covered >= entry.second.tasks.size())
+            return;
+        const auto capacity = fleet_.find(id)->capacity();
+        std::uint32_t here = 0;
+        Amounts sum = demandOf(step);
+        while (sum.fitsIn(capacity) && here < step.tasks()) {
+            ++here;
+            sum += demandOf(step);
+        }
+        if (step.max_per_minion() > 0)
+            here = std::min(here, step.max_per_minion());
+        covered += here;
+        reserved_.insert(id);
+    }
+}
+
+} // namespace Pistachio::Jobs
--- a/src/libs/jobs/runlists.cpp
+++ b/src/libs/jobs/runlists.cpp
@@ -1,5 +1,6 @@
 // What minions list in answer to a hold: runs that are active, runs that ended, and what is missing.
 
+#include "jobs/demand.h"
 #include "jobs/jobbook.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/schedulerports.h"
@@ -22,7 +23,7 @@
 constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration holdRetryLost = 1s; ///< of a minion whose lease is over
 constexpr Duration stallWindow = 700ms; ///< between two looks at a task's progress
-constexpr double stallShare = 0.12; ///< of the progress that the estimate promises
+constexpr double stallShare = 0.12; ///< of the progress that is expected
 constexpr Duration avoidAfterStall = 1500ms;
 
 Wire::JobRunEnd toWire(RunEnd how)
@@ -115,10 +116,8 @@
         orphan.run = active.run;
         orphan.isOrphan = true;
         orphan.phase = RunPhase::Running;
-        if (job && active.task.step.step < job->stepsPerOccurrence()) {
-            const auto &step = job->spec(active.task.step.step);
-            orphan.reserved = {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
-        }
+        if (job && active.task.step.step < job->stepsPerOccurrence())
+            orphan.reserved = reservedBy(job->spec(active.task.step.step));
         minion.add(active.task, orphan);
         found = minion.runs.find(active.task);
         ports_.record(LogLevel::Warning, "orphan-run",
@@ -150,14 +149,14 @@
     const auto *job = book_.job(active.task.step.job);
     const auto since = now_.time - run.progressAt;
     if (!job || run.phase != RunPhase::Running || job->spec(active.task.step.step).long_running()
-        || run.estimate <= Duration::zero()) {
+        || run.expected <= Duration::zero()) {
         run.percent = active.percent;
         run.progressAt = now_.time;
         return;
     }
     if (since < stallWindow)
         return;
-    const double expected = 100.0 * static_cast<double>(since.count()) / static_cast<double>(run.estimate.count());
+    const double expected = 100.0 * static_cast<double>(since.count()) / static_cast<double>(run.expected.count());
     const double moved = static_cast<double>(active.percent) - static_cast<double>(run.percent);
     run.isStalled = active.percent < 100 && moved < std::min(expected, 100.0) * stallShare;
     run.percent = active.percent;
@@ -169,7 +168,7 @@
     std::size_t stalled = 0;
     std::size_t moving = 0;
     for (const auto &[task, run] : minion.runs) {
-        if (run.phase != RunPhase::Running || run.estimate <= Duration::zero())
+        if (run.phase != RunPhase::Running || run.expected <= Duration::zero())
             continue;
         (run.isStalled ? stalled : moving) += 1;
     }
@@ -208,10 +207,13 @@
         }
     } else if (ended.how == RunEnd::Done) {
         minion.failuresInRow = 0;
-        // A run that is far from its data, or resumed, says nothing about the minion.
-        if (isKnown && job && found->second.startedAt != TimePoint{} && found->second.checkpoint.empty()
-            && minion.hasLabel(job->spec(ended.task.step.step).data_rack()))
-            speeds_.learn(minion.kind(), now_.time - found->second.startedAt, found->second.estimate);
+        // A run that is far from its data, or resumed, says nothing about the minion or the task.
+        if (isKnown && job && found->second.startedAt != TimePoint{} && job->task(ended.task)->checkpoint.empty()
+            && minion.hasLabel(job->spec(ended.task.step.step).data_rack())) {
+            const auto took = now_.time - found->second.startedAt;
+            speeds_.learn(minion.kind(), took, found->second.expected);
+            learnRunTime(*job, ended.task, took);
+        }
     }
     if (ended.how != RunEnd::Done) {
         ports_.record(LogLevel::Info, "run-ended",
--- a/src/libs/jobs/speedtable.cpp
+++ b/src/libs/jobs/speedtable.cpp
@@ -7,17 +7,17 @@
 
 namespace
 {
-constexpr double samplesNeeded = 5; ///< single estimates are far off
+constexpr double samplesNeeded = 5; ///< single run times differ much
 constexpr double keptShare = 0.995; ///< of the weight of earlier samples, so that a change shows within a few hundred
 constexpr double highestRatio = 4; ///< a task that stood still says little about the kind
 } // namespace
 
-void SpeedTable::learn(const std::string &kind, Duration took, Duration estimate)
+void SpeedTable::learn(const std::string &kind, Duration took, Duration expected)
 {
-    if (estimate <= Duration::zero())
+    if (expected <= Duration::zero())
         return;
     const double ratio
-        = std::min(highestRatio, static_cast<double>(took.count()) / static_cast<double>(estimate.count()));
+        = std::min(highestRatio, static_cast<double>(took.count()) / static_cast<double>(expected.count()));
     auto &mean = kinds_[kind];
     mean.sum = mean.sum * keptShare + ratio;
     mean.weight = mean.weight * keptShare + 1;
--- a/src/libs/jobs/speedtable.h
+++ b/src/libs/jobs/speedtable.h
@@ -8,14 +8,14 @@
 namespace Pistachio::Jobs
 {
 
-/// How fast the kinds of minions are, learned from the run times of tasks against their estimates.
+/// How fast the kinds of minions are, learned from the run times of tasks against what was expected.
 class SpeedTable
 {
 public:
     /// Takes note of a task that was done in one run.
-    void learn(const std::string &kind, Duration took, Duration estimate);
+    void learn(const std::string &kind, Duration took, Duration expected);
 
-    /// \return the mean run time in parts of the estimate; 1 while little is known.
+    /// \return the mean run time in parts of what is expected; 1 while little is known.
     [[nodiscard]] double slowness(const std::string &kind) const;
 
 private:
--- a/src/libs/jobs/workqueue.cpp
+++ b/src/libs/jobs/workqueue.cpp
@@ -1,5 +1,6 @@
 #include "jobs/workqueue.h"
 
+#include "jobs/durationmodel.h"
 #include "jobs/job.h"
 
 #include <jobs.pb.h>
@@ -14,14 +15,17 @@
 
 constexpr int lateFactor = 3; ///< a job is of some use until this many times its objective
 
-std::vector<Duration> chains(const Job &job)
+/// \return for each step the longest chain of expected run times from there to the end of the job.
+std::vector<Duration> chains(const Job &job, std::uint32_t occurrence, const DurationModel &durations)
 {
     const auto count = job.stepsPerOccurrence();
     std::vector<Duration> after(count, Duration::zero());
     std::vector<Duration> chain(count, Duration::zero());
     for (std::uint32_t number = count; number-- > 0;) {
         const auto &step = job.spec(number);
-        chain[number] = after[number] + Duration(std::chrono::milliseconds(step.estimate_ms()));
+        chain[number] = after[number]
+            + durations.expected(job.submission().queue(), {job.id(), occurrence, number},
+                                 std::chrono::milliseconds(step.estimate_ms()));
         for (const auto earlier : step.depends_on())
             after[earlier] = std::max(after[earlier], chain[number]);
     }
@@ -33,42 +37,43 @@
 {
     if (step.lasts)
         return 0;
-    if (now <= step.latestStart)
+    if (now <= step.times.latestStart)
         return 1;
-    return now <= step.latestUsefulStart ? 2 : 3;
+    return now <= step.times.latestUsefulStart ? 2 : 3;
 }
 
 } // namespace
 
-Duration remainingChain(const Job &job, std::uint32_t step)
+StepTimes stepTimes(const Job &job, const Wire::JobQueue &queue, const StepName &step, TimePoint accepted,
+                    const DurationModel &durations)
 {
-    return chains(job)[step];
+    const auto all = chains(job, step.occurrence, durations);
+    const auto whole = *std::max_element(all.begin(), all.end());
+    const auto objective
+        = Duration(static_cast<std::int64_t>(static_cast<double>(whole.count()) * std::max(1.0, queue.slack_factor())))
+        + Duration(std::chrono::milliseconds(queue.target_latency_ms()));
+    const auto remaining = all[step.step];
+    return {accepted + objective - remaining, accepted + objective * lateFactor - remaining};
 }
 
-Duration wholeChain(const Job &job)
+void WorkQueue::add(TimePoint now, const std::string &service, const Wire::JobStep &step, const TaskName &task,
+                    const StepTimes &times)
 {
-    const auto all = chains(job);
-    return all.empty() ? Duration::zero() : *std::max_element(all.begin(), all.end());
+    auto &waiting = steps_[task.step];
+    if (waiting.tasks.empty()) {
+        waiting.readySince = now;
+        waiting.times = times;
+        waiting.lasts = step.long_running();
+        waiting.service = service;
+    }
+    waiting.tasks.insert(task.index);
 }
 
-void WorkQueue::add(TimePoint now, const Job &job, const Wire::JobQueue &queue, const TaskName &task,
-                    TimePoint accepted)
+void WorkQueue::update(const StepName &step, const StepTimes &times)
 {
-    auto &step = steps_[task.step];
-    if (step.tasks.empty()) {
-        const auto whole = wholeChain(job);
-        const auto objective = Duration(static_cast<std::int64_t>(static_cast<double>(whole.count())
-                                                                  * std::max(1.0, queue.slack_factor())))
-            + Duration(std::chrono::milliseconds(queue.target_latency_ms()));
-        const auto remaining = remainingChain(job, task.step.step);
-        step.readySince = now;
-        step.latestStart = accepted + objective - remaining;
-        step.latestUsefulStart = accepted + objective * lateFactor - remaining;
-        step.priority = queue.priority();
-        step.lasts = job.spec(task.step.step).long_running();
-        step.service = queue.service();
-    }
-    step.tasks.insert(task.index);
+    const auto found = steps_.find(step);
+    if (found != steps_.end())
+        found->second.times = times;
 }
 
 void WorkQueue::remove(const TaskName &task)
@@ -107,7 +112,7 @@
         const int rightLateness = lateness(right->second, now);
         if (leftLateness != rightLateness)
             return leftLateness < rightLateness;
-        return left->second.latestStart < right->second.latestStart;
+        return left->second.times.latestStart < right->second.times.latestStart;
     });
     return result;
 }
--- a/src/libs/jobs/workqueue.h
+++ b/src/libs/jobs/workqueue.h
@@ -12,20 +12,30 @@
 namespace Pistachio::Wire
 {
 class JobQueue;
-}
+class JobStep;
+} // namespace Pistachio::Wire
 
 namespace Pistachio::Jobs
 {
 
+class DurationModel;
 class Job;
 
+/// When a step must start, by the run times that are expected.
+struct StepTimes {
+    TimePoint latestStart{}; ///< a later start misses the job's objective
+    TimePoint latestUsefulStart{}; ///< a later start earns nothing
+};
+
+/// \param accepted when the job was handed in, or its occurrence was due
+[[nodiscard]] StepTimes stepTimes(const Job &job, const Wire::JobQueue &queue, const StepName &step, TimePoint accepted,
+                                  const DurationModel &durations);
+
 /// A step whose turn has come, with the tasks that wait for a minion.
 struct WaitingStep {
     std::set<std::uint32_t> tasks;
     TimePoint readySince{};
-    TimePoint latestStart{}; ///< a later start misses the job's objective, by the declared estimates
-    TimePoint latestUsefulStart{}; ///< a later start earns nothing
-    std::uint32_t priority = 0;
+    StepTimes times;
     bool lasts = false; ///< its tasks serve all the time, so that each second without them is lost
     std::string service;
 };
@@ -34,9 +44,13 @@
 class WorkQueue
 {
 public:
-    /// Adds waiting tasks of a step.
-    /// \param accepted when the job was handed in, or its occurrence was due
-    void add(TimePoint now, const Job &job, const Wire::JobQueue &queue, const TaskName &task, TimePoint accepted);
+    /// Adds a waiting task of a step.
+    /// \param times when the step must start
+    void add(TimePoint now, const std::string &service, const Wire::JobStep &step, const TaskName &task,
+             const StepTimes &times);
+
+    /// Replaces the times of a step, if it waits.
+    void update(const StepName &step, const StepTimes &times);
     void remove(const TaskName &task);
     void removeJob(const std::string &job);
     void clear() { steps_.clear(); }
@@ -52,10 +66,4 @@
     std::map<StepName, WaitingStep> steps_;
 };
 
-/// \return the longest chain of estimated run times from \p step to the end of the job.
-[[nodiscard]] Duration remainingChain(const Job &job, std::uint32_t step);
-
-/// \return the longest chain of the whole job.
-[[nodiscard]] Duration wholeChain(const Job &job);
-
 } // namespace Pistachio::Jobs
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -16,6 +16,7 @@
 constexpr Duration orderTimeout = 700ms;
 constexpr std::int64_t startUnixMs = 1'000'000;
 const std::string queueKey = "host/queue/";
+const std::string laterKey = "host/later/"; ///< its work may be preempted
 
 } // namespace
 
@@ -27,13 +28,16 @@
     auto &configuration = *command.mutable_configuration();
     configuration.set_version(1);
     configuration.add_services()->set_name("service");
-    auto &queue = *configuration.add_queues();
-    queue.set_host("host");
-    queue.set_path_prefix("/queue/");
-    queue.set_service("service");
-    queue.set_max_attempts(3);
-    queue.set_slack_factor(2);
-    queue.set_timeout_ms(3000);
+    for (const std::uint32_t priority : {1U, 2U}) {
+        auto &queue = *configuration.add_queues();
+        queue.set_host("host");
+        queue.set_path_prefix(priority == 1 ? "/queue/" : "/later/");
+        queue.set_service("service");
+        queue.set_priority(priority);
+        queue.set_max_attempts(3);
+        queue.set_slack_factor(2 * priority);
+        queue.set_timeout_ms(3000);
+    }
     book_.apply(++index_, command.SerializeAsString());
     SchedulerPorts &ports = *this;
     scheduler_ = std::make_unique<JobScheduler>(book_, ports, SchedulerSettings());
@@ -80,11 +84,11 @@
     submit(id, spec);
 }
 
-void SimulatedCell::submit(const std::string &id, const Wire::JobSpec &spec)
+void SimulatedCell::submit(const std::string &id, const Wire::JobSpec &spec, Queue queue)
 {
     Wire::JobCommand command;
     command.mutable_submission()->set_id(id);
-    command.mutable_submission()->set_queue(queueKey);
+    command.mutable_submission()->set_queue(queue == Queue::Usual ? queueKey : laterKey);
     *command.mutable_submission()->mutable_spec() = spec;
     command.mutable_submission()->set_accepted_unix_ms(now().unixMs);
     book_.apply(++index_, command.SerializeAsString());
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -33,7 +33,9 @@
     /// Hands in a job of one step.
     void submit(const std::string &id, std::uint32_t tasks, std::int64_t milliCores,
                 const std::function<void(Pistachio::Wire::JobStep &)> &adjust = {});
-    void submit(const std::string &id, const Pistachio::Wire::JobSpec &spec);
+    enum class Queue { Usual, Later };
+    /// \param queue the later one has a lower priority
+    void submit(const std::string &id, const Pistachio::Wire::JobSpec &spec, Queue queue = Queue::Usual);
     void cancel(const std::string &id);
 
     void run(Duration span);
--- /dev/null
+++ b/tests/auto/jobs/tst_roomplan.cpp
@@ -0,0 +1,123 @@
+#include "jobs/durationmodel.h"
+#include "jobs/roomplan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobs;
+
+namespace
+{
+
+constexpr TimePoint start{1h};
+
+Minion minionWith(std::int64_t milliCores)
+{
+    Minion minion;
+    minion.report.milliCores = milliCores;
+    minion.report.memoryMb = 1000;
+    return minion;
+}
+
+Run running(std::int64_t milliCores, Duration expected)
+{
+    Run run;
+    run.reserved.milliCores = milliCores;
+    run.phase = RunPhase::Running;
+    run.startedAt = start;
+    run.progressAt = start;
+    run.expected = expected;
+    return run;
+}
+
+} // namespace
+
+class RoomPlanTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RoomPlanTest);
+    CPPUNIT_TEST(openingComesWhenEnoughHasEnded);
+    CPPUNIT_TEST(progressCountsMoreThanWhatWasExpected);
+    CPPUNIT_TEST(onlyWhatIsLeftOverIsGivenAway);
+    CPPUNIT_TEST(uselessEstimatesAreDiscounted);
+    CPPUNIT_TEST(usefulEstimatesAreKept);
+    CPPUNIT_TEST(tasksOfAStepResembleEachOther);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Room that is kept where it comes last delays the task it is for.
+    void openingComesWhenEnoughHasEnded()
+    {
+        auto minion = minionWith(4000);
+        minion.add({{"j", 0, 0}, 0}, running(1000, 5s));
+        minion.add({{"j", 0, 0}, 1}, running(1000, 1s));
+        minion.add({{"j", 0, 0}, 2}, running(1000, 3s));
+        const auto now = RoomPlan::openingFor(minion, {1000, 0, 0}, start);
+        CPPUNIT_ASSERT(now && now->at == start && now->left.milliCores == 0);
+        const auto later = RoomPlan::openingFor(minion, {3000, 0, 0}, start);
+        CPPUNIT_ASSERT(later && later->at == start + 3s);
+        CPPUNIT_ASSERT(!RoomPlan::openingFor(minion, {5000, 0, 0}, start));
+    }
+
+    void progressCountsMoreThanWhatWasExpected()
+    {
+        auto run = running(1000, 1s);
+        run.progressAt = start + 800ms;
+        run.percent = 20;
+        CPPUNIT_ASSERT(RoomPlan::expectedEnd(run, start + 1s) == start + 4s);
+    }
+
+    // Small work that takes what a large task waits for would delay it again and again.
+    void onlyWhatIsLeftOverIsGivenAway()
+    {
+        RoomPlan plan;
+        CPPUNIT_ASSERT(plan.allows("m", {4000, 0, 0}));
+        plan.keep("m", {start + 1s, {1500, 100, 0}});
+        CPPUNIT_ASSERT(plan.allows("m", {1000, 0, 0}));
+        CPPUNIT_ASSERT(!plan.allows("m", {2000, 0, 0}));
+        plan.taken("m", {1000, 0, 0});
+        CPPUNIT_ASSERT(!plan.allows("m", {1000, 0, 0}));
+    }
+
+    // Jobs whose estimates are ten times too low were taken for late before they were.
+    void uselessEstimatesAreDiscounted()
+    {
+        DurationModel model;
+        for (int sample = 0; sample < 100; ++sample)
+            model.learn("q", {"j" + std::to_string(sample), 0, 0}, sample % 2 == 0 ? Duration(500ms) : Duration(50s),
+                        5s);
+        const auto low = model.expected("q", {"new", 0, 0}, 500ms);
+        const auto high = model.expected("q", {"new", 0, 0}, 50s);
+        CPPUNIT_ASSERT(low > 4s && low < 6s);
+        CPPUNIT_ASSERT(high > 4s && high < 6s);
+        CPPUNIT_ASSERT(model.expected("other", {"new", 0, 0}, 500ms) == 500ms);
+    }
+
+    void usefulEstimatesAreKept()
+    {
+        DurationModel model;
+        for (int sample = 1; sample < 100; ++sample) {
+            const Duration estimate = std::chrono::milliseconds(100 * sample);
+            model.learn("q", {"j" + std::to_string(sample), 0, 0}, estimate, estimate * 2);
+        }
+        const auto expected = model.expected("q", {"new", 0, 0}, 1s);
+        CPPUNIT_ASSERT(expected > 1700ms && expected < 2300ms);
+    }
+
+    void tasksOfAStepResembleEachOther()
+    {
+        DurationModel model;
+        const StepName step{"j", 0, 0};
+        model.learn("q", step, 1s, 8s);
+        CPPUNIT_ASSERT(model.expected("q", step, 1s) > 3s);
+        model.learn("q", step, 1s, 8s);
+        model.learn("q", step, 1s, 8s);
+        CPPUNIT_ASSERT(model.expected("q", step, 1s) > 6s);
+        CPPUNIT_ASSERT(model.expected("q", step, Duration::zero()) == 8s);
+        model.forgetJob("j");
+        CPPUNIT_ASSERT(model.expected("q", step, Duration::zero()) == Duration::zero());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoomPlanTest);
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(longRunningTaskIsStartedAgain);
     CPPUNIT_TEST(stalledTaskIsMovedOnce);
     CPPUNIT_TEST(lastingTaskGoesFirst);
+    CPPUNIT_TEST(roomIsKeptForALargeTask);
+    CPPUNIT_TEST(largeTaskPreemptsWorkOfALaterQueue);
     CPPUNIT_TEST_SUITE_END();
 
     static void checkClean(const SimulatedCell &cell)
@@ -202,6 +204,49 @@
         checkClean(cell);
     }
 
+    // Small tasks took each gap, so that a task that needs a whole minion waited until none came any more.
+    void roomIsKeptForALargeTask()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 2s);
+        const auto addSmall = [&cell](int number) {
+            cell.submit("00000000000001" + std::to_string(10 + number), 1, 1000, estimate(2s));
+        };
+        for (int number = 0; number < 4; ++number) {
+            addSmall(number);
+            cell.run(500ms);
+        }
+        cell.submit(second, 1, 4000, estimate(2s));
+        for (int number = 4; number < 16; ++number) {
+            addSmall(number);
+            cell.run(500ms);
+        }
+        CPPUNIT_ASSERT(cell.phase(second) == JobPhase::Completed || cell.runsOn(second) == "a");
+        checkClean(cell);
+    }
+
+    // The others go on from their checkpoints, and have time to spare.
+    void largeTaskPreemptsWorkOfALaterQueue()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 20s);
+        Wire::JobSpec spec;
+        auto &item = *spec.add_steps();
+        item.set_tasks(4);
+        item.set_milli_cores(1000);
+        item.set_estimate_ms(20'000);
+        item.set_checkpointing(true);
+        cell.submit(first, spec, SimulatedCell::Queue::Later);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.runningOn(first).size());
+        cell.submit(second, 1, 4000, estimate(5s));
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.runsOn(second));
+        cell.run(20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.runningOn(first).size());
+        checkClean(cell);
+    }
+
     void longRunningTaskIsStartedAgain()
     {
         SimulatedCell cell(1);
