Tell slow minions from long tasks, and lost answers from silent minions

Change: a minion is slow if tasks of several steps are, or if those of one step are against the same step elsewhere; tasks that end sooner elsewhere, with the cost of moving, are moved. Found slow again it is avoided for longer. When answers get lost, as opposed to silent minions, holds wait 0.15 s instead of 0.5 s.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -60,6 +60,7 @@
     finished_.clear();
     begun_.clear();
     movedTasks_.clear();
+    losses_.clear();
     durations_.clearSteps();
     preemptions_.clear();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
@@ -80,6 +81,7 @@
     finished_.clear();
     begun_.clear();
     movedTasks_.clear();
+    losses_.clear();
     durations_.clearSteps();
     preemptions_.clear();
     for (const auto &[id, minion] : book_.minions()) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -4,6 +4,7 @@
 #include "jobs/durationmodel.h"
 #include "jobs/fleet.h"
 #include "jobs/jobbookobserver.h"
+#include "jobs/losswatch.h"
 #include "jobs/roomplan.h"
 #include "jobs/speedtable.h"
 #include "jobs/workqueue.h"
@@ -126,11 +127,11 @@
     void sendStart(Minion &minion, const TaskName &task, Run &run);
     void sendStop(Minion &minion, const TaskName &task, Run &run);
     void sendHold(Minion &minion, Duration wait);
+    /// Takes note that an order was answered or not.
+    void noteContact(Minion &minion, OrderOutcome outcome);
     void driveOrders();
     void driveRun(Minion &minion, const TaskName &task, Run &run);
     void takeActive(Minion &minion, const ActiveRun &active);
-    void noteProgress(const ActiveRun &active, Run &run);
-    void moveStalled(Minion &minion);
     void takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
     void endUnlisted(Minion &minion, const HoldAnswer &answer, TimePoint sent, Wire::JobCommand &command);
     void loseMinion(Minion &minion, std::string_view reason);
@@ -138,6 +139,14 @@
     void forgetMinion(const std::string &id);
     void pace(Minion &minion);
 
+    // slowminions.cpp
+    [[nodiscard]] bool tellsSpeed(const Minion &minion, const TaskName &task, const Run &run) const;
+    void noteProgress(const Minion &minion, const ActiveRun &active, Run &run);
+    [[nodiscard]] std::optional<double> speedElsewhere(const StepName &step, const Minion &minion);
+    [[nodiscard]] std::optional<double> slowness(const Minion &minion);
+    void judgeSpeed(Minion &minion);
+    void moveFrom(Minion &minion, const TaskName &task, Run &run);
+
     // planning.cpp
     void plan();
     void planService(const std::string &service, Wire::JobCommand &command);
@@ -168,6 +177,7 @@
     Fleet fleet_;
     WorkQueue queue_;
     AdviceLedger advice_;
+    LossWatch losses_;
     SpeedTable speeds_;
     DurationModel durations_;
     std::map<std::string, std::vector<std::function<void(bool)>>> reportsToStore_; ///< by minion id
--- /dev/null
+++ b/src/libs/jobs/losswatch.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <deque>
+
+namespace Pistachio::Jobs
+{
+
+/// Tells whether answers of minions get lost, as opposed to minions that are silent.
+class LossWatch
+{
+public:
+    /// A minion answered soon after it had left an order unanswered.
+    void answerLost(TimePoint now);
+
+    /// \return whether several answers got lost lately.
+    [[nodiscard]] bool isLossy(TimePoint now) const;
+    void clear() { losses_.clear(); }
+
+private:
+    std::deque<TimePoint> losses_; ///< the last few
+};
+
+} // namespace Pistachio::Jobs
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -49,7 +49,7 @@
     TimePoint progressAt{}; ///< of the last change of percent
     TimePoint startedAt{};
     Duration expected{}; ///< run time from its start to its end
-    bool isStalled = false; ///< hardly moved between the last two looks
+    std::optional<double> speed; ///< between the last two looks, in parts of what is expected
     std::int64_t measure = 0;
     std::uint32_t pace = 100;
 };
@@ -68,11 +68,13 @@
     std::uint64_t seenEnd = 0;
 
     TimePoint lastContact{}; ///< last answered hold
+    TimePoint unansweredAt{}; ///< when an order was given up last, without an answer since; none: zero
     TimePoint leaseGone{}; ///< no lease given so far lasts longer than this
     std::optional<std::int64_t> clockMs; ///< the minion's clock at clockAt or earlier
     TimePoint clockAt{};
 
     TimePoint avoidUntil{}; ///< nothing new is placed here before
+    std::uint32_t slowInRow = 0; ///< times that it was found slow since it was last found not to be
     std::uint32_t failuresInRow = 0; ///< of different jobs
     std::string lastFailedJob;
     TimePoint lastHeard{}; ///< last report
--- a/src/libs/jobs/runlists.cpp
+++ b/src/libs/jobs/runlists.cpp
@@ -22,9 +22,6 @@
 constexpr std::uint32_t failuresBeforeAvoiding = 3;
 constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration holdRetryLost = 1s; ///< of a minion whose lease is over
-constexpr Duration stallWindow = 700ms; ///< between two looks at a task's progress
-constexpr double stallShare = 0.12; ///< of the progress that is expected
-constexpr Duration avoidAfterStall = 1500ms;
 
 Wire::JobRunEnd toWire(RunEnd how)
 {
@@ -54,6 +51,7 @@
     if (!minion)
         return;
     minion->holdOutstanding = false;
+    noteContact(*minion, answer.outcome);
     minion->nextHold = now.time + holdRetry;
     const bool otherLife
         = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
@@ -83,7 +81,7 @@
     for (const auto &ended : answer.ended)
         takeEnded(*minion, ended, command);
     endUnlisted(*minion, answer, minion->holdSent, command);
-    moveStalled(*minion);
+    judgeSpeed(*minion);
     pace(*minion);
     if (!answer.ended.empty())
         minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
@@ -128,7 +126,7 @@
     auto &run = found->second;
     if (run.run != active.run)
         return;
-    noteProgress(active, run);
+    noteProgress(minion, active, run);
     run.measure = active.measure;
     if (!active.checkpoint.empty())
         run.checkpoint = active.checkpoint;
@@ -143,54 +141,6 @@
     }
 }
 
-/// A task that hardly moves on a minion that does the same to others, or alone there, is tried once on another one.
-void JobScheduler::noteProgress(const ActiveRun &active, Run &run)
-{
-    const auto *job = book_.job(active.task.step.job);
-    const auto since = now_.time - run.progressAt;
-    if (!job || run.phase != RunPhase::Running || job->spec(active.task.step.step).long_running()
-        || run.expected <= Duration::zero()) {
-        run.percent = active.percent;
-        run.progressAt = now_.time;
-        return;
-    }
-    if (since < stallWindow)
-        return;
-    const double expected = 100.0 * static_cast<double>(since.count()) / static_cast<double>(run.expected.count());
-    const double moved = static_cast<double>(active.percent) - static_cast<double>(run.percent);
-    run.isStalled = active.percent < 100 && moved < std::min(expected, 100.0) * stallShare;
-    run.percent = active.percent;
-    run.progressAt = now_.time;
-}
-
-void JobScheduler::moveStalled(Minion &minion)
-{
-    std::size_t stalled = 0;
-    std::size_t moving = 0;
-    for (const auto &[task, run] : minion.runs) {
-        if (run.phase != RunPhase::Running || run.expected <= Duration::zero())
-            continue;
-        (run.isStalled ? stalled : moving) += 1;
-    }
-    if (stalled == 0 || moving > stalled)
-        return;
-    minion.avoidUntil = std::max(minion.avoidUntil, now_.time + avoidAfterStall);
-    for (auto &[task, run] : minion.runs) {
-        const auto *job = book_.job(task.step.job);
-        if (!run.isStalled || run.phase != RunPhase::Running || !job || job->spec(task.step.step).gang()
-            || !movedTasks_.insert(task).second)
-            continue;
-        ports_.record(LogLevel::Info, "task-moved",
-                      {{"task", task.toString()},
-                       {"run", run.run},
-                       {"minion", minion.report.life.id},
-                       {"reason", "it stands still"},
-                       {"percent", run.percent},
-                       {"running_ms", (now_.time - run.startedAt) / 1ms}});
-        sendStop(minion, task, run);
-    }
-}
-
 void JobScheduler::takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command)
 {
     if (ended.number <= minion.seenEnd)
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -19,6 +19,8 @@
 
 constexpr Duration holdWait
     = 500ms; ///< a lost answer delays what ended meanwhile by no more; leaves several tries within one lease
+constexpr Duration lossyHoldWait = 150ms; ///< while answers get lost
+constexpr Duration silenceOfLoss = 1s; ///< a minion that answers again within it was not silent
 constexpr std::int64_t smallFleet = 100; ///< minions; a larger fleet is held in longer turns, to bound the calls
 constexpr Duration idleHoldWait = 1500ms; ///< of a minion that runs nothing
 constexpr Duration orderRetry = 20ms;
@@ -88,10 +90,22 @@
     ports_.hold(order);
 }
 
+void JobScheduler::noteContact(Minion &minion, OrderOutcome outcome)
+{
+    if (outcome == OrderOutcome::Unanswered) {
+        minion.unansweredAt = now_.time;
+        return;
+    }
+    if (minion.unansweredAt != TimePoint{} && now_.time < minion.unansweredAt + silenceOfLoss)
+        losses_.answerLost(now_.time);
+    minion.unansweredAt = {};
+}
+
 void JobScheduler::driveOrders()
 {
     const auto share = static_cast<std::int64_t>(fleet_.minions().size()) / smallFleet;
-    const auto wait = std::clamp(holdWait * share, holdWait, idleHoldWait);
+    const auto shortest = losses_.isLossy(now_.time) ? lossyHoldWait : holdWait;
+    const auto wait = std::clamp(shortest * share, shortest, idleHoldWait);
     for (auto &[id, minion] : fleet_.minions()) {
         if (!minion.holdOutstanding && !minion.endsProposed && now_.time >= minion.nextHold)
             sendHold(minion, minion.runs.empty() ? idleHoldWait : wait);
@@ -120,6 +134,7 @@
     auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
     if (!minion)
         return;
+    noteContact(*minion, answer.outcome);
     if (answer.clockMs)
         minion->clockRead(now.time, *answer.clockMs);
     const auto found = minion->runs.find(order.task);
@@ -179,6 +194,7 @@
     auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
     if (!minion)
         return;
+    noteContact(*minion, answer.outcome);
     if (answer.clockMs)
         minion->clockRead(now.time, *answer.clockMs);
     const auto found = minion->runs.find(order.task);
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -32,6 +32,9 @@
     CPPUNIT_TEST(restartedMinionLosesItsTasksAtOnce);
     CPPUNIT_TEST(longRunningTaskIsStartedAgain);
     CPPUNIT_TEST(stalledTaskIsMovedOnce);
+    CPPUNIT_TEST(tasksLeaveASlowMinion);
+    CPPUNIT_TEST(longTasksAreNoSignOfASlowMinion);
+    CPPUNIT_TEST(lostAnswersAreToldFromSilence);
     CPPUNIT_TEST(lastingTaskGoesFirst);
     CPPUNIT_TEST(roomIsKeptForALargeTask);
     CPPUNIT_TEST(largeTaskPreemptsWorkOfALaterQueue);
@@ -188,6 +191,45 @@
         checkClean(cell);
     }
 
+    // Tasks stayed on minions that were six times slower than others, since they did move.
+    void tasksLeaveASlowMinion()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 12s);
+        cell.addMinion("b", 4000, 2s);
+        cell.submit(first, 8, 1000, estimate(2s));
+        cell.run(7s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        checkClean(cell);
+    }
+
+    // Moving them would throw away work on minions that are well.
+    void longTasksAreNoSignOfASlowMinion()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 12s);
+        cell.addMinion("b", 4000, 12s);
+        cell.submit(first, 8, 1000, estimate(2s));
+        cell.run(14s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, cell.starts);
+        checkClean(cell);
+    }
+
+    // Shorter holds on account of a silent minion would only add to the load.
+    void lostAnswersAreToldFromSilence()
+    {
+        LossWatch watch;
+        const TimePoint now{1h};
+        CPPUNIT_ASSERT(!watch.isLossy(now));
+        watch.answerLost(now);
+        watch.answerLost(now + 100ms);
+        CPPUNIT_ASSERT(!watch.isLossy(now + 200ms));
+        watch.answerLost(now + 200ms);
+        CPPUNIT_ASSERT(watch.isLossy(now + 300ms));
+        CPPUNIT_ASSERT(!watch.isLossy(now + 2100ms));
+    }
+
     // Behind work that is on time, a task that serves all the time waited 30 s to be started again.
     void lastingTaskGoesFirst()
     {
