Call a minion slow by steps that can be compared only

A trial build logged the tasks: jobs that take ten times what is declared, with no sibling elsewhere yet, had 30 healthy minions avoided in 15 s. What runs at a time is mostly what was underestimated.

Change: steps that are slow here and unknown elsewhere don't count; with nothing to compare a minion has to be at a tenth of the expected speed, or a twentieth with one step alone. Ruled out: higher counts of tasks.

--- a/src/libs/jobs/slowminions.cpp
+++ b/src/libs/jobs/slowminions.cpp
@@ -19,7 +19,8 @@
 constexpr Duration longestLook = 700ms; ///< between two looks at a task's progress; half its run time for short ones
 constexpr Duration shortestLook = 250ms; ///< progress comes in whole percent
 constexpr double slowSpeed = 0.35; ///< run times differ from what is expected by a third or so
-constexpr double slowSpeedOfOne = 0.12; ///< of one step, with nothing to compare it with: it may just be long
+constexpr double slowSpeedOfSteps = 0.1; ///< with nothing to compare: some jobs take ten times what is expected
+constexpr double slowSpeedOfOne = 0.05; ///< the same for one step
 constexpr std::size_t siblingsNeeded = 2; ///< tasks of the step on other minions
 constexpr double lowestSpeed = 0.01;
 constexpr Duration avoidSlow = 1500ms;
@@ -88,23 +89,26 @@
         sum += std::log(std::max(*run.speed, lowestSpeed));
         ++count;
     }
-    // Tasks of one step are long together, so they are compared with those of the step elsewhere, or count as one.
-    double sum = 0;
-    bool isCompared = false;
+    // Tasks of one step are long together, so those that are slow elsewhere as well tell nothing.
+    double compared = 0;
+    double alone = 0;
+    std::size_t comparedSteps = 0;
     for (const auto &[step, sums] : steps) {
-        double speed = sums.first / sums.second;
-        if (speed < std::log(slowSpeed)) {
-            if (const auto elsewhere = speedElsewhere(step, minion)) {
-                speed -= std::log(std::clamp(*elsewhere, lowestSpeed, 1.0));
-                isCompared = true;
-            }
-        }
-        sum += speed;
+        const double speed = sums.first / sums.second;
+        alone += speed;
+        const auto elsewhere = speed < std::log(slowSpeed) ? speedElsewhere(step, minion) : std::nullopt;
+        if (!elsewhere && speed < std::log(slowSpeed))
+            continue;
+        compared += speed - (elsewhere ? std::log(std::clamp(*elsewhere, lowestSpeed, 1.0)) : 0);
+        ++comparedSteps;
     }
     if (steps.empty())
         return std::nullopt;
-    const double speed = std::exp(sum / static_cast<double>(steps.size()));
-    return speed < (isCompared || steps.size() > 1 ? slowSpeed : slowSpeedOfOne) ? std::optional(speed) : std::nullopt;
+    const bool isCompared = comparedSteps > 0;
+    const double speed = std::exp(isCompared ? compared / static_cast<double>(comparedSteps)
+                                             : alone / static_cast<double>(steps.size()));
+    const double limit = isCompared ? slowSpeed : steps.size() > 1 ? slowSpeedOfSteps : slowSpeedOfOne;
+    return speed < limit ? std::optional(speed) : std::nullopt;
 }
 
 void JobScheduler::judgeSpeed(Minion &minion)
