Let an instance advertise another address than the one it listens on

Cause: the fault soak needs links between the real processes that it can cut and delay. All instances used one address both as their name and to listen, so nothing could stand between them; neither could an address translation.

Change: the setting bind_ip. An instance listens there and its connections to the others leave from there; ip stays its name. The simulated minion moves to tests/standins, which the soak needs as well.

Ruled out: finding the sender of a connection from its first message, since a cut has to hold before any byte arrives.

Tests: settings, and JobControlTest::instanceBehindATranslatedAddressTakesPart.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -57,7 +57,7 @@
                           d_->runtime.loop().post([this] { flush(); });
                       }));
     d_->calls = std::make_unique<JobCalls>(d_->book, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
-    BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.ip, settings.internalPort}));
+    BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.localIp(), settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started",
                                {{"id", identity.id.value()},
                                 {"internal_port", port},
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -59,7 +59,7 @@
                  [&owner](const Transport::Request &request, const Transport::Responder &responder) {
                      owner.handleInternal(request, responder);
                  })
-        , peers(nodeRuntime.loop(), jobSettings.internalPort, &owner)
+        , peers(nodeRuntime.loop(), jobSettings.internalPort, jobSettings.bindIp, &owner)
     {
     }
 
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -58,7 +58,7 @@
                  [&owner](const Transport::Request &request, const Transport::Responder &responder) {
                      owner.handleInternal(request, responder);
                  })
-        , peers(nodeRuntime.loop(), jobSettings.internalPort)
+        , peers(nodeRuntime.loop(), jobSettings.internalPort, jobSettings.bindIp)
     {
     }
 
@@ -83,7 +83,7 @@
 
 Result<void> JobEntry::open()
 {
-    BOOST_OUTCOME_TRY(const auto port, d_->server.listen({d_->settings.ip, d_->settings.internalPort}));
+    BOOST_OUTCOME_TRY(const auto port, d_->server.listen({d_->settings.localIp(), d_->settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started", {{"internal_port", port}, {"zone", d_->settings.zone}});
     announce();
     return success();
--- a/src/libs/jobnode/noderuntime.cpp
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -24,7 +24,7 @@
             metrics_.set("log_lines_dropped", static_cast<double>(logger_.droppedLines()));
             responder.respond({200, {{"Content-Type", "text/plain; charset=utf-8"}}, metrics_.exposition()});
         });
-    BOOST_OUTCOME_TRY(const auto port, metricsServer_->listen({settings.ip, settings.metricsPort}));
+    BOOST_OUTCOME_TRY(const auto port, metricsServer_->listen({settings.localIp(), settings.metricsPort}));
     metrics_.set("metrics_port", port);
     return success();
 }
--- a/src/libs/jobnode/peers.cpp
+++ b/src/libs/jobnode/peers.cpp
@@ -16,9 +16,10 @@
 constexpr Duration reconnectMax = 250ms;
 } // namespace
 
-Peers::Peers(Transport::EventLoop &loop, std::uint16_t port, PeerObserver *observer)
+Peers::Peers(Transport::EventLoop &loop, std::uint16_t port, std::string localIp, PeerObserver *observer)
     : loop_(loop)
     , port_(port)
+    , localIp_(std::move(localIp))
     , observer_(observer)
 {
 }
@@ -38,6 +39,7 @@
     auto found = clients_.find(ip);
     if (found == clients_.end()) {
         Transport::Http2ClientLimits limits;
+        limits.localIp = localIp_;
         limits.connectTimeout = connectTimeout;
         limits.silenceBeforePing = silenceBeforePing;
         limits.pingTimeout = pingTimeout;
--- a/src/libs/jobnode/peers.h
+++ b/src/libs/jobnode/peers.h
@@ -25,8 +25,9 @@
 public:
     /// \param loop outlives the peers
     /// \param port the internal port of every instance
+    /// \param localIp where connections leave from; empty: the system chooses
     /// \param observer is told of lost connections; null: nobody
-    Peers(Transport::EventLoop &loop, std::uint16_t port, PeerObserver *observer = nullptr);
+    Peers(Transport::EventLoop &loop, std::uint16_t port, std::string localIp, PeerObserver *observer = nullptr);
     ~Peers();
 
     /// \param ip the other instance
@@ -38,6 +39,7 @@
 private:
     Transport::EventLoop &loop_;
     const std::uint16_t port_;
+    const std::string localIp_;
     PeerObserver *const observer_;
     bool closing_ = false;
     std::map<std::string, std::unique_ptr<Transport::Http2Client>, std::less<>> clients_;
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -28,6 +28,7 @@
     JobSettings settings;
     settings.instance = reader.requiredString("instance");
     settings.ip = reader.requiredString("ip");
+    settings.bindIp = reader.optionalString("bind_ip", "");
     settings.zone = reader.requiredString("zone");
     settings.region = reader.optionalString("region", settings.zone);
     settings.dataFolder = reader.optionalString("data_folder", "");
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -15,7 +15,8 @@
 /// The settings file of the programs that run callers' jobs.
 struct JobSettings {
     std::string instance; ///< the name in logs
-    std::string ip; ///< where the other instances reach this one
+    std::string ip; ///< where the other instances reach this one; names it among them
+    std::string bindIp; ///< the local address behind it, if that is another one; connections leave from it
     std::string zone;
     std::string region;
     std::string dataFolder; ///< empty: the instance keeps nothing
@@ -35,6 +36,9 @@
     std::size_t maxBodyBytes = std::size_t{4} << 20;
     LogSettings log;
 
+    /// \return where this instance listens.
+    [[nodiscard]] const std::string &localIp() const { return bindIp.empty() ? ip : bindIp; }
+
     /// \param path the TOML file
     /// \return the checked settings, or every error with its file, line and key, one a line.
     static Result<JobSettings> load(const std::string &path);
--- a/src/libs/transport/http2client.cpp
+++ b/src/libs/transport/http2client.cpp
@@ -250,6 +250,11 @@
             return;
         }
         const auto socket = std::make_shared<Internal::Tcp::socket>(loop_.context().io);
+        if (const auto bound = bindLocally(*socket); !bound) {
+            delayNextConnect();
+            failWaiting(bound.error());
+            return;
+        }
         connectingSocket_ = socket;
         connectTimer_ = loop_.callAfter(limits_.connectTimeout, [socket] { Internal::closeSocket(*socket); });
         socket->async_connect(endpoint.value(), [weak = weak_from_this(), socket](const auto &error) {
@@ -258,6 +263,20 @@
         });
     }
 
+    Result<void> bindLocally(Internal::Tcp::socket &socket) const
+    {
+        if (limits_.localIp.empty())
+            return success();
+        BOOST_OUTCOME_TRY(const auto local, Internal::toAsio({limits_.localIp, 0}));
+        boost::system::error_code error;
+        socket.open(local.protocol(), error);
+        if (!error)
+            socket.bind(local, error);
+        if (error)
+            return failure(ErrorCode::Unavailable, "can't leave from " + limits_.localIp + ": " + error.message());
+        return success();
+    }
+
     void connected(Internal::Tcp::socket &socket, const boost::system::error_code &error)
     {
         connectTimer_.cancel();
--- a/src/libs/transport/http2client.h
+++ b/src/libs/transport/http2client.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace Pistachio::Transport
 {
@@ -18,6 +19,7 @@
     std::size_t bodyBytes = 64U << 20; ///< of one response
     std::size_t queuedCalls = 4096; ///< calls without a response; further ones fail at once, unwritten
     std::size_t queuedBytes = 64U << 20; ///< bodies of those calls
+    std::string localIp; ///< where connections leave from; empty: the system chooses
     Duration connectTimeout = 1s;
     Duration reconnectMin = 50ms; ///< doubled with each failure, with jitter
     Duration reconnectMax = 1s;
--- a/tests/auto/jobnode/tst_jobcontrol.cpp
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST_SUITE(JobControlTest);
     CPPUNIT_TEST(aloneItLeadsAndStoresAConfiguration);
     CPPUNIT_TEST(emptyInstanceFindsALeaderThatIsNoSeed);
+    CPPUNIT_TEST(instanceBehindATranslatedAddressTakesPart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -120,6 +121,24 @@
             runtime.loop().runFor(10ms);
         CPPUNIT_ASSERT(leader.joins > 0);
     }
+
+    // Its own address is not one of the machine: neither listening nor connecting from there works.
+    void instanceBehindATranslatedAddressTakesPart()
+    {
+        TemporaryFolder folder;
+        auto settings = settingsOf("192.0.2.1", folder.path);
+        settings.bindIp = "127.0.0.5";
+        NodeRuntime runtime("test", settings);
+        FakeLeader seed(runtime.loop(), "127.0.0.2", 0);
+        settings.internalPort = seed.port;
+        NoAdvice advice;
+        NoMinions minions;
+        JobControl control(settings, runtime, minions, advice);
+        CPPUNIT_ASSERT(control.open());
+        for (int round = 0; round < 400 && seed.joins == 0; ++round)
+            runtime.loop().runFor(10ms);
+        CPPUNIT_ASSERT(seed.joins > 0);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobControlTest);
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -4,7 +4,7 @@
 #include "jobs/jobbook.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/schedulerports.h"
-#include "simulatedminion.h"
+#include "platform/simulatedminion.h"
 
 #include <jobs.pb.h>
 
--- a/tests/auto/placement/tst_placement.cpp
+++ b/tests/auto/placement/tst_placement.cpp
@@ -197,8 +197,8 @@
         Cell cell;
         for (int i = 0; i < 3; ++i) {
             cell.add({4000, 8 * gibibyte, 0});
-            Unit unit = cell.unit("batch" + std::to_string(i), {4000, gibibyte, 0}, 1, WorkKind::Batch,
-                                  Standing::Normal, 1h);
+            Unit unit
+                = cell.unit("batch" + std::to_string(i), {4000, gibibyte, 0}, 1, WorkKind::Batch, Standing::Normal, 1h);
             auto work = std::make_shared<Work>(*unit.work);
             work->checkpoint = i > 0;
             unit.work = work;
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/controlsettings.h"
 #include "settings/entrysettings.h"
+#include "settings/jobsettings.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -48,6 +49,13 @@
 internal = "127.0.0.1:7101"
 )";
 
+const std::string jobText = R"(instance = "c1"
+ip = "10.0.0.1"
+zone = "north"
+internal_port = 7100
+seeds = ["10.0.0.1:7101"]
+)";
+
 } // namespace
 
 class SettingsTest : public CppUnit::TestFixture
@@ -57,6 +65,7 @@
     CPPUNIT_TEST(everyErrorIsReportedWithItsLine);
     CPPUNIT_TEST(contradictionsAreRefused);
     CPPUNIT_TEST(syntaxErrorNamesTheLine);
+    CPPUNIT_TEST(localAddressIsTheAdvertisedOneUnlessSet);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +132,18 @@
         CPPUNIT_ASSERT(contains(message, "settings.toml:2:"));
     }
 
+    // Guards against an instance behind an address translation that can't listen where others reach it.
+    void localAddressIsTheAdvertisedOneUnlessSet()
+    {
+        const auto plain = JobSettings::load(write(jobText));
+        CPPUNIT_ASSERT(plain.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), plain.value().localIp());
+        const auto translated = JobSettings::load(write("bind_ip = \"192.168.0.1\"\n" + jobText));
+        CPPUNIT_ASSERT(translated.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), translated.value().ip);
+        CPPUNIT_ASSERT_EQUAL(std::string("192.168.0.1"), translated.value().localIp());
+    }
+
 private:
     std::string write(const std::string &text)
     {
--- a/tests/auto/jobs/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -1,4 +1,4 @@
-#include "simulatedminion.h"
+#include "platform/simulatedminion.h"
 
 #include <algorithm>
 #include <utility>
