Answer calls to minions before the control instance ends

The stack: ~HttpClient fails the holds under way, whose answers go to the control instance, which the program has destroyed before; it used its event loop.

Change: MinionClient and AdviceClient have close(), which answers all calls under way as unanswered. A control instance and an entry call it when they stop, while they still exist. Programs that a test starts no longer inherit the test's sockets: proxies could not listen again after a kill.

Ruled out: destroying the client before the control instance, which holds a reference to it; guarding each answer with the life of the instance, since the pool of advisers has answers of its own.

Tests: PlatformClientTest::closeAnswersWhatIsUnderWay and JobControlTest::stopEndsCallsToMinions.

--- a/src/libs/jobnode/adviceclient.h
+++ b/src/libs/jobnode/adviceclient.h
@@ -21,6 +21,9 @@
 
     /// \param answered called exactly once, later
     virtual void ask(const Jobs::AdviceRequest &request, Answered answered) = 0;
+
+    /// Answers all calls under way, and later ones at once, as unanswered.
+    virtual void close() = 0;
 };
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -74,6 +74,9 @@
     d_->tickTimer.cancel();
     d_->flushTimer.cancel();
     d_->scheduler.stopLeading();
+    // They outlive this, and their answers must not.
+    d_->minions.close();
+    d_->advice.close();
     d_->server.stop(stopLimit, std::move(finished));
 }
 
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -220,6 +220,7 @@
 void JobEntry::stop(std::function<void()> finished)
 {
     d_->announceTimer.cancel();
+    d_->advice.close();
     d_->server.stop(stopLimit, std::move(finished));
 }
 
--- a/tests/auto/endtoend/process.cpp
+++ b/tests/auto/endtoend/process.cpp
@@ -22,6 +22,8 @@
     constexpr int mode = 0644;
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Sockets of the test that a program inherits would stay open after the test has closed them.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int error = posix_spawn(&id_, program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0)
--- a/tests/auto/jobnode/tst_jobcontrol.cpp
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -21,6 +21,7 @@
 {
 public:
     void ask(const Jobs::AdviceRequest & /*request*/, Answered answered) override { answered(false, {}); }
+    void close() override { }
 };
 
 class NoMinions : public MinionClient
@@ -33,6 +34,9 @@
     {
         answered({});
     }
+    void close() override { isClosed = true; }
+
+    bool isClosed = false;
 };
 
 class TemporaryFolder
@@ -69,6 +73,7 @@
     CPPUNIT_TEST_SUITE(JobControlTest);
     CPPUNIT_TEST(aloneItLeadsAndStoresAConfiguration);
     CPPUNIT_TEST(emptyInstanceFindsALeaderThatIsNoSeed);
+    CPPUNIT_TEST(stopEndsCallsToMinions);
     CPPUNIT_TEST(instanceBehindATranslatedAddressTakesPart);
     CPPUNIT_TEST_SUITE_END();
 
@@ -122,6 +127,23 @@
         CPPUNIT_ASSERT(leader.joins > 0);
     }
 
+    // Holds of a leader that stopped were answered after its end, which crashed it on every SIGTERM.
+    void stopEndsCallsToMinions()
+    {
+        TemporaryFolder folder;
+        const auto settings = settingsOf("127.0.0.1", folder.path);
+        NodeRuntime runtime("test", settings);
+        NoAdvice advice;
+        NoMinions minions;
+        JobControl control(settings, runtime, minions, advice);
+        CPPUNIT_ASSERT(control.open());
+        bool hasStopped = false;
+        control.stop([&hasStopped] { hasStopped = true; });
+        CPPUNIT_ASSERT(minions.isClosed);
+        while (!hasStopped)
+            runtime.loop().runFor(10ms);
+    }
+
     // Its own address is not one of the machine: neither listening nor connecting from there works.
     void instanceBehindATranslatedAddressTakesPart()
     {
--- a/tests/auto/jobnode/tst_jobentry.cpp
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -23,6 +23,7 @@
 {
 public:
     void ask(const Jobs::AdviceRequest & /*request*/, Answered answered) override { answered(false, {}); }
+    void close() override { }
 };
 
 Settings::JobSettings settingsOf(const std::string &ip)
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(refusalsAreToldApart);
     CPPUNIT_TEST(listsAreDecoded);
     CPPUNIT_TEST(unreadableListsAreNoAnswer);
+    CPPUNIT_TEST(closeAnswersWhatIsUnderWay);
     CPPUNIT_TEST_SUITE_END();
 
     static Jobs::StartOrder order(const std::string &address)
@@ -166,6 +167,26 @@
                            == OrderOutcome::Unanswered);
         }
     }
+
+    // Answers that came after the end of whoever had asked crashed the process.
+    void closeAnswersWhatIsUnderWay()
+    {
+        ScriptedMinion minion;
+        int answers = 0;
+        const auto count = [&answers](const Jobs::HoldAnswer &given) {
+            CPPUNIT_ASSERT(given.outcome == OrderOutcome::Unanswered);
+            ++answers;
+        };
+        Jobs::HoldOrder order;
+        order.minion = {"m1", 5};
+        order.address = minion.address();
+        minion.client.hold(order, count);
+        CPPUNIT_ASSERT_EQUAL(0, answers);
+        minion.client.close();
+        CPPUNIT_ASSERT_EQUAL(1, answers);
+        minion.client.hold(order, count);
+        CPPUNIT_ASSERT_EQUAL(2, answers);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
