Soak the real processes in random faults

Three control instances and three entries run as processes on loopback, behind a proxy that can block, delay and break the links between them. Simulated minions, the advice service, callers and an operator speak the platform's protocol (tests/standins/platform). A plan drawn from a seed kills, stops, freezes and reloads processes, removes a data folder, leaves garbage behind a log, cuts links and disturbs minions; faults overlap.

A ledger knows what callers were told and what really ran. It reports tasks that run twice, run numbers that fall, minions with more than they have, tasks of refused or unknown jobs, steps before those they depend on, tasks started again after their end was acknowledged, accepted jobs that are gone or not over in time, jobs completed too early, configurations that go back, requests cut by a planned stop, and processes that end otherwise than told.

Gangs, due times and changes of disk owners are not covered.

--- /dev/null
+++ b/tests/soak/cell.cpp
@@ -0,0 +1,215 @@
+#include "cell.h"
+
+#include "storage/segment.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <utility>
+
+namespace Pistachio::Soak
+{
+
+using Transport::EventLoop;
+
+namespace
+{
+
+constexpr Duration stopLimit = 6s; ///< the platform kills a process this long after SIGTERM
+constexpr std::size_t garbageBytes = 700;
+
+} // namespace
+
+Cell::Cell(EventLoop &loop, const CellSize &size, std::string folder, const std::string &network, Report report)
+    : size_(size)
+    , folder_(std::move(folder))
+    , report_(std::move(report))
+    , advice_(network + ".1.1:" + std::to_string(advicePort))
+    , proxy_(loop)
+{
+    for (std::size_t index = 0; index < size.controls + size.entries; ++index) {
+        const bool isControl = index < size.controls;
+        Instance instance;
+        instance.name = (isControl ? "control-" : "entry-") + std::to_string(isControl ? index : index - size.controls);
+        instance.ip = network + ".2." + std::to_string(index + 1);
+        instance.localIp = network + ".3." + std::to_string(index + 1);
+        std::vector<std::uint16_t> ports{internalPort};
+        if (isControl) {
+            instance.dataFolder = folder_ + '/' + instance.name;
+            ports.push_back(controlPort);
+        }
+        proxy_.add(instance.name, instance.ip, instance.localIp, ports);
+        instances_.push_back(std::move(instance));
+    }
+}
+
+void Cell::writeSettings(const Instance &instance) const
+{
+    std::ofstream file(folder_ + '/' + instance.name + ".toml");
+    file << "instance = \"" << instance.name << "\"\nip = \"" << instance.ip << "\"\nbind_ip = \"" << instance.localIp
+         << "\"\nzone = \"z\"\ninternal_port = " << internalPort << "\nseeds = [";
+    for (std::size_t index = 0; index < size_.controls; ++index)
+        file << (index > 0 ? ", " : "") << '"' << instances_[index].ip << ':' << controlPort << '"';
+    file << "]\n";
+    const auto address
+        = [&instance](std::uint16_t port) { return '"' + instance.localIp + ':' + std::to_string(port) + "\"\n"; };
+    if (instance.dataFolder.empty()) {
+        file << "[listen]\ncallers = " << address(callerPort) << "ready = " << address(0) << "[services]\nadvice = \""
+             << advice_ << "\"\n[limits]\ndrain_timeout_ms = 5000\n";
+    } else {
+        file << "data_folder = \"" << instance.dataFolder
+             << "\"\nbootstrap = " << (instance.hasStarted ? "false" : "true")
+             << "\n[listen]\ncontrol = " << address(controlPort) << "[services]\nadvice = \"" << advice_
+             << "\"\n[limits]\ntolerated_losses = 1\nlongest_lease_ms = 6000\ndrain_timeout_ms = 1000\n";
+    }
+    file << "[log]\nlevel = \"info\"\nfile = \"-\"\n";
+}
+
+void Cell::start(std::size_t index)
+{
+    auto &instance = instances_[index];
+    if (instance.process)
+        return;
+    writeSettings(instance);
+    instance.hasStarted = true;
+    const auto *program = instance.dataFolder.empty() ? PISTACHIO_JOBENTRY : PISTACHIO_JOBCONTROL;
+    const auto path = folder_ + '/' + instance.name;
+    instance.process = std::make_unique<EndToEnd::Process>(
+        program, std::vector<std::string>{"--settings=" + path + ".toml"}, path + ".log");
+    instance.isFrozen = false;
+    instance.stoppedAt = TimePoint::min();
+    setListening(instance, true);
+}
+
+void Cell::setListening(const Instance &instance, bool isListening)
+{
+    if (const auto result = proxy_.setListening(instance.name, isListening); !result)
+        report_("the proxy of " + instance.name + " failed: " + result.error().message);
+}
+
+void Cell::kill(std::size_t index)
+{
+    auto &instance = instances_[index];
+    instance.troubledAt = EventLoop::now();
+    instance.process.reset();
+    setListening(instance, false);
+}
+
+void Cell::stop(std::size_t index)
+{
+    auto &instance = instances_[index];
+    if (!instance.process || instance.stoppedAt != TimePoint::min())
+        return;
+    instance.stoppedAt = EventLoop::now();
+    instance.process->signal(SIGTERM);
+}
+
+void Cell::freeze(std::size_t index)
+{
+    auto &instance = instances_[index];
+    if (!instance.process)
+        return;
+    instance.troubledAt = EventLoop::now();
+    instance.isFrozen = true;
+    instance.process->signal(SIGSTOP);
+}
+
+void Cell::thaw(std::size_t index)
+{
+    auto &instance = instances_[index];
+    if (!instance.isFrozen)
+        return;
+    instance.troubledAt = EventLoop::now();
+    instance.isFrozen = false;
+    if (instance.process)
+        instance.process->signal(SIGCONT);
+}
+
+void Cell::reload(std::size_t index)
+{
+    if (instances_[index].process)
+        instances_[index].process->signal(SIGHUP);
+}
+
+void Cell::wipe(std::size_t index)
+{
+    kill(index);
+    std::filesystem::remove_all(instances_[index].dataFolder);
+}
+
+void Cell::damageTail(std::size_t index)
+{
+    kill(index);
+    std::filesystem::path last;
+    const auto &folder = instances_[index].dataFolder;
+    if (!std::filesystem::exists(folder))
+        return;
+    for (const auto &item : std::filesystem::recursive_directory_iterator(folder)) {
+        if (item.is_regular_file() && item.path().filename().string().starts_with(Storage::Internal::segmentPrefix)
+            && item.path() > last)
+            last = item.path();
+    }
+    if (!last.empty())
+        std::ofstream(last, std::ios::app | std::ios::binary) << std::string(garbageBytes, '\x5a');
+}
+
+void Cell::heal()
+{
+    proxy_.heal();
+    for (std::size_t index = 0; index < instances_.size(); ++index) {
+        thaw(index);
+        start(index);
+    }
+}
+
+void Cell::watch()
+{
+    const auto now = EventLoop::now();
+    for (auto &instance : instances_) {
+        if (!instance.process)
+            continue;
+        const bool isStopping = instance.stoppedAt != TimePoint::min();
+        if (instance.process->isRunning()) {
+            if (!isStopping || now < std::max(instance.stoppedAt, instance.troubledAt) + stopLimit || instance.isFrozen)
+                continue;
+            report_(instance.name + " did not stop in time after SIGTERM");
+        } else {
+            const auto code = instance.process->wait(std::chrono::milliseconds(0));
+            if (!isStopping)
+                report_(instance.name + " ended by itself, exit code " + std::to_string(code.value_or(-1)));
+            else if (code != 0)
+                report_(instance.name + " stopped with exit code " + std::to_string(code.value_or(-1)));
+        }
+        instance.process.reset();
+        setListening(instance, false);
+    }
+}
+
+bool Cell::isRunning(std::size_t index) const
+{
+    return instances_[index].process != nullptr;
+}
+
+bool Cell::wasOnlyStopped(std::size_t index, TimePoint since) const
+{
+    const auto &instance = instances_[index];
+    return instance.stoppedAt > since && instance.troubledAt < since;
+}
+
+std::vector<Transport::Endpoint> Cell::controls() const
+{
+    std::vector<Transport::Endpoint> endpoints;
+    for (std::size_t index = 0; index < size_.controls; ++index)
+        endpoints.push_back({instances_[index].ip, controlPort});
+    return endpoints;
+}
+
+std::vector<Transport::Endpoint> Cell::entries() const
+{
+    std::vector<Transport::Endpoint> endpoints;
+    for (std::size_t index = size_.controls; index < instances_.size(); ++index)
+        endpoints.push_back({instances_[index].localIp, callerPort});
+    return endpoints;
+}
+
+} // namespace Pistachio::Soak
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,182 @@
+#include "ledger.h"
+
+namespace Pistachio::Soak
+{
+
+Ledger::Ledger(Report report)
+    : report_(std::move(report))
+{
+}
+
+void Ledger::addMinion(const std::string &minion, std::int64_t milliCores)
+{
+    minions_[minion].milliCores = milliCores;
+}
+
+void Ledger::sent(const std::string &id, Job job)
+{
+    jobs_[id] = std::move(job);
+}
+
+void Ledger::accepted(const std::string &id)
+{
+    jobs_.at(id).isAccepted = true;
+}
+
+void Ledger::refused(const std::string &id)
+{
+    auto &job = jobs_.at(id);
+    job.isRefused = true;
+    if (!job.done.empty() || lastRun_.lower_bound({{id, 0, 0}, 0}) != lastRun_.lower_bound({{id + '~', 0, 0}, 0}))
+        report_("job " + id + " was refused and has run");
+}
+
+void Ledger::cancelling(const std::string &id)
+{
+    jobs_.at(id).isCancelling = true;
+}
+
+void Ledger::cancelled(const std::string &id)
+{
+    jobs_.at(id).isCancelled = true;
+}
+
+void Ledger::stateSeen(const std::string &id, std::string_view state)
+{
+    auto &job = jobs_.at(id);
+    if (state.empty()) {
+        report_("job " + id + " was accepted and is gone");
+    } else if (state == "failed") {
+        report_("job " + id + " failed though none of its tasks did");
+    } else if (state == "cancelled") {
+        if (!job.isCancelling)
+            report_("job " + id + " is cancelled though nobody asked for it");
+    } else if (state == "completed") {
+        job.isCompleted = true;
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < job.steps[step].tasks; ++index) {
+                if (!job.done.contains({{id, 0, step}, index}))
+                    report_("job " + id + " is completed without task " + std::to_string(step) + '.'
+                            + std::to_string(index));
+            }
+        }
+    } else if (job.isCompleted) {
+        report_("job " + id + " was completed and is " + std::string(state));
+    }
+}
+
+void Ledger::configurationAcknowledged(std::uint64_t version)
+{
+    acknowledgedVersion_ = std::max(acknowledgedVersion_, version);
+}
+
+void Ledger::configurationRead(std::uint64_t version, std::uint64_t acknowledged)
+{
+    if (version < acknowledged)
+        report_("configuration " + std::to_string(version) + " was read after " + std::to_string(acknowledged)
+                + " had been acknowledged");
+}
+
+std::vector<std::string> Ledger::unfinished() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, job] : jobs_) {
+        if (job.isAccepted && !job.isCompleted && !job.isCancelled)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+void Ledger::checkNothingRuns()
+{
+    for (const auto &[task, minion] : running_) {
+        const auto &job = jobs_.at(task.step.job);
+        if (job.isCompleted || job.isCancelled)
+            report_("task " + task.toString() + " of a job that is over still runs on " + minion);
+    }
+}
+
+void Ledger::runBegan(const std::string &minion, const Jobs::StartOrder &order)
+{
+    ++starts_;
+    const auto &task = order.task;
+    const auto found = jobs_.find(task.step.job);
+    if (found == jobs_.end() || task.step.step >= found->second.steps.size()
+        || task.index >= found->second.steps[task.step.step].tasks || task.step.occurrence != 0) {
+        report_("task " + task.toString() + " was started on " + minion + " and nobody sent it");
+        return;
+    }
+    checkStart(found->second, order);
+    const auto elsewhere = running_.find(task);
+    if (elsewhere != running_.end())
+        report_("task " + task.toString() + " runs on " + elsewhere->second + " and " + minion);
+    running_[task] = minion;
+    auto &last = lastRun_[task];
+    if (order.run <= last)
+        report_("run " + std::to_string(order.run) + " of task " + task.toString() + " follows run "
+                + std::to_string(last));
+    last = order.run;
+    auto &place = minions_.at(minion);
+    place.used += milliCoresOf(task);
+    if (place.used > place.milliCores)
+        report_(minion + " runs more than it has, " + std::to_string(place.used) + " millicores");
+}
+
+void Ledger::checkStart(const Job &job, const Jobs::StartOrder &order)
+{
+    const auto &task = order.task;
+    if (order.payload != job.payload)
+        report_("task " + task.toString() + " was started with another payload");
+    if (job.isRefused)
+        report_("task " + task.toString() + " was started though its job was refused");
+    if (job.noted.contains(task))
+        report_("task " + task.toString() + " was started again after its end had been acknowledged");
+    if (!job.steps[task.step.step].waitsForFirst)
+        return;
+    for (std::uint32_t index = 0; index < job.steps[0].tasks; ++index) {
+        if (!job.done.contains({{task.step.job, 0, 0}, index}))
+            report_("task " + task.toString() + " was started before task 0." + std::to_string(index) + " was done");
+    }
+}
+
+std::int64_t Ledger::milliCoresOf(const Jobs::TaskName &task) const
+{
+    return jobs_.at(task.step.job).steps.at(task.step.step).milliCores;
+}
+
+void Ledger::release(const Jobs::TaskName &task)
+{
+    const auto found = running_.find(task);
+    if (found == running_.end())
+        return;
+    minions_.at(found->second).used -= milliCoresOf(task);
+    running_.erase(found);
+}
+
+void Ledger::runEnded(const std::string &minion, const Jobs::EndedRun &end)
+{
+    release(end.task);
+    if (end.how != Jobs::RunEnd::Done)
+        return;
+    jobs_.at(end.task.step.job).done.insert(end.task);
+    minions_.at(minion).doneEnds[end.number] = end.task;
+}
+
+void Ledger::endsAcknowledged(const std::string &minion, std::uint64_t number)
+{
+    auto &ends = minions_.at(minion).doneEnds;
+    const auto last = ends.upper_bound(number);
+    for (auto item = ends.begin(); item != last; ++item)
+        jobs_.at(item->second.step.job).noted.insert(item->second);
+    ends.erase(ends.begin(), last);
+}
+
+void Ledger::minionCrashed(const std::string &minion)
+{
+    auto &place = minions_.at(minion);
+    place.used = 0;
+    place.doneEnds.clear();
+    std::erase_if(running_, [&minion](const auto &item) { return item.second == minion; });
+}
+
+} // namespace Pistachio::Soak
--- /dev/null
+++ b/tests/soak/ledger.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "core/time.h"
+#include "platform/runobserver.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace Pistachio::Soak
+{
+
+/// Holds what callers were told and what the minions did, and reports each contradiction.
+class Ledger : public RunObserver
+{
+public:
+    using Report = std::function<void(const std::string &violation)>;
+
+    struct Step {
+        std::uint32_t tasks = 0;
+        std::int64_t milliCores = 0;
+        bool waitsForFirst = false; ///< for all tasks of step 0
+    };
+    struct Job {
+        std::string payload;
+        std::vector<Step> steps;
+        bool isAccepted = false;
+        bool isRefused = false; ///< for good
+        bool isCancelling = false; ///< the caller has asked for it
+        bool isCancelled = false; ///< confirmed
+        bool isCompleted = false; ///< so the caller was told
+        std::set<Jobs::TaskName> done; ///< ended done on a minion at least once
+        std::set<Jobs::TaskName> noted; ///< whose end has been acknowledged
+    };
+
+    explicit Ledger(Report report);
+
+    /// \param milliCores of the minion
+    void addMinion(const std::string &minion, std::int64_t milliCores);
+
+    void sent(const std::string &id, Job job);
+    void accepted(const std::string &id);
+    /// Every attempt was refused and the caller gives up.
+    void refused(const std::string &id);
+    void cancelling(const std::string &id);
+    void cancelled(const std::string &id);
+    /// A caller was told the state of an accepted job; empty: there is no such job.
+    void stateSeen(const std::string &id, std::string_view state);
+
+    void configurationAcknowledged(std::uint64_t version);
+    /// \param acknowledged the highest version acknowledged when the read began
+    void configurationRead(std::uint64_t version, std::uint64_t acknowledged);
+    [[nodiscard]] std::uint64_t newestAcknowledged() const { return acknowledgedVersion_; }
+
+    /// \return accepted jobs that are neither completed nor cancelled.
+    [[nodiscard]] std::vector<std::string> unfinished() const;
+    /// Reports what still runs though all jobs are over.
+    void checkNothingRuns();
+
+    [[nodiscard]] const std::map<std::string, Job> &jobs() const { return jobs_; }
+    [[nodiscard]] std::size_t starts() const { return starts_; }
+
+    void runBegan(const std::string &minion, const Jobs::StartOrder &order) override;
+    void runEnded(const std::string &minion, const Jobs::EndedRun &end) override;
+    void endsAcknowledged(const std::string &minion, std::uint64_t number) override;
+    void minionCrashed(const std::string &minion) override;
+
+private:
+    struct Minion {
+        std::int64_t milliCores = 0;
+        std::int64_t used = 0;
+        std::map<std::uint64_t, Jobs::TaskName> doneEnds; ///< not acknowledged yet
+    };
+
+    void checkStart(const Job &job, const Jobs::StartOrder &order);
+    void release(const Jobs::TaskName &task);
+    [[nodiscard]] std::int64_t milliCoresOf(const Jobs::TaskName &task) const;
+
+    const Report report_;
+    std::map<std::string, Job> jobs_;
+    std::map<std::string, Minion> minions_;
+    std::map<Jobs::TaskName, std::string> running_; ///< the minion
+    std::map<Jobs::TaskName, std::uint64_t> lastRun_;
+    std::uint64_t acknowledgedVersion_ = 0;
+    std::size_t starts_ = 0;
+};
+
+} // namespace Pistachio::Soak
--- /dev/null
+++ b/tests/soak/workload.cpp
@@ -0,0 +1,274 @@
+#include "workload.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace Pistachio::Soak
+{
+
+using nlohmann::json;
+using Answer = Standin::CallerClient::Answer;
+using Outcome = Standin::CallerClient::Outcome;
+using Transport::EventLoop;
+
+namespace
+{
+
+constexpr const char *host = "jobs.example";
+constexpr std::array<const char *, 3> queues{"/plain/", "/advised/", "/later/"};
+constexpr std::size_t advisedQueue = 1;
+constexpr Duration submitInterval = 250ms;
+constexpr Duration readInterval = 150ms;
+constexpr Duration configurationInterval = 900ms;
+constexpr Duration repeatInterval = 400ms;
+constexpr std::size_t patience = 3; ///< refusals until a caller gives up
+constexpr std::uint64_t cancelShare = 12; ///< one job of so many is cancelled
+constexpr std::uint64_t lateRepeatShare = 8; ///< one accepted job of so many arrives once more
+constexpr Duration lateRepeat = 2s;
+
+std::string newId(RandomSource &random)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%08llx%08llx", static_cast<unsigned long long>(random.below(1ULL << 32)),
+                  static_cast<unsigned long long>(random.below(1ULL << 32)));
+    return text.data();
+}
+
+json encode(const Ledger::Job &job, bool isCheckpointing)
+{
+    json steps = json::array();
+    for (const auto &step : job.steps) {
+        json item{{"count", step.tasks}, {"cpu", step.milliCores}, {"memMb", 64}, {"estimateMs", 400}};
+        if (step.waitsForFirst)
+            item["dependsOn"] = {0};
+        if (isCheckpointing)
+            item["checkpointing"] = true;
+        steps.push_back(item);
+    }
+    return {{"taskSpec", job.payload}, {"jobSteps", steps}};
+}
+
+Ledger::Job newJob(RandomSource &random, std::uint64_t number)
+{
+    constexpr std::uint64_t mostTasks = 4;
+    constexpr std::uint64_t largestTask = 3000;
+    Ledger::Job job;
+    job.payload = "payload " + std::to_string(number);
+    for (std::uint64_t left = 1 + random.below(2); left > 0; --left)
+        job.steps.push_back({static_cast<std::uint32_t>(1 + random.below(mostTasks)),
+                             static_cast<std::int64_t>(200 + random.below(largestTask)), !job.steps.empty()});
+    return job;
+}
+
+} // namespace
+
+Workload::Workload(EventLoop &loop, Cell &cell, Ledger &ledger, std::uint64_t seed, Ledger::Report report)
+    : loop_(loop)
+    , cell_(cell)
+    , ledger_(ledger)
+    , report_(std::move(report))
+    , random_(seed)
+    , caller_(loop, host)
+    , operator_(loop)
+{
+}
+
+void Workload::start()
+{
+    changeConfiguration();
+    readConfiguration();
+    submitOne();
+    readUnfinished();
+}
+
+void Workload::finish()
+{
+    isFinished_ = true;
+}
+
+bool Workload::needsTicket(const std::string &job) const
+{
+    const auto found = paths_.find(job);
+    return found != paths_.end() && found->second.starts_with(queues[advisedQueue]);
+}
+
+std::size_t Workload::pickEntry()
+{
+    return random_.below(cell_.entries().size());
+}
+
+void Workload::submitOne()
+{
+    submitTimer_ = loop_.callAfter(submitInterval, [this] { submitOne(); });
+    if (isFinished_ || ledger_.newestAcknowledged() == 0)
+        return;
+    const auto id = newId(random_);
+    auto job = newJob(random_, ++jobs_);
+    Submission submission;
+    submission.path = queues[random_.below(queues.size())] + id;
+    submission.body = encode(job, random_.below(2) == 0).dump();
+    paths_[id] = submission.path;
+    ledger_.sent(id, std::move(job));
+    requests_[id] = std::move(submission);
+    attempt(id);
+}
+
+void Workload::attempt(const std::string &id)
+{
+    const auto &submission = requests_.at(id);
+    const auto entry = pickEntry();
+    caller_.submit(cell_.entries()[entry], submission.path, submission.body,
+                   [this, id, entry, sentAt = EventLoop::now()](const Answer &answer) {
+                       checkCut(entry, sentAt, answer);
+                       submitted(id, answer);
+                   });
+}
+
+void Workload::submitted(const std::string &id, const Answer &answer)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        if (answer.outcome == Outcome::NoQueue || answer.outcome == Outcome::Invalid)
+            report_("the repeated job " + id + " was not known again");
+        return;
+    }
+    auto &submission = found->second;
+    switch (answer.outcome) {
+    case Outcome::Ok:
+        lastAccepted_ = EventLoop::now();
+        ledger_.accepted(id);
+        if (random_.below(cancelShare) == 0)
+            cancel(id);
+        if (random_.below(lateRepeatShare) == 0) {
+            const auto entry = cell_.entries()[pickEntry()];
+            repeatTimers_[id] = loop_.callAfter(lateRepeat, [this, id, entry, submission] {
+                caller_.submit(entry, submission.path, submission.body,
+                               [this, id](const Answer &repeated) { submitted(id, repeated); });
+            });
+        }
+        requests_.erase(found);
+        return;
+    case Outcome::Refused:
+        ++refusals_;
+        ++submission.refusals;
+        if (!submission.isInDoubt && submission.refusals >= patience) {
+            ledger_.refused(id);
+            requests_.erase(found);
+            return;
+        }
+        break;
+    case Outcome::Unknown:
+        submission.isInDoubt = true;
+        break;
+    default:
+        report_("job " + id + " was answered as invalid, gone or of no queue");
+        requests_.erase(found);
+        return;
+    }
+    repeatLater(id);
+}
+
+void Workload::repeatLater(const std::string &id)
+{
+    repeatTimers_[id] = loop_.callAfter(repeatInterval, [this, id] { attempt(id); });
+}
+
+void Workload::checkCut(std::size_t entry, TimePoint sentAt, const Answer &answer)
+{
+    const auto index = cell_.controls().size() + entry;
+    if (answer.isCut && cell_.wasOnlyStopped(index, sentAt))
+        report_("a planned stop of " + cell_.name(index) + " cut a request in flight");
+}
+
+void Workload::readUnfinished()
+{
+    readTimer_ = loop_.callAfter(readInterval, [this] { readUnfinished(); });
+    const auto ids = ledger_.unfinished();
+    if (!ids.empty())
+        read(ids[random_.below(ids.size())]);
+    if (!ledger_.jobs().empty()) {
+        auto item = ledger_.jobs().begin();
+        std::advance(item, static_cast<std::ptrdiff_t>(random_.below(ledger_.jobs().size())));
+        if (item->second.isAccepted)
+            read(item->first);
+    }
+}
+
+void Workload::read(const std::string &id)
+{
+    const auto entry = pickEntry();
+    caller_.read(cell_.entries()[entry], paths_.at(id),
+                 [this, id, entry, sentAt = EventLoop::now()](const Answer &answer) {
+                     checkCut(entry, sentAt, answer);
+                     if (answer.outcome == Outcome::Ok || answer.outcome == Outcome::Gone)
+                         ledger_.stateSeen(id, answer.state);
+                 });
+}
+
+void Workload::cancel(const std::string &id)
+{
+    ledger_.cancelling(id);
+    caller_.cancel(cell_.entries()[pickEntry()], paths_.at(id), [this, id](const Answer &answer) {
+        if (answer.outcome == Outcome::Ok)
+            ledger_.cancelled(id);
+        else
+            repeatTimers_[id] = loop_.callAfter(repeatInterval, [this, id] { cancel(id); });
+    });
+}
+
+void Workload::changeConfiguration()
+{
+    if (isFinished_)
+        return;
+    version_ += 1 + random_.below(3);
+    json routes = json::array();
+    for (std::size_t index = 0; index < queues.size(); ++index) {
+        json route{{"name", "queue-" + std::to_string(index)},
+                   {"host", host},
+                   {"pathPrefix", queues[index]},
+                   {"kind", "non_idempotent"},
+                   {"service", service},
+                   {"timeoutMs", 3000},
+                   {"priority", index},
+                   {"maxAttempts", 4},
+                   {"slackFactor", 2.0},
+                   {"targetLatencyMs", 800}};
+        if (index == advisedQueue)
+            route["recommendation"] = {{"decisionMs", 1.0}, {"perWorkerMs", 0.1}, {"validityMs", ticketValidity / 1ms}};
+        routes.push_back(route);
+    }
+    const json services = json::array({json{{"name", service}, {"healthPath", "/healthz"}, {"preconditions", false}}});
+    document_ = json{{"version", version_}, {"routes", routes}, {"services", services}}.dump();
+    sendConfiguration();
+}
+
+void Workload::sendConfiguration()
+{
+    const auto controls = cell_.controls();
+    operator_.replace(controls[random_.below(controls.size())], document_, [this](int status) {
+        if (status == 200) {
+            ledger_.configurationAcknowledged(version_);
+            configurationTimer_ = loop_.callAfter(configurationInterval, [this] { changeConfiguration(); });
+            return;
+        }
+        if (status >= 400 && status < 500)
+            report_("configuration " + std::to_string(version_) + " was refused with " + std::to_string(status));
+        configurationTimer_ = loop_.callAfter(repeatInterval, [this] { sendConfiguration(); });
+    });
+}
+
+void Workload::readConfiguration()
+{
+    configurationReadTimer_ = loop_.callAfter(configurationInterval, [this] { readConfiguration(); });
+    const auto controls = cell_.controls();
+    operator_.read(controls[random_.below(controls.size())],
+                   [this, acknowledged = ledger_.newestAcknowledged()](std::optional<std::uint64_t> version) {
+                       if (version)
+                           ledger_.configurationRead(*version, acknowledged);
+                   });
+}
+
+} // namespace Pistachio::Soak
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -1,5 +1,7 @@
 #include "platform/simulatedminion.h"
 
+#include "platform/runobserver.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -42,6 +44,8 @@
         return {OrderOutcome::OldRun, clock(now)};
     const auto how = failsEverything ? RunEnd::Failed : RunEnd::Done;
     runs[order.task] = {order.run, now + (standsStill ? Duration(1h) : runTime_), how, order.checkpoint + "+"};
+    if (observer != nullptr)
+        observer->runBegan(report.life.id, order);
     return {OrderOutcome::Done, clock(now)};
 }
 
@@ -70,6 +74,8 @@
     }
     if (order.leaseExpiresAtMs)
         leaseUntil_ = std::max(leaseUntil_, *order.leaseExpiresAtMs);
+    if (observer != nullptr)
+        observer->endsAcknowledged(report.life.id, order.acknowledgedEnd);
     std::erase_if(ended_, [&order](const EndedRun &item) { return item.number <= order.acknowledgedEnd; });
     if (!ended_.empty() || order.wait == Duration::zero())
         answer(lists(now));
@@ -106,6 +112,8 @@
     ended_.push_back({++lastEnd_, task, work.run, how, work.checkpoint});
     if (how == RunEnd::Done)
         ++finished[task];
+    if (observer != nullptr)
+        observer->runEnded(report.life.id, ended_.back());
 }
 
 void SimulatedMinion::tick(TimePoint now)
@@ -130,6 +138,8 @@
 
 void SimulatedMinion::restart(TimePoint now)
 {
+    if (observer != nullptr)
+        observer->minionCrashed(report.life.id);
     report.life.bornUnixMs += 1000;
     report.sequence = 0;
     runs.clear();
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+class RunObserver;
+
 /// A minion that follows the published rules: fences, leases on its own clock, numbered ends, refused old runs.
 class SimulatedMinion
 {
@@ -47,6 +49,7 @@
     bool failsEverything = false;
     bool standsStill = false; ///< what starts there makes no progress
     std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
+    RunObserver *observer = nullptr; ///< null: nobody
 
 private:
     void end(const Pistachio::Jobs::TaskName &task, Pistachio::Jobs::RunEnd how);
