Look up what planning needs once for each step, not once for each minion

Cause: with 350 minions the leader's 0.4 cores are full. A profile of the leader (perf, call graph): 51% in planService, of that 22 in keepRoom, 11 in bestMinion and 9 in askAdvice; 18% of all time compares strings, for the step in the advice, the queue in the book and the minion in the fleet, each once for every minion and step.

Change: a step's queue, demand and advice are looked up once; candidates that need tickets come from the approved ones; the fleet has an index by id and by address (each report compared its address with all others); bounds of room and size tell at once of most waiting steps that nothing can be done.

Ruled out: the number of rounds as the cause; at the same number of looks at minions the share of planning fell from 51% to 36%.

--- a/src/libs/jobs/adviceledger.cpp
+++ b/src/libs/jobs/adviceledger.cpp
@@ -5,22 +5,11 @@
 namespace Pistachio::Jobs
 {
 
-bool AdviceLedger::isAsking(const StepName &step) const
+const StepAdvice &AdviceLedger::about(const StepName &step) const
 {
+    static const StepAdvice nothing;
     const auto found = steps_.find(step);
-    return found != steps_.end() && !found->second.asking.empty();
-}
-
-bool AdviceLedger::isDenied(const StepName &step, const std::string &minion) const
-{
-    const auto found = steps_.find(step);
-    return found != steps_.end() && found->second.denied.contains(minion);
-}
-
-bool AdviceLedger::isApproved(const StepName &step, const std::string &minion) const
-{
-    const auto found = steps_.find(step);
-    return found != steps_.end() && found->second.approved.contains(minion);
+    return found == steps_.end() ? nothing : found->second;
 }
 
 std::optional<std::string> AdviceLedger::ticket(const StepName &step, const std::string &minion, TimePoint until) const
@@ -34,25 +23,6 @@
     return held->second.text;
 }
 
-std::vector<std::string_view> AdviceLedger::ticketHolders(const StepName &step, TimePoint until) const
-{
-    std::vector<std::string_view> result;
-    const auto found = steps_.find(step);
-    if (found == steps_.end())
-        return result;
-    for (const auto &[minion, ticket] : found->second.approved) {
-        if (ticket.validUntil >= until)
-            result.push_back(minion);
-    }
-    return result;
-}
-
-TimePoint AdviceLedger::failedAt(const StepName &step) const
-{
-    const auto found = steps_.find(step);
-    return found == steps_.end() ? TimePoint{} : found->second.failedAt;
-}
-
 void AdviceLedger::asked(const AdviceRequest &request)
 {
     steps_[request.step].asking = request.minions;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Pistachio::Jobs
@@ -30,14 +31,19 @@
     [[nodiscard]] const Minion *find(const MinionLife &life) const;
     Minion *find(const std::string &id);
     void add(MinionReport report);
-    void remove(const std::string &id) { minions_.erase(id); }
-    void clear() { minions_.clear(); }
+    void remove(const std::string &id);
+    void clear();
 
     [[nodiscard]] std::map<std::string, Minion> &minions() { return minions_; }
     [[nodiscard]] const std::map<std::string, Minion> &minions() const { return minions_; }
 
 private:
+    void forgetAddress(const Minion &minion);
+
     std::map<std::string, Minion> minions_;
+    // Reports and planning look up hundreds of minions in each round.
+    std::unordered_map<std::string, Minion *> byId_;
+    std::unordered_multimap<std::string, Minion *> byAddress_;
 };
 
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -107,6 +108,21 @@
         Minion *minion;
     };
     using WaitingEntry = std::pair<const StepName, WaitingStep>;
+    /// What a step asks of minions, looked up once for all of them.
+    struct StepNeeds {
+        const Wire::JobQueue &queue;
+        const Wire::JobStep &step;
+        Amounts demand;
+    };
+    /// Of the usable minions of a service, each amount by itself.
+    struct Bounds {
+        Amounts mostRoom;
+        Amounts leastCapacity;
+    };
+    enum class Tickets {
+        Valid, ///< may start now
+        Known, ///< may start once the ticket is renewed
+    };
 
     // jobscheduler.cpp and bookevents.cpp
     void enqueueJob(const Job &job);
@@ -153,11 +169,16 @@
     bool placeStep(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     bool placeGang(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     void place(const Job &job, const TaskName &task, std::uint64_t run, Minion &minion, Wire::JobCommand &command);
-    [[nodiscard]] std::optional<TimePoint> ticketNeededUntil(const Job &job) const;
     [[nodiscard]] bool isUsable(const Minion &minion) const;
-    [[nodiscard]] bool mayRun(const Minion &minion, const Job &job, const StepName &step) const;
+    [[nodiscard]] std::optional<StepNeeds> needsOf(const Job &job, const StepName &name) const;
+    [[nodiscard]] static bool mayRun(const Minion &minion, const StepNeeds &needs);
+    /// \return bounds that tell at once of most steps under load that nothing can be done for them.
+    [[nodiscard]] Bounds boundsOf(const std::string &service) const;
+    /// \return the usable minions that may run the step, with \p tickets as far as it needs them.
+    [[nodiscard]] std::vector<Minion *> minionsFor(const StepName &name, const StepNeeds &needs, Tickets tickets);
     [[nodiscard]] bool fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const;
-    Minion *bestMinion(const Job &job, const StepName &step, const TaskName &task, const std::string &rack);
+    Minion *bestMinion(std::span<Minion *const> minions, const StepNeeds &needs, const TaskName &task,
+                       const std::string &rack);
     bool askAdvice(const StepName &name, const Job &job);
     void askAhead(const Job &job, const StepName &name);
 
@@ -166,7 +187,7 @@
     void keepRoom(const WaitingEntry &entry, const Job &job);
     [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
                                      const Wire::JobQueue &queue) const;
-    void preemptFor(const WaitingEntry &entry, const Job &job, Minion &minion);
+    void preemptFor(const WaitingEntry &entry, const StepNeeds &needs, Minion &minion);
 
     JobBook &book_;
     SchedulerPorts &ports_;
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -52,6 +52,7 @@
 {
     // Most rounds try only the most pressing of the steps that don't fit; processor time is short under overload.
     const std::size_t mostFailures = isFullRound_ ? std::numeric_limits<std::size_t>::max() : failuresOfShortRound;
+    const auto bounds = boundsOf(service);
     std::size_t failures = 0;
     std::size_t asked = 0;
     std::size_t reservations = 0;
@@ -60,11 +61,12 @@
         if (!job)
             continue;
         const StepName name = entry->first;
-        const bool placed
-            = job->spec(name.step).gang() ? placeGang(*entry, *job, command) : placeStep(*entry, *job, command);
-        const bool isGang = job->spec(name.step).gang();
+        const auto &step = job->spec(name.step);
+        const bool isGang = step.gang();
+        const bool canFit = demandOf(step).fitsIn(bounds.mostRoom);
+        const bool placed = canFit && (isGang ? placeGang(*entry, *job, command) : placeStep(*entry, *job, command));
         // A gang that waits for the rest of its last run to end needs nothing yet.
-        if (placed || (isGang && entry->second.tasks.size() < job->spec(name.step).tasks()))
+        if (placed || (isGang && entry->second.tasks.size() < step.tasks()))
             continue;
         if (++failures > mostFailures)
             return;
@@ -73,12 +75,33 @@
         if (entry->second.lasts || (isGang && reservations < maxReservations)) {
             reserveFor(*entry, *job);
             reservations += isGang ? 1 : 0;
-        } else if (!isGang) {
+        } else if (!isGang && isLarge(demandOf(step), bounds.leastCapacity)) {
             keepRoom(*entry, *job);
         }
     }
 }
 
+JobScheduler::Bounds JobScheduler::boundsOf(const std::string &service) const
+{
+    constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    Bounds bounds{{0, 0, 0}, {most, most, most}};
+    const auto raise = [](std::int64_t &bound, std::int64_t value) { bound = std::max(bound, value); };
+    const auto lower = [](std::int64_t &bound, std::int64_t value) { bound = std::min(bound, value); };
+    for (const auto &[id, minion] : fleet_.minions()) {
+        if (minion.report.service != service || !isUsable(minion))
+            continue;
+        const auto room = minion.room();
+        raise(bounds.mostRoom.milliCores, room.milliCores);
+        raise(bounds.mostRoom.memoryMb, room.memoryMb);
+        raise(bounds.mostRoom.accelerators, room.accelerators);
+        const auto capacity = minion.capacity();
+        lower(bounds.leastCapacity.milliCores, capacity.milliCores);
+        lower(bounds.leastCapacity.memoryMb, capacity.memoryMb);
+        lower(bounds.leastCapacity.accelerators, capacity.accelerators);
+    }
+    return bounds;
+}
+
 /// Asks ahead for the steps that follow one whose tasks have all been given out, so that they need not wait for advice.
 void JobScheduler::askAhead(const Job &job, const StepName &name)
 {
@@ -94,25 +117,47 @@
     }
 }
 
-std::optional<TimePoint> JobScheduler::ticketNeededUntil(const Job &job) const
+bool JobScheduler::isUsable(const Minion &minion) const
+{
+    return minion.isHeld && !minion.isForgotten && !minion.report.draining && minion.clockMs
+        && now_.time < minion.lastContact + contactNeeded && now_.time >= minion.avoidUntil;
+}
+
+std::optional<JobScheduler::StepNeeds> JobScheduler::needsOf(const Job &job, const StepName &name) const
 {
     const auto *queue = book_.queue(job.submission().queue());
-    if (!queue || !queue->needs_advice())
+    if (!queue)
         return std::nullopt;
-    return now_.time + ticketMargin;
+    const auto &step = job.spec(name.step);
+    return StepNeeds{*queue, step, demandOf(step)};
 }
 
-bool JobScheduler::isUsable(const Minion &minion) const
+bool JobScheduler::mayRun(const Minion &minion, const StepNeeds &needs)
 {
-    return minion.isHeld && !minion.isForgotten && !minion.report.draining && minion.clockMs
-        && now_.time < minion.lastContact + contactNeeded && now_.time >= minion.avoidUntil;
+    return needs.demand.fitsIn(minion.capacity()) && minion.report.service == needs.queue.service()
+        && minion.hasLabel(needs.step.required_label());
 }
 
-bool JobScheduler::mayRun(const Minion &minion, const Job &job, const StepName &step) const
+std::vector<Minion *> JobScheduler::minionsFor(const StepName &name, const StepNeeds &needs, Tickets tickets)
 {
-    const auto *queue = book_.queue(job.submission().queue());
-    return queue && minion.report.service == queue->service() && minion.hasLabel(job.spec(step.step).required_label())
-        && demandOf(job.spec(step.step)).fitsIn(minion.capacity());
+    std::vector<Minion *> result;
+    const auto consider = [&](Minion &minion) {
+        if (isUsable(minion) && mayRun(minion, needs) && !reserved_.contains(minion.report.life.id))
+            result.push_back(&minion);
+    };
+    if (!needs.queue.needs_advice()) {
+        for (auto &[id, minion] : fleet_.minions())
+            consider(minion);
+        return result;
+    }
+    const auto until = now_.time + ticketMargin;
+    for (const auto &[id, ticket] : advice_.about(name).approved) {
+        if (tickets == Tickets::Valid && ticket.validUntil < until)
+            continue;
+        if (auto *minion = fleet_.find(id))
+            consider(*minion);
+    }
+    return result;
 }
 
 bool JobScheduler::fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const
@@ -125,44 +170,33 @@
     return demandOf(step).fitsIn(room);
 }
 
-Minion *JobScheduler::bestMinion(const Job &job, const StepName &name, const TaskName &task, const std::string &rack)
+Minion *JobScheduler::bestMinion(std::span<Minion *const> minions, const StepNeeds &needs, const TaskName &task,
+                                 const std::string &rack)
 {
-    const auto &step = job.spec(name.step);
-    const auto needed = ticketNeededUntil(job);
-    const auto waiting = queue_.steps().find(name);
+    const auto &step = needs.step;
+    const auto waiting = queue_.steps().find(task.step);
     const bool isTight = waiting != queue_.steps().end() && waiting->second.times.latestStart < now_.time + tightSlack;
     const double slownessWeight = isTight ? tightSlownessWeight : looseSlownessWeight;
     Minion *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
-    const auto consider = [&](Minion &minion) {
-        const auto &id = minion.report.life.id;
-        if (!isUsable(minion) || !fits(minion, step, name) || reserved_.contains(id) || !mayRun(minion, job, name)
-            || !roomPlan_.allows(id, demandOf(step)) || minion.runs.contains(task)
-            || (!rack.empty() && !minion.hasLabel(rack)))
-            return;
-        auto room = minion.room();
-        room -= demandOf(step);
+    for (auto *minion : minions) {
+        if (!fits(*minion, step, task.step) || !roomPlan_.allows(minion->report.life.id, needs.demand)
+            || minion->runs.contains(task) || (!rack.empty() && !minion->hasLabel(rack)))
+            continue;
+        auto room = minion->room();
+        room -= needs.demand;
         // The fullest minion that still fits keeps whole minions free for large tasks.
         double score = static_cast<double>(room.milliCores)
-            / static_cast<double>(std::max<std::int64_t>(1, minion.report.milliCores));
-        if (minion.report.accelerators > 0)
-            score += static_cast<double>(room.accelerators) / static_cast<double>(minion.report.accelerators);
-        if (!step.data_rack().empty() && !minion.hasLabel(step.data_rack()))
+            / static_cast<double>(std::max<std::int64_t>(1, minion->report.milliCores));
+        if (minion->report.accelerators > 0)
+            score += static_cast<double>(room.accelerators) / static_cast<double>(minion->report.accelerators);
+        if (!step.data_rack().empty() && !minion->hasLabel(step.data_rack()))
             score += 10;
-        score += speeds_.slowness(minion.kind()) * slownessWeight;
+        score += speeds_.slowness(minion->kind()) * slownessWeight;
         if (score < bestScore) {
             bestScore = score;
-            best = &minion;
+            best = minion;
         }
-    };
-    if (needed) {
-        for (const auto &id : advice_.ticketHolders(name, *needed)) {
-            if (auto *minion = fleet_.find(std::string(id)))
-                consider(*minion);
-        }
-    } else {
-        for (auto &[id, minion] : fleet_.minions())
-            consider(minion);
     }
     return best;
 }
@@ -192,11 +226,15 @@
     const auto waiting = entry.second.tasks;
     const auto since = entry.second.readySince;
     const auto slack = entry.second.times.latestStart - now_.time;
+    const auto needs = needsOf(job, name);
+    if (!needs)
+        return false;
+    const auto minions = minionsFor(name, *needs, Tickets::Valid);
     std::size_t placed = 0;
     std::string where;
     for (const auto index : waiting) {
         const TaskName task{name, index};
-        auto *minion = bestMinion(job, name, task, {});
+        auto *minion = bestMinion(minions, *needs, task, {});
         if (!minion)
             break;
         place(job, task, job.task(task)->run + 1, *minion, command);
@@ -222,7 +260,6 @@
 bool JobScheduler::placeGang(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command)
 {
     const StepName name = entry.first;
-    const auto &step = job.spec(name.step);
     const auto &tasks = job.step(name.occurrence, name.step)->tasks;
     const auto waiting = entry.second.tasks;
     // A gang starts anew only once all members of its last run have ended.
@@ -231,13 +268,15 @@
     std::uint64_t run = 0;
     for (const auto &task : tasks)
         run = std::max(run, task.run);
+    const auto needs = needsOf(job, name);
+    if (!needs)
+        return false;
+    const auto minions = minionsFor(name, *needs, Tickets::Valid);
     std::vector<std::string> racks{std::string()};
-    if (step.same_rack()) {
+    if (needs->step.same_rack()) {
         std::set<std::string> labels;
-        for (const auto &[id, minion] : fleet_.minions()) {
-            if (mayRun(minion, job, name))
-                labels.insert(minion.report.labels.begin(), minion.report.labels.end());
-        }
+        for (const auto *minion : minions)
+            labels.insert(minion->report.labels.begin(), minion->report.labels.end());
         racks.insert(racks.begin(), labels.begin(), labels.end());
     }
     for (const auto &rack : racks) {
@@ -245,7 +284,7 @@
         std::vector<Placement> placed;
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
             const TaskName task{name, index};
-            auto *minion = bestMinion(job, name, task, rack);
+            auto *minion = bestMinion(minions, *needs, task, rack);
             if (!minion)
                 break;
             place(job, task, run + 1, *minion, attempt);
@@ -278,25 +317,27 @@
 
 bool JobScheduler::askAdvice(const StepName &name, const Job &job)
 {
-    if (!ticketNeededUntil(job) || advice_.isAsking(name) || ports_.idleAdvisers() == 0
-        || now_.time < advice_.failedAt(name) + adviceRetry)
+    const auto needs = needsOf(job, name);
+    if (!needs || !needs->queue.needs_advice() || ports_.idleAdvisers() == 0)
+        return false;
+    const auto &known = advice_.about(name);
+    if (!known.asking.empty() || now_.time < known.failedAt + adviceRetry)
         return false;
     // Those with room first, and those that are known to be approved before others.
-    std::vector<std::tuple<bool, bool, std::int64_t, std::string>> candidates;
-    const auto &step = job.spec(name.step);
+    std::vector<std::tuple<bool, bool, std::int64_t, std::string_view>> candidates;
     for (const auto &[id, minion] : fleet_.minions()) {
-        if (!isUsable(minion) || !mayRun(minion, job, name) || advice_.isDenied(name, id)
-            || advice_.ticket(name, id, now_.time + ticketMargin))
+        if (!isUsable(minion) || !mayRun(minion, *needs) || known.denied.contains(id)
+            || known.hasTicket(id, now_.time + ticketMargin))
             continue;
-        candidates.emplace_back(!fits(minion, step, name), !advice_.isApproved(name, id), -minion.room().milliCores,
-                                id);
+        candidates.emplace_back(!fits(minion, needs->step, name), !known.approved.contains(id),
+                                -minion.room().milliCores, id);
     }
     const auto count = std::min(settings_.advisedMinions, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
     AdviceRequest request;
     request.step = name;
     for (std::size_t number = 0; number < count; ++number)
-        request.minions.push_back(std::get<std::string>(candidates[number]));
+        request.minions.emplace_back(std::get<std::string_view>(candidates[number]));
     if (request.minions.empty())
         return false;
     advice_.asked(request);
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -26,26 +26,24 @@
 /// Keeps room for large tasks where it is expected first.
 void JobScheduler::keepRoom(const WaitingEntry &entry, const Job &job)
 {
-    const auto &name = entry.first;
-    const auto &step = job.spec(name.step);
-    const auto demand = demandOf(step);
-    const bool needsTicket = ticketNeededUntil(job).has_value();
-    std::vector<std::pair<RoomPlan::Opening, std::string>> openings;
-    for (const auto &[id, minion] : fleet_.minions()) {
-        if (!isLarge(demand, minion.capacity()) || !isUsable(minion) || roomPlan_.isKept(id) || reserved_.contains(id)
-            || !mayRun(minion, job, name) || (needsTicket && !advice_.isApproved(name, id)))
+    const auto needs = needsOf(job, entry.first);
+    if (!needs)
+        return;
+    std::vector<std::pair<RoomPlan::Opening, Minion *>> openings;
+    for (auto *minion : minionsFor(entry.first, *needs, Tickets::Known)) {
+        if (!isLarge(needs->demand, minion->capacity()) || roomPlan_.isKept(minion->report.life.id))
             continue;
-        if (const auto opening = RoomPlan::openingFor(minion, demand, now_.time))
-            openings.emplace_back(*opening, id);
+        if (const auto opening = RoomPlan::openingFor(*minion, needs->demand, now_.time))
+            openings.emplace_back(*opening, minion);
     }
     const auto count = std::min(entry.second.tasks.size(), openings.size());
     std::partial_sort(openings.begin(), openings.begin() + static_cast<std::ptrdiff_t>(count), openings.end(),
                       [](const auto &left, const auto &right) { return left.first.at < right.first.at; });
     for (std::size_t number = 0; number < count; ++number) {
-        const auto &[opening, id] = openings[number];
-        roomPlan_.keep(id, opening);
+        const auto &[opening, minion] = openings[number];
+        roomPlan_.keep(minion->report.life.id, opening);
         if (opening.at > now_.time + openingAwaited)
-            preemptFor(entry, job, *fleet_.find(id));
+            preemptFor(entry, *needs, *minion);
     }
 }
 
@@ -67,16 +65,15 @@
 }
 
 /// Stops work of queues that come later, and can go on from a checkpoint, so that a large task fits at once.
-void JobScheduler::preemptFor(const WaitingEntry &entry, const Job &job, Minion &minion)
+void JobScheduler::preemptFor(const WaitingEntry &entry, const StepNeeds &needs, Minion &minion)
 {
-    const auto *queue = book_.queue(job.submission().queue());
-    const auto demand = demandOf(job.spec(entry.first.step));
+    const auto &demand = needs.demand;
     auto room = minion.room();
     std::vector<std::pair<TaskName, Run *>> victims;
     for (auto &[task, run] : minion.runs) {
         if (run.phase == RunPhase::Stopping || run.phase == RunPhase::Ending)
             room += run.reserved;
-        else if (isPreemptable(task, run, entry, *queue))
+        else if (isPreemptable(task, run, entry, needs.queue))
             victims.emplace_back(task, &run);
     }
     // Those that would hold the room longest.
@@ -104,35 +101,33 @@
 
 void JobScheduler::reserveFor(const WaitingEntry &entry, const Job &job)
 {
-    const auto &name = entry.first;
-    const auto needsTicket = ticketNeededUntil(job).has_value();
+    const auto needs = needsOf(job, entry.first);
+    if (!needs)
+        return;
     // The minions with the most room are free first.
-    std::vector<std::pair<std::int64_t, std::string>> candidates;
-    for (const auto &[id, minion] : fleet_.minions()) {
-        if (!isUsable(minion) || reserved_.contains(id) || !mayRun(minion, job, name))
-            continue;
-        if (needsTicket && !advice_.isApproved(name, id))
-            continue;
+    auto candidates = minionsFor(entry.first, *needs, Tickets::Known);
+    const auto roomOf = [](const Minion &minion) {
         const auto room = minion.room();
-        candidates.emplace_back(-(room.accelerators * 100'000 + room.milliCores), id);
-    }
-    std::sort(candidates.begin(), candidates.end());
-    const auto &step = job.spec(name.step);
+        return room.accelerators * 100'000 + room.milliCores;
+    };
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [&roomOf](const auto *left, const auto *right) { return roomOf(*left) > roomOf(*right); });
+    const auto &step = needs->step;
     std::uint32_t covered = 0;
-    for (const auto &[room, id] : candidates) {
+    for (const auto *minion : candidates) {
         if (covered >= entry.second.tasks.size())
             return;
-        const auto capacity = fleet_.find(id)->capacity();
+        const auto capacity = minion->capacity();
         std::uint32_t here = 0;
-        Amounts sum = demandOf(step);
+        Amounts sum = needs->demand;
         while (sum.fitsIn(capacity) && here < step.tasks()) {
             ++here;
-            sum += demandOf(step);
+            sum += needs->demand;
         }
         if (step.max_per_minion() > 0)
             here = std::min(here, step.max_per_minion());
         covered += here;
-        reserved_.insert(id);
+        reserved_.insert(minion->report.life.id);
     }
 }
 
--- a/tests/soak/cell.cpp
+++ b/tests/soak/cell.cpp
@@ -18,6 +18,12 @@
 constexpr Duration stopLimit = 6s; ///< the platform kills a process this long after SIGTERM
 constexpr std::size_t garbageBytes = 700;
 
+/// \return the path of a program that was built with this one.
+std::string besideThis(std::string_view program)
+{
+    return std::filesystem::read_symlink("/proc/self/exe").replace_filename(program).string();
+}
+
 } // namespace
 
 Cell::Cell(EventLoop &loop, const CellSize &size, std::string folder, const std::string &network, Report report)
@@ -72,7 +78,7 @@
         return;
     writeSettings(instance);
     instance.hasStarted = true;
-    const auto *program = instance.dataFolder.empty() ? PISTACHIO_JOBENTRY : PISTACHIO_JOBCONTROL;
+    const auto program = besideThis(instance.dataFolder.empty() ? "pistachio-jobentry" : "pistachio-jobcontrol");
     const auto path = folder_ + '/' + instance.name;
     instance.process = std::make_unique<EndToEnd::Process>(
         program, std::vector<std::string>{"--settings=" + path + ".toml"}, path + ".log");
