--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -156,9 +156,10 @@
 void Ledger::runEnded(const std::string &minion, const Jobs::EndedRun &end)
 {
     release(end.task);
-    if (end.how != Jobs::RunEnd::Done)
+    const auto job = jobs_.find(end.task.step.job);
+    if (end.how != Jobs::RunEnd::Done || job == jobs_.end())
         return;
-    jobs_.at(end.task.step.job).done.insert(end.task);
+    job->second.done.insert(end.task);
     minions_.at(minion).doneEnds[end.number] = end.task;
 }
 
