Let gangs take part in the soak

The simulated minions knew no gangs, so that all-at-once work was left out of the soak. Gangs lets members work only once all are there, end together, end broken when one goes and alone after the platform's 4 s. A third of the last steps with several tasks is a gang; the ledger counts one end for all of them.

--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -25,6 +25,7 @@
         std::uint32_t tasks = 0;
         std::int64_t milliCores = 0;
         bool waitsForFirst = false; ///< for all tasks of step 0
+        bool isGang = false; ///< the end of one task stands for all
     };
     struct Job {
         std::string payload;
@@ -77,6 +78,7 @@
         std::map<std::uint64_t, Jobs::TaskName> doneEnds; ///< not acknowledged yet
     };
 
+    [[nodiscard]] static bool isDone(const Job &job, const Jobs::TaskName &task, const std::set<Jobs::TaskName> &ends);
     void checkStart(const Job &job, const Jobs::StartOrder &order);
     void release(const Jobs::TaskName &task);
     [[nodiscard]] std::int64_t milliCoresOf(const Jobs::TaskName &task) const;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -4,6 +4,7 @@
 #include "fault.h"
 #include "ledger.h"
 #include "platform/adviceserver.h"
+#include "platform/gangs.h"
 #include "platform/minionserver.h"
 #include "transport/eventloop.h"
 #include "workload.h"
@@ -54,7 +55,9 @@
     Workload workload_;
     Standin::AdviceServer advice_;
     std::vector<std::unique_ptr<Standin::MinionServer>> minions_;
+    std::vector<SimulatedMinion *> simulated_; ///< of the same minions
     std::vector<bool> isCrashed_; ///< minions
+    Standin::Gangs gangs_;
 };
 
 } // namespace Pistachio::Soak
--- a/tests/soak/workload.h
+++ b/tests/soak/workload.h
@@ -31,6 +31,9 @@
     /// Hands in no more jobs and changes nothing any more; open requests go on.
     void finish();
 
+    /// \return the members of the gang of that step; 0: its tasks form no gang.
+    [[nodiscard]] std::uint32_t gangSize(const Jobs::StepName &step) const;
+
     /// \return whether tasks of the job need tickets.
     [[nodiscard]] bool needsTicket(const std::string &job) const;
 
