Judge no minion by answers from before the leader's own suspension

A leader that had stood still for 6.7 s wrote ten minion-slow lines within a millisecond: answers that had arrived in between were taken for the progress of the whole time. It had been replaced, so the fence made its orders void; one that remains the leader would avoid all its minions and move their tasks.

Change: an answer that comes over 0.4 s after the wait of its hold does not count for speed; the client gives up before.

Ruled out: the time between looks by the minion's clock, which a minion that was itself suspended would get wrong the same way.

The test failed first (minion-slow written) and passes.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -147,7 +147,8 @@
     void noteContact(Minion &minion, OrderOutcome outcome);
     void driveOrders();
     void driveRun(Minion &minion, const TaskName &task, Run &run);
-    void takeActive(Minion &minion, const ActiveRun &active);
+    /// \param isRecent whether the list shows the progress up to about now
+    void takeActive(Minion &minion, const ActiveRun &active, bool isRecent);
     void takeEnded(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
     void endUnlisted(Minion &minion, const HoldAnswer &answer, TimePoint sent, Wire::JobCommand &command);
     void loseMinion(Minion &minion, std::string_view reason);
--- a/src/libs/jobs/runlists.cpp
+++ b/src/libs/jobs/runlists.cpp
@@ -18,6 +18,7 @@
 namespace
 {
 
+constexpr Duration longestAnswer = 400ms; ///< beyond the wait of a hold; the client gives up earlier
 constexpr Duration holdRetry = 50ms;
 constexpr std::uint32_t failuresBeforeAvoiding = 3;
 constexpr Duration avoidAfterFailures = 8s;
@@ -75,13 +76,16 @@
     minion->lastContact = now.time;
     minion->nextHold = now.time;
     dirty_ = dirty_ || first;
+    // What reaches a process after its own suspension tells of the time before.
+    const bool isRecent = now.time <= minion->holdSent + order.wait + longestAnswer;
     for (const auto &active : answer.active)
-        takeActive(*minion, active);
+        takeActive(*minion, active, isRecent);
     Wire::JobCommand command;
     for (const auto &ended : answer.ended)
         takeEnded(*minion, ended, command);
     endUnlisted(*minion, answer, minion->holdSent, command);
-    judgeSpeed(*minion);
+    if (isRecent)
+        judgeSpeed(*minion);
     pace(*minion);
     if (!answer.ended.empty())
         minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
@@ -102,7 +106,7 @@
     });
 }
 
-void JobScheduler::takeActive(Minion &minion, const ActiveRun &active)
+void JobScheduler::takeActive(Minion &minion, const ActiveRun &active, bool isRecent)
 {
     auto found = minion.runs.find(active.task);
     const auto *job = book_.job(active.task.step.job);
@@ -126,7 +130,8 @@
     auto &run = found->second;
     if (run.run != active.run)
         return;
-    noteProgress(minion, active, run);
+    if (isRecent)
+        noteProgress(minion, active, run);
     run.measure = active.measure;
     if (!active.checkpoint.empty())
         run.checkpoint = active.checkpoint;
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(stalledTaskIsMovedOnce);
     CPPUNIT_TEST(tasksLeaveASlowMinion);
     CPPUNIT_TEST(longTasksAreNoSignOfASlowMinion);
+    CPPUNIT_TEST(frozenLeaderFindsNoMinionSlow);
     CPPUNIT_TEST(lostAnswersAreToldFromSilence);
     CPPUNIT_TEST(lastingTaskGoesFirst);
     CPPUNIT_TEST(roomIsKeptForALargeTask);
@@ -216,6 +217,19 @@
         checkClean(cell);
     }
 
+    // Answers from before its freeze show little progress, which a leader took for that of the whole time.
+    void frozenLeaderFindsNoMinionSlow()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 30s);
+        cell.submit(first, 1, 1000, estimate(30s));
+        cell.submit(second, 1, 1000, estimate(30s));
+        cell.run(3s);
+        cell.freezeLeader(12s);
+        cell.run(2s);
+        CPPUNIT_ASSERT_EQUAL(0, cell.recorded["minion-slow"]);
+    }
+
     // Shorter holds on account of a silent minion would only add to the load.
     void lostAnswersAreToldFromSilence()
     {
