Give tasks to silent minions last

Change: a minion whose last order got no answer is chosen only where nothing else fits. It stays usable, since where answers get lost all look silent now and then.

Ruled out: a shorter time without contact (1.2 s), which would empty the fleet of an overloaded leader.

The test fails without the change.

--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -24,6 +24,7 @@
 constexpr Duration tightSlack = 1500ms; ///< with less to spare, a fast minion is worth more than a full one
 constexpr double tightSlownessWeight = 2; ///< against the share of a minion that stays free
 constexpr double looseSlownessWeight = -0.5; ///< leaves the fast ones to those who need them
+constexpr double silencePenalty = 5; ///< above all but the place of the data: a task on a silent minion costs its lease
 constexpr std::size_t maxReservations = 2; ///< of a service; more would leave minions empty
 constexpr Duration fullRoundInterval = 60ms;
 constexpr std::size_t failuresOfShortRound = 16;
@@ -194,6 +195,8 @@
             score += static_cast<double>(room.accelerators) / static_cast<double>(minion->report.accelerators);
         if (!step.data_rack().empty() && !minion->hasLabel(step.data_rack()))
             score += 10;
+        if (minion->unansweredAt != TimePoint{})
+            score += silencePenalty;
         score += speeds_.slowness(minion->kind()) * slownessWeight;
         if (score < bestScore) {
             bestScore = score;
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(tasksLeaveASlowMinion);
     CPPUNIT_TEST(longTasksAreNoSignOfASlowMinion);
     CPPUNIT_TEST(frozenLeaderFindsNoMinionSlow);
+    CPPUNIT_TEST(silentMinionIsTheLastChoice);
     CPPUNIT_TEST(lostAnswersAreToldFromSilence);
     CPPUNIT_TEST(lastingTaskGoesFirst);
     CPPUNIT_TEST(roomIsKeptForALargeTask);
@@ -230,6 +231,25 @@
         CPPUNIT_ASSERT_EQUAL(0, cell.recorded["minion-slow"]);
     }
 
+    // A task given to a minion that has just fallen silent waited for its lease.
+    void silentMinionIsTheLastChoice()
+    {
+        SimulatedCell cell(1);
+        auto &fullest = cell.addMinion("a", 4000, 300ms);
+        cell.addMinion("b", 8000, 300ms);
+        cell.run(1s);
+        cell.submit(first, 1, 1000);
+        cell.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.runsOn(first));
+        cell.run(1s);
+        fullest.isCut = true;
+        cell.run(1s);
+        cell.submit(second, 1, 1000);
+        cell.run(1s);
+        CPPUNIT_ASSERT(cell.phase(second) == JobPhase::Completed);
+        checkClean(cell);
+    }
+
     // Shorter holds on account of a silent minion would only add to the load.
     void lostAnswersAreToldFromSilence()
     {
