Let each soak run claim a network of its own

Change: a run claims a network by a port that stays bound until it ends, and takes the next one if it is taken.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -4,6 +4,9 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -18,11 +21,25 @@
 namespace
 {
 
-std::string ownNetwork()
+/// Runs beside each other take networks of their own: the first two bytes of addresses in 127/8. One is claimed by a
+/// port that stays bound until the process ends; 127.0 belongs to the other tests.
+/// \return the network, or an empty string when all are taken.
+std::string claimNetwork()
 {
-    // Runs beside each other take addresses of their own; 127.0 belongs to the other tests.
     constexpr int networks = 254;
-    return "127." + std::to_string(1 + ::getpid() % networks);
+    constexpr std::uint16_t claimPort = 7000;
+    for (int attempt = 0; attempt < networks; ++attempt) {
+        const auto network = "127." + std::to_string(1 + (::getpid() + attempt) % networks);
+        const int claim = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(claimPort);
+        ::inet_pton(AF_INET, (network + ".1.1").c_str(), &address.sin_addr);
+        if (::bind(claim, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0)
+            return network;
+        ::close(claim);
+    }
+    return {};
 }
 
 } // namespace
@@ -40,8 +57,13 @@
             return 1;
     }
     std::filesystem::create_directories(folder);
+    const auto network = claimNetwork();
+    if (network.empty()) {
+        std::fprintf(stderr, "soak: no free network in 127/8\n");
+        return 1;
+    }
     Pistachio::Soak::Soak soak(absl::GetFlag(FLAGS_seed), std::chrono::seconds(absl::GetFlag(FLAGS_seconds)), folder,
-                               ownNetwork());
+                               network);
     const auto violations = soak.run();
     std::printf("%s", soak.summary().c_str());
     for (const auto &violation : violations)
