--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,7 +29,7 @@
     constexpr int networks = 254;
     constexpr std::uint16_t claimPort = 7000;
     for (int attempt = 0; attempt < networks; ++attempt) {
-        const auto network = "127." + std::to_string(1 + (::getpid() + attempt) % networks);
+        auto network = "127." + std::to_string(1 + (::getpid() + attempt) % networks);
         const int claim = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
