Log the members of the job group, failed campaigns and silent voters

Each control instance now writes "members" when its voters or learners change, "campaign-failed" at most once a second with the voters that granted, refused or did not answer, and as the leader "voter-silent" and "voter-answers". The metrics have group_voters, group_learners, group_silent_voters and group_failed_campaigns_total. Nothing is decided differently.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -101,6 +101,7 @@
     changeMembers();
     announce();
     flush();
+    d_->groupReport.update(now, d_->ledSince, d_->group->replica());
 }
 
 /// Events of one round share a write to the disk, and under load those of a few milliseconds.
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -2,6 +2,7 @@
 
 #include "jobnode/adviceclient.h"
 #include "jobnode/adviserpool.h"
+#include "jobnode/groupreport.h"
 #include "jobnode/jobcalls.h"
 #include "jobnode/jobcontrol.h"
 #include "jobnode/jobgroup.h"
@@ -55,6 +56,7 @@
         , scheduler(store, owner, Internal::schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
         , members(2 * jobSettings.toleratedLosses + 1)
+        , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
         , server(nodeRuntime.loop(), serverLimits(),
                  [&owner](const Transport::Request &request, const Transport::Responder &responder) {
                      owner.handleInternal(request, responder);
@@ -79,6 +81,7 @@
     Jobs::JobScheduler scheduler;
     AdviserPool advisers;
     MemberChanges members;
+    GroupReport groupReport;
     std::unique_ptr<JobGroup> group;
     std::unique_ptr<JobCalls> calls;
     Transport::Http2Server server;
--- a/src/libs/replication/election.cpp
+++ b/src/libs/replication/election.cpp
@@ -52,9 +52,16 @@
     role_ = role;
     leader_ = {};
     votes_.clear();
+    refusals_.clear();
     campaignAt_ = now + randomDuration(timing_.minElectionRetry, timing_.maxElectionRetry);
 }
 
+void Election::recordFailedCampaign()
+{
+    if (role_ == Role::PreCandidate || role_ == Role::Candidate)
+        failedCampaign_ = {failedCampaign_.number + 1, votes_, refusals_};
+}
+
 void Election::becomeLeader(const InstanceId &self)
 {
     role_ = Role::Leader;
--- a/src/libs/replication/election.h
+++ b/src/libs/replication/election.h
@@ -14,6 +14,13 @@
 
 enum class Role : std::uint8_t { Follower, PreCandidate, Candidate, Leader };
 
+/// The last campaign of a replica that found no majority. A voter in neither set did not answer.
+struct FailedCampaign {
+    std::uint64_t number = 0; ///< of the failed campaigns since the start; 0: none
+    std::set<InstanceId> granted;
+    std::set<InstanceId> refused;
+};
+
 /// The role of a replica, its election timers and the votes that it counts.
 class Election
 {
@@ -55,6 +62,11 @@
     void becomeLeader(const InstanceId &self);
 
     void countVote(const InstanceId &voter) { votes_.insert(voter); }
+    void countRefusal(const InstanceId &voter) { refusals_.insert(voter); }
+
+    /// Keeps the answers of a campaign that is about to be repeated.
+    void recordFailedCampaign();
+    [[nodiscard]] const FailedCampaign &failedCampaign() const { return failedCampaign_; }
 
     /// \param voters the voters of the group
     /// \return whether a majority of them voted for this replica.
@@ -70,6 +82,8 @@
     TimePoint voteRefusedUntil_;
     TimePoint campaignAt_;
     std::set<InstanceId> votes_;
+    std::set<InstanceId> refusals_;
+    FailedCampaign failedCampaign_;
 };
 
 } // namespace Pistachio::Replication
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -150,6 +150,7 @@
 {
     if (!isVoter())
         return election_.restartElectionTimeout(now);
+    election_.recordFailedCampaign();
     election_.startRound(now, Role::PreCandidate);
     requestVotes(MessageKind::PreVoteRequest, term() + 1, nextReady_.messages);
     countVote(now, self_);
@@ -217,6 +218,7 @@
 {
     const bool isPreVote = answer.kind == MessageKind::PreVoteAnswer;
     if (!answer.accepted) {
+        election_.countRefusal(answer.from);
         // A voter with a higher term grants no vote until this replica has adopted that term.
         if (answer.term > term())
             becomeFollower(now, answer.term);
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -113,6 +113,8 @@
     [[nodiscard]] LogIndex lastIndex() const { return log_.lastIndex(); }
     [[nodiscard]] const Membership &membership() const { return log_.membership(); }
 
+    [[nodiscard]] const FailedCampaign &failedCampaign() const { return election_.failedCampaign(); }
+
     /// \return the state of the other members; empty when this replica does not lead.
     [[nodiscard]] std::vector<MemberStatus> memberStatus(TimePoint now) const;
 
--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -318,6 +318,11 @@
     return replica_->membership();
 }
 
+const Replication::FailedCampaign &ReplicatedGroup::failedCampaign() const
+{
+    return replica_->failedCampaign();
+}
+
 std::vector<MemberStatus> ReplicatedGroup::memberStatus(TimePoint now) const
 {
     return isLeader() ? replica_->memberStatus(now) : std::vector<MemberStatus>();
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -21,6 +21,7 @@
 {
 class Replica;
 class StateMachine;
+struct FailedCampaign;
 struct Ready;
 } // namespace Pistachio::Replication
 
@@ -122,6 +123,9 @@
     [[nodiscard]] Replication::LogIndex commitIndex() const;
     [[nodiscard]] const Replication::Membership &membership() const;
 
+    /// \return the last campaign of this replica that found no majority.
+    [[nodiscard]] const Replication::FailedCampaign &failedCampaign() const;
+
     /// \return what this leader knows of the other members; empty when it does not lead.
     [[nodiscard]] std::vector<Replication::MemberStatus> memberStatus(TimePoint now) const;
 
