Move how an instance joins the job group out of JobControl

JobControl mixed the timing of announcements and membership changes with its connections, so that neither could be tested in virtual time. GroupMembership holds both without I/O.

--- /dev/null
+++ b/src/libs/jobnode/groupmembership.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "core/identifier.h"
+#include "core/time.h"
+#include "jobnode/memberchanges.h"
+#include "replication/types.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Pistachio::Storage
+{
+class ReplicatedGroup;
+}
+
+namespace Pistachio::Jobnode
+{
+
+/// How an instance finds the job group and how its leader changes the members, without I/O: its owner sends the
+/// announcements and proposes the changes.
+class GroupMembership
+{
+public:
+    /// \param self this instance
+    /// \param seeds the addresses of some instances
+    /// \param wantedVoters so many that the tolerated losses leave a majority
+    GroupMembership(InstanceId self, std::vector<std::string> seeds, std::size_t wantedVoters);
+
+    /// \param now the time
+    /// \param group the group after the events up to \p now
+    /// \return the addresses that must be told of this instance now.
+    std::vector<std::string> announcements(TimePoint now, const Storage::ReplicatedGroup &group);
+
+    /// Handles the answer of an instance that does not lead.
+    /// \param leader the leader that it named; empty: none
+    void leaderNamed(const InstanceId &leader);
+
+    /// Handles an announcement to \p ip that was not answered.
+    void announcementFailed(const std::string &ip);
+
+    /// Handles the announcement of another instance to this leader.
+    void seen(TimePoint now, const InstanceId &instance);
+
+    /// \param now the time; this instance leads and no other leader can exist
+    /// \param ledSince when it became the leader
+    /// \param group the group after the events up to \p now
+    /// \return the change to propose now, if any. None follows before changeEnded().
+    std::optional<Replication::MembershipChange> nextChange(TimePoint now, TimePoint ledSince,
+                                                            const Storage::ReplicatedGroup &group);
+
+    /// Handles the end of the proposal of nextChange(), done or not.
+    void changeEnded() { isChangeOpen_ = false; }
+
+    /// \return the address of the leader, or an empty string when there is none or this instance leads.
+    [[nodiscard]] std::string leaderIp(const Storage::ReplicatedGroup &group) const;
+
+private:
+    InstanceId self_;
+    std::vector<std::string> seeds_;
+    MemberChanges changes_;
+    std::string namedLeader_; ///< by another instance, while this one has heard of none
+    TimePoint nextAnnouncement_{};
+    TimePoint nextChange_{};
+    bool isChangeOpen_ = false;
+};
+
+} // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -22,8 +22,6 @@
 constexpr Duration leaderTick = 20ms; ///< bounds how long a free minion waits for its next task
 constexpr Duration followerTick = 40ms;
 constexpr Duration flushInterval = 5ms; ///< about one sync of the disk; bounds the messages to the other members
-constexpr Duration memberInterval = 500ms;
-constexpr Duration announceInterval = 1s;
 constexpr Duration announceLimit = 900ms;
 constexpr Duration forwardLimit = 900ms; ///< callers turn elsewhere after a second
 constexpr Duration entrySeenLimit = 3s;
@@ -56,6 +54,7 @@
     BOOST_OUTCOME_TRY(d_->group, JobGroup::open(d_->files, settings.dataFolder, identity, d_->store, d_->peers, [this] {
                           d_->runtime.loop().post([this] { flush(); });
                       }));
+    d_->membership = std::make_unique<GroupMembership>(identity.id, seeds, 2 * settings.toleratedLosses + 1);
     d_->calls = std::make_unique<JobCalls>(d_->store, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
     BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.localIp(), settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started",
@@ -161,17 +160,13 @@
 void JobControl::changeMembers()
 {
     const auto now = EventLoop::now();
-    if (d_->memberChangeOpen || now < d_->nextMemberChange || !d_->group->canAnswer(now))
+    if (!d_->group->canAnswer(now))
         return;
-    d_->nextMemberChange = now + memberInterval;
-    const auto &replica = d_->group->replica();
-    const auto change
-        = d_->members.next(now, d_->group->self(), d_->ledSince, replica.membership(), replica.memberStatus(now));
+    const auto change = d_->membership->nextChange(now, d_->ledSince, d_->group->replica());
     if (!change)
         return;
-    d_->memberChangeOpen = true;
     d_->group->proposeMembership(now, *change, [this, change = *change](const Result<std::string> &result) {
-        d_->memberChangeOpen = false;
+        d_->membership->changeEnded();
         d_->runtime.logger().write(LogLevel::Info, "membership-change",
                                    {{"kind", static_cast<int>(change.kind)},
                                     {"member", change.instance.value()},
@@ -184,9 +179,7 @@
     // Whether only the connection is gone or the leader as well, the next connect tells at once.
     if (ip != leaderIp())
         return;
-    Wire::JobJoin join;
-    join.set_instance(d_->group->self().value());
-    d_->runtime.loop().post([this, ip, body = join.SerializeAsString()] { announceTo(ip, body); });
+    d_->runtime.loop().post([this, ip] { announceTo(ip); });
 }
 
 void JobControl::connectionRefused(const std::string &ip)
@@ -201,38 +194,22 @@
 /// Tells the leader that this instance is there, so that it can be a member and ask for advice.
 void JobControl::announce()
 {
-    const auto now = EventLoop::now();
-    if (now < d_->nextAnnounce)
-        return;
-    d_->nextAnnounce = now + announceInterval;
-    if (d_->group->isLeaderWithState())
-        return;
-    Wire::JobJoin join;
-    join.set_instance(d_->group->self().value());
-    const auto body = join.SerializeAsString();
-    const auto leader = leaderIp();
-    if (!leader.empty()) {
-        announceTo(leader, body);
-        return;
-    }
-    if (!d_->namedLeader.empty())
-        announceTo(d_->namedLeader, body);
-    for (const auto &seed : d_->settings.seeds) {
-        if (seed.ip != d_->settings.ip && seed.ip != d_->namedLeader)
-            announceTo(seed.ip, body);
-    }
+    for (const auto &ip : d_->membership->announcements(EventLoop::now(), d_->group->replica()))
+        announceTo(ip);
 }
 
-void JobControl::announceTo(const std::string &ip, const std::string &body)
+void JobControl::announceTo(const std::string &ip)
 {
-    d_->peers.call(ip, "/jobs/join", body, announceLimit, [this, ip](const Transport::CallResult &result) {
-        Wire::JobReply reply;
-        const bool isReply = result && reply.ParseFromString(result.value().body);
-        if (isReply && reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty())
-            d_->namedLeader = ipOf(InstanceId(reply.leader()));
-        else if (!isReply && ip == d_->namedLeader)
-            d_->namedLeader.clear();
-    });
+    Wire::JobJoin join;
+    join.set_instance(d_->group->self().value());
+    d_->peers.call(ip, "/jobs/join", join.SerializeAsString(), announceLimit,
+                   [this, ip](const Transport::CallResult &result) {
+                       Wire::JobReply reply;
+                       if (!result || !reply.ParseFromString(result.value().body))
+                           d_->membership->announcementFailed(ip);
+                       else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER)
+                           d_->membership->leaderNamed(InstanceId(reply.leader()));
+                   });
 }
 
 void JobControl::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
@@ -315,7 +292,7 @@
             reply.add_entries(other->first);
         }
     } else {
-        d_->members.seen(now, instance);
+        d_->membership->seen(now, instance);
     }
     reply.set_verdict(d_->store.configuration().version() > 0 ? Wire::JOB_VERDICT_ACCEPTED
                                                               : Wire::JOB_VERDICT_UNAVAILABLE);
@@ -329,8 +306,7 @@
 
 std::string JobControl::leaderIp() const
 {
-    const auto leader = d_->group->replica().leaderHint();
-    return leader == d_->group->self() ? std::string() : std::string(ipOf(leader));
+    return d_->membership->leaderIp(d_->group->replica());
 }
 
 void JobControl::forward(const Transport::Request &request, std::function<void(Transport::Response)> answered)
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -81,7 +81,7 @@
     void followLeadership();
     void changeMembers();
     void announce();
-    void announceTo(const std::string &ip, const std::string &body);
+    void announceTo(const std::string &ip);
 
     struct Private;
     std::unique_ptr<Private> d_;
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -2,11 +2,11 @@
 
 #include "jobnode/adviceclient.h"
 #include "jobnode/adviserpool.h"
+#include "jobnode/groupmembership.h"
 #include "jobnode/groupreport.h"
 #include "jobnode/jobcalls.h"
 #include "jobnode/jobcontrol.h"
 #include "jobnode/jobgroup.h"
-#include "jobnode/memberchanges.h"
 #include "jobnode/minionclient.h"
 #include "jobnode/noderuntime.h"
 #include "jobnode/peers.h"
@@ -55,7 +55,6 @@
         , advice(adviceClient)
         , scheduler(store, owner, Internal::schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
-        , members(2 * jobSettings.toleratedLosses + 1)
         , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
         , server(nodeRuntime.loop(), serverLimits(),
                  [&owner](const Transport::Request &request, const Transport::Responder &responder) {
@@ -80,21 +79,17 @@
     Jobs::JobStore store;
     Jobs::JobScheduler scheduler;
     AdviserPool advisers;
-    MemberChanges members;
     GroupReport groupReport;
     std::unique_ptr<JobGroup> group;
+    std::unique_ptr<GroupMembership> membership;
     std::unique_ptr<JobCalls> calls;
     Transport::Http2Server server;
     Transport::Timer tickTimer;
-    TimePoint nextMemberChange{};
-    TimePoint nextAnnounce{};
     bool flushPosted = false;
     TimePoint lastFlush{};
     Transport::Timer flushTimer;
-    bool memberChangeOpen = false;
     std::uint64_t ledTerm = 0;
     TimePoint ledSince{};
-    std::string namedLeader; ///< by another instance, while this one has heard of none
     std::string lastLeader;
     Transport::RequestHandler forwarded;
     std::map<std::string, TimePoint> entries; ///< by address, with their last announcement
