--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -137,7 +137,9 @@
     node.isFlushScheduled = false;
     node.heldMessages.clear();
     node.machine = std::make_unique<RecordingStateMachine>(checker, node.id);
-    Storage::GroupOptions options{GroupId("zone:svealand"), node.id, initialMembers_, "data/zone"};
+    Storage::GroupOptions options{GroupId("zone:svealand"), node.id, node.joins ? Membership() : initialMembers_,
+                                  "data/zone"};
+    options.joins = node.joins;
     options.snapshotAfterEntries = snapshotAfterEntries;
     options.keptEntries = 20;
     options.timing = timing;
@@ -151,6 +153,17 @@
     scheduleTick(node);
 }
 
+Cluster::Node &Cluster::addEmpty(InstanceId id)
+{
+    nodes.push_back(std::make_unique<Node>());
+    Node &node = *nodes.back();
+    node.id = std::move(id);
+    node.joins = true;
+    node.clockOffset = Duration(static_cast<Duration::rep>(random.below(1'000'000'000)));
+    start(node);
+    return node;
+}
+
 void Cluster::restartAll()
 {
     for (auto &node : nodes) {
@@ -210,6 +223,8 @@
     network = {};
     network.delay = delay;
     for (auto &node : nodes) {
+        if (node->isGone)
+            continue;
         if (!node->group)
             start(*node);
         pause(*node, false);
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -88,6 +88,8 @@
         double clockRate = 1;
         Duration clockOffset = 0ms;
         bool isPaused = false;
+        bool joins = false; ///< has no initial members
+        bool isGone = false; ///< crashed for good
         bool isFlushScheduled = false;
         std::uint64_t incarnation = 0; ///< events of an earlier incarnation are dropped
         std::vector<Message> heldMessages; ///< arrived during a pause
@@ -104,6 +106,7 @@
 
     void crash(Node &node);
     void start(Node &node);
+    Node &addEmpty(InstanceId id); ///< starts an instance that must join the group
     void restartAll(); ///< applies settings that are read when a replica starts
     void pause(Node &node, bool isPaused);
     void setClockRate(Node &node, double rate);
