Give the vote of a lost control instance to its successor at once

Cause: a voter that was gone for good kept its vote for 20 s, counted anew by each leader, while the platform counts a replaced instance as whole 4 s after its successor's start. In between the group was one voter short, so that one more loss left one of three.

Change: the limit is a quarter of the platform's catch-up time (catch_up_s in the settings). A silent voter leaves only when a learner holds the log, and leaves before that learner is promoted, so that there are never four votes of which one is dead. An instance that came back without its disk is removed at once, no more 3 s after its last announcement. A new instance turns to the leader as soon as it is named, asks every 250 ms while there is none, and asks others when the leader that it knows does not answer; a learner forgets a leader that is silent.

--- a/src/libs/jobnode/groupmembership.h
+++ b/src/libs/jobnode/groupmembership.h
@@ -25,7 +25,8 @@
     /// \param self this instance
     /// \param seeds the addresses of some instances
     /// \param wantedVoters so many that the tolerated losses leave a majority
-    GroupMembership(InstanceId self, std::vector<std::string> seeds, std::size_t wantedVoters);
+    /// \param catchUpTime after which the platform counts on the successor of a lost instance
+    GroupMembership(InstanceId self, std::vector<std::string> seeds, std::size_t wantedVoters, Duration catchUpTime);
 
     /// \param now the time
     /// \param group the group after the events up to \p now
@@ -36,6 +37,9 @@
     /// \param leader the leader that it named; empty: none
     void leaderNamed(const InstanceId &leader);
 
+    /// Handles the answer of the leader at \p ip.
+    void leaderAnswered(const std::string &ip);
+
     /// Handles an announcement to \p ip that was not answered.
     void announcementFailed(const std::string &ip);
 
@@ -49,17 +53,22 @@
     std::optional<Replication::MembershipChange> nextChange(TimePoint now, TimePoint ledSince,
                                                             const Storage::ReplicatedGroup &group);
 
-    /// Handles the end of the proposal of nextChange(), done or not.
-    void changeEnded() { isChangeOpen_ = false; }
+    /// Handles the end of the proposal of nextChange().
+    /// \param isDone whether the change is in force; otherwise it is repeated later
+    void changeEnded(bool isDone);
 
     /// \return the address of the leader, or an empty string when there is none or this instance leads.
     [[nodiscard]] std::string leaderIp(const Storage::ReplicatedGroup &group) const;
 
 private:
+    [[nodiscard]] std::vector<std::string> addressesToAsk(const Storage::ReplicatedGroup &group) const;
+
     InstanceId self_;
     std::vector<std::string> seeds_;
     MemberChanges changes_;
     std::string namedLeader_; ///< by another instance, while this one has heard of none
+    std::string lastLeader_; ///< that an announcement went to
+    std::string silentLeader_; ///< that did not answer an announcement
     TimePoint nextAnnouncement_{};
     TimePoint nextChange_{};
     bool isChangeOpen_ = false;
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -54,7 +54,8 @@
     BOOST_OUTCOME_TRY(d_->group, JobGroup::open(d_->files, settings.dataFolder, identity, d_->store, d_->peers, [this] {
                           d_->runtime.loop().post([this] { flush(); });
                       }));
-    d_->membership = std::make_unique<GroupMembership>(identity.id, seeds, 2 * settings.toleratedLosses + 1);
+    d_->membership
+        = std::make_unique<GroupMembership>(identity.id, seeds, 2 * settings.toleratedLosses + 1, settings.catchUpTime);
     d_->calls = std::make_unique<JobCalls>(d_->store, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
     BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.localIp(), settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started",
@@ -166,7 +167,7 @@
     if (!change)
         return;
     d_->group->proposeMembership(now, *change, [this, change = *change](const Result<std::string> &result) {
-        d_->membership->changeEnded();
+        d_->membership->changeEnded(result.has_value());
         d_->runtime.logger().write(LogLevel::Info, "membership-change",
                                    {{"kind", static_cast<int>(change.kind)},
                                     {"member", change.instance.value()},
@@ -209,6 +210,8 @@
                            d_->membership->announcementFailed(ip);
                        else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER)
                            d_->membership->leaderNamed(InstanceId(reply.leader()));
+                       else
+                           d_->membership->leaderAnswered(ip);
                    });
 }
 
--- a/src/libs/jobnode/memberchanges.cpp
+++ b/src/libs/jobnode/memberchanges.cpp
@@ -9,30 +9,41 @@
 {
 
 using Replication::MembershipChange;
+using Replication::MemberStatus;
 
 namespace
 {
 
-constexpr Duration seenLimit = 3s;
-constexpr Duration silentVoterLimit = 20s; ///< then a spare instance takes its vote
+constexpr Duration presenceLimit = 3s; ///< three announcements
+constexpr Duration answerLimit = 600ms; ///< ten heartbeats to a voter, two to a learner
+constexpr Replication::LogIndex caughtUpLag = 100; ///< entries; they follow in a few round trips
 
 bool contains(const std::vector<InstanceId> &list, const InstanceId &id)
 {
     return std::find(list.begin(), list.end(), id) != list.end();
 }
 
-/// \return another voter at the same address, which lost its disk, or null.
-const InstanceId *predecessor(const Replication::Membership &members, const InstanceId &id)
+/// \return the time since the member's last answer, or since the election if it has not answered in this term.
+Duration silenceOf(TimePoint now, const MemberChanges::View &view, const MemberStatus &member)
 {
-    const auto found = std::find_if(members.voters.begin(), members.voters.end(),
-                                    [&id](const InstanceId &voter) { return voter != id && ipOf(voter) == ipOf(id); });
-    return found == members.voters.end() ? nullptr : &*found;
+    return member.timeSinceAnswer.value_or(now - view.ledSince);
+}
+
+/// \return a learner that holds the log and answers, or null.
+const InstanceId *caughtUpLearner(const MemberChanges::View &view)
+{
+    const auto found = std::find_if(view.status.begin(), view.status.end(), [&view](const MemberStatus &member) {
+        const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer <= answerLimit;
+        return !member.isVoter && answers && !member.hasLostData && member.match + caughtUpLag >= view.commitIndex;
+    });
+    return found == view.status.end() ? nullptr : &found->instance;
 }
 
 } // namespace
 
-MemberChanges::MemberChanges(std::size_t wantedVoters)
+MemberChanges::MemberChanges(std::size_t wantedVoters, Duration silenceLimit)
     : wantedVoters_(wantedVoters)
+    , silenceLimit_(silenceLimit)
 {
 }
 
@@ -41,48 +52,71 @@
     seen_[instance] = now;
 }
 
-std::optional<MembershipChange> MemberChanges::next(TimePoint now, const InstanceId &leader, TimePoint ledSince,
-                                                    const Replication::Membership &members,
-                                                    std::span<const Replication::MemberStatus> status) const
+std::optional<MembershipChange> MemberChanges::next(TimePoint now, const View &view)
+{
+    auto change = choose(now, view);
+    // What announced itself before its removal must do so again to come back.
+    if (change && change->kind == MembershipChange::Kind::Remove)
+        seen_.erase(change->instance);
+    return change;
+}
+
+std::optional<MembershipChange> MemberChanges::choose(TimePoint now, const View &view) const
+{
+    using Kind = MembershipChange::Kind;
+    if (const auto *superseded = supersededMember(now, view))
+        return MembershipChange{Kind::Remove, *superseded};
+    const auto *learner = caughtUpLearner(view);
+    if (learner && view.members.voters.size() < wantedVoters_)
+        return MembershipChange{Kind::Promote, *learner};
+    if (const auto *instance = newInstance(now, view))
+        return MembershipChange{Kind::AddLearner, *instance};
+    // Without a successor the removal would lower the number of losses that the group bears.
+    const bool canSpareVoter = learner || view.members.voters.size() > wantedVoters_;
+    const auto *silent = canSpareVoter ? silentVoter(now, view) : nullptr;
+    return silent ? std::optional(MembershipChange{Kind::Remove, *silent}) : std::nullopt;
+}
+
+bool MemberChanges::isPresent(TimePoint now, const InstanceId &instance) const
+{
+    const auto found = seen_.find(instance);
+    return found != seen_.end() && now < found->second + presenceLimit;
+}
+
+/// An address belongs to one instance at a time, so a later one there means that the disk of the earlier one is lost.
+bool MemberChanges::isSuperseded(TimePoint now, const InstanceId &instance) const
+{
+    const auto lastSeen = seen_.find(instance);
+    return std::any_of(seen_.begin(), seen_.end(), [&](const auto &entry) {
+        const bool isLater = lastSeen == seen_.end() || entry.second > lastSeen->second;
+        return entry.first != instance && ipOf(entry.first) == ipOf(instance) && isLater && isPresent(now, entry.first);
+    });
+}
+
+const InstanceId *MemberChanges::supersededMember(TimePoint now, const View &view) const
+{
+    const auto found = std::find_if(view.status.begin(), view.status.end(), [&](const MemberStatus &member) {
+        return silenceOf(now, view, member) > answerLimit && isSuperseded(now, member.instance);
+    });
+    return found == view.status.end() ? nullptr : &found->instance;
+}
+
+const InstanceId *MemberChanges::newInstance(TimePoint now, const View &view) const
+{
+    const auto found = std::find_if(seen_.begin(), seen_.end(), [&](const auto &entry) {
+        const auto &id = entry.first;
+        return isPresent(now, id) && !isSuperseded(now, id) && !contains(view.members.voters, id)
+            && !contains(view.members.learners, id);
+    });
+    return found == seen_.end() ? nullptr : &found->first;
+}
+
+const InstanceId *MemberChanges::silentVoter(TimePoint now, const View &view) const
 {
-    const auto isPresent = [&](const InstanceId &id) {
-        const auto found = seen_.find(id);
-        return id == leader || (found != seen_.end() && now < found->second + seenLimit);
-    };
-    // What an instance was before it lost its disk is removed as soon as its successor votes.
-    for (const auto &voter : members.voters) {
-        const auto *old = predecessor(members, voter);
-        if (old && isPresent(voter) && !isPresent(*old))
-            return MembershipChange{MembershipChange::Kind::Remove, *old};
-    }
-    for (const auto &learner : members.learners) {
-        const bool isReplaced = std::any_of(seen_.begin(), seen_.end(), [&](const auto &entry) {
-            return entry.first != learner && ipOf(entry.first) == ipOf(learner) && isPresent(entry.first);
-        });
-        if (isReplaced && !isPresent(learner))
-            return MembershipChange{MembershipChange::Kind::Remove, learner};
-        const auto known
-            = std::find_if(status.begin(), status.end(), [&](const auto &item) { return item.instance == learner; });
-        const bool answers = known != status.end() && known->timeSinceAnswer && *known->timeSinceAnswer < seenLimit;
-        const bool isWanted = predecessor(members, learner) || members.voters.size() < wantedVoters_;
-        if (answers && isPresent(learner) && isWanted)
-            return MembershipChange{MembershipChange::Kind::Promote, learner};
-    }
-    for (const auto &[id, when] : seen_) {
-        if (!isPresent(id) || contains(members.voters, id) || contains(members.learners, id))
-            continue;
-        return MembershipChange{MembershipChange::Kind::AddLearner, id};
-    }
-    if (members.voters.size() <= wantedVoters_ && members.learners.empty())
-        return std::nullopt;
-    // A voter that is gone for good gives way to a spare instance.
-    for (const auto &item : status) {
-        const auto silence = item.timeSinceAnswer.value_or(now - ledSince);
-        const bool isSilent = item.isVoter && silence > silentVoterLimit;
-        if (isSilent && !isPresent(item.instance) && members.voters.size() > 1)
-            return MembershipChange{MembershipChange::Kind::Remove, item.instance};
-    }
-    return std::nullopt;
+    const auto found = std::find_if(view.status.begin(), view.status.end(), [&](const MemberStatus &member) {
+        return member.isVoter && silenceOf(now, view, member) > silenceLimit_;
+    });
+    return found == view.status.end() ? nullptr : &found->instance;
 }
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/memberchanges.h
+++ b/src/libs/jobnode/memberchanges.h
@@ -11,28 +11,44 @@
 namespace Pistachio::Jobnode
 {
 
-/// Decides how the members of the job group change: instances that lost their disk come back under a new id, and
-/// others join until there are enough voters.
+/// Decides how the members of the job group change: an instance that lost its disk or was replaced leaves, its
+/// successor joins as a learner, and a learner that holds the log takes the vote of a voter that doesn't answer.
+///
+/// A silent voter may be gone for good or cut off with its disk; both look alike. It leaves only when a successor can
+/// vote at once. If it comes back, it joins as a learner like any other, so there is never a second group: each change
+/// is one entry that a majority of the voters commits.
 class MemberChanges
 {
 public:
+    /// What the leader knows.
+    struct View {
+        InstanceId leader; ///< this instance
+        TimePoint ledSince; ///< it knows nothing of members from before
+        Replication::LogIndex commitIndex = 0;
+        const Replication::Membership &members;
+        std::span<const Replication::MemberStatus> status; ///< of the other members
+    };
+
     /// \param wantedVoters so many that the tolerated losses leave a majority
-    explicit MemberChanges(std::size_t wantedVoters);
+    /// \param silenceLimit after which a voter without an answer gives its vote to a learner
+    MemberChanges(std::size_t wantedVoters, Duration silenceLimit);
 
     /// An instance looks for the group.
     void seen(TimePoint now, const InstanceId &instance);
 
-    /// \param leader this instance
-    /// \param ledSince when it became the leader; it knows nothing of members from before
-    /// \param members the members now
-    /// \param status what the leader knows of the other members
     /// \return the next change, or nothing.
-    [[nodiscard]] std::optional<Replication::MembershipChange>
-    next(TimePoint now, const InstanceId &leader, TimePoint ledSince, const Replication::Membership &members,
-         std::span<const Replication::MemberStatus> status) const;
+    [[nodiscard]] std::optional<Replication::MembershipChange> next(TimePoint now, const View &view);
 
 private:
+    [[nodiscard]] std::optional<Replication::MembershipChange> choose(TimePoint now, const View &view) const;
+    [[nodiscard]] bool isPresent(TimePoint now, const InstanceId &instance) const;
+    [[nodiscard]] bool isSuperseded(TimePoint now, const InstanceId &instance) const;
+    [[nodiscard]] const InstanceId *supersededMember(TimePoint now, const View &view) const;
+    [[nodiscard]] const InstanceId *newInstance(TimePoint now, const View &view) const;
+    [[nodiscard]] const InstanceId *silentVoter(TimePoint now, const View &view) const;
+
     std::size_t wantedVoters_;
+    Duration silenceLimit_;
     std::map<InstanceId, TimePoint> seen_;
 };
 
--- a/src/libs/replication/election.cpp
+++ b/src/libs/replication/election.cpp
@@ -42,6 +42,12 @@
     campaignAt_ = now + randomDuration(timing_.minElectionTimeout, timing_.maxElectionTimeout);
 }
 
+void Election::loseLeader(TimePoint now)
+{
+    leader_ = {};
+    restartElectionTimeout(now);
+}
+
 void Election::scheduleRetry(TimePoint now)
 {
     startRound(now, Role::Follower);
--- a/src/libs/replication/election.h
+++ b/src/libs/replication/election.h
@@ -49,6 +49,9 @@
     /// on.
     void stepDown(TimePoint now);
 
+    /// Forgets the leader, which has sent nothing for a whole election timeout, without a campaign.
+    void loseLeader(TimePoint now);
+
     /// Becomes a follower that waits for a whole election timeout, after a vote for another candidate for example.
     void restartElectionTimeout(TimePoint now);
 
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -149,7 +149,7 @@
 void Replica::startPreVote(TimePoint now)
 {
     if (!isVoter())
-        return election_.restartElectionTimeout(now);
+        return election_.loseLeader(now);
     election_.recordFailedCampaign();
     election_.startRound(now, Role::PreCandidate);
     requestVotes(MessageKind::PreVoteRequest, term() + 1, nextReady_.messages);
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::int64_t highestPort = 65'535;
 constexpr std::int64_t longestDurationMs = 600'000;
+constexpr Duration shortestCatchUp = 100ms;
+constexpr Duration longestCatchUp = 10min;
 
 Duration readDuration(TableReader &reader, std::string_view key, Duration fallback)
 {
@@ -53,6 +55,8 @@
     });
     reader.table("limits", [&](TableReader &limits) {
         settings.toleratedLosses = static_cast<std::size_t>(limits.optionalInteger("tolerated_losses", 1, 0, 3));
+        settings.catchUpTime
+            = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
         settings.longestLease = readDuration(limits, "longest_lease_ms", settings.longestLease);
         settings.stopTimeout = readDuration(limits, "stop_timeout_ms", settings.stopTimeout);
         settings.drainTimeout = readDuration(limits, "drain_timeout_ms", settings.drainTimeout);
--- a/src/libs/settings/tablereader.cpp
+++ b/src/libs/settings/tablereader.cpp
@@ -116,6 +116,21 @@
     return fallback;
 }
 
+Duration TableReader::optionalSeconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+{
+    const toml::node *node = d_->node(key);
+    if (!node)
+        return fallback;
+    using Seconds = std::chrono::duration<double>;
+    const auto value = node->is_number() ? node->value<double>() : std::nullopt;
+    if (value && Seconds(*value) >= lowest && Seconds(*value) <= highest)
+        return std::chrono::duration_cast<Duration>(Seconds(*value));
+    addError(key,
+             "must be a number of seconds from " + std::to_string(Seconds(lowest).count()) + " to "
+                 + std::to_string(Seconds(highest).count()));
+    return fallback;
+}
+
 Address TableReader::optionalAddress(std::string_view key)
 {
     const std::string text = optionalString(key, "");
--- a/src/libs/settings/tablereader.h
+++ b/src/libs/settings/tablereader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "core/time.h"
 #include "settings/address.h"
 
 #include <cstdint>
@@ -49,6 +50,12 @@
     /// \param fallback the value when the key is absent
     /// \return the value, or the fallback after an error.
     bool optionalFlag(std::string_view key, bool fallback);
+    /// \param key the key of a number of seconds, whole or with a fraction
+    /// \param fallback the value when the key is absent
+    /// \param lowest the lowest value accepted
+    /// \param highest the highest value accepted
+    /// \return the value, or the fallback after an error.
+    Duration optionalSeconds(std::string_view key, Duration fallback, Duration lowest, Duration highest);
     /// \param key the key
     /// \return the address; an empty one when the key is absent or empty, and after an error.
     Address optionalAddress(std::string_view key);
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(contradictionsAreRefused);
     CPPUNIT_TEST(syntaxErrorNamesTheLine);
     CPPUNIT_TEST(localAddressIsTheAdvertisedOneUnlessSet);
+    CPPUNIT_TEST(catchUpTimeMayHaveAFraction);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +145,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("192.168.0.1"), translated.value().localIp());
     }
 
+    // Guards against a bound with a fraction that refuses the file, so that the process never starts.
+    void catchUpTimeMayHaveAFraction()
+    {
+        const auto whole = JobSettings::load(write(jobText + "[limits]\ncatch_up_s = 6\n"));
+        CPPUNIT_ASSERT(whole.has_value());
+        CPPUNIT_ASSERT(whole.value().catchUpTime == std::chrono::seconds(6));
+        const auto fraction = JobSettings::load(write(jobText + "[limits]\ncatch_up_s = 2.5\n"));
+        CPPUNIT_ASSERT(fraction.has_value());
+        CPPUNIT_ASSERT(fraction.value().catchUpTime == std::chrono::milliseconds(2500));
+        const std::string message = errorOf(JobSettings::load(write(jobText + "[limits]\ncatch_up_s = 0\n")));
+        CPPUNIT_ASSERT(contains(message, "limits.catch_up_s must be a number of seconds"));
+    }
+
 private:
     std::string write(const std::string &text)
     {
