Find the leader after all seeds of an entry have been replaced

Callers got no answer any more, and accepted jobs were lost to them, once the three control instances that an entry had been started with were gone and the leader after them fell: the entry asked only its seeds, which are read at its start, for ever.

The leader's answer to an announcement names the voters, which an entry asks besides its seeds. New seeds of the settings file are used on SIGHUP, and within 2 s while an instance knows no leader, since the file may change without a signal; before, a reload only logged that they would apply at the next start.

entryFindsALeaderThatIsNoSeed and newSeedsAreAsked fail with the new addresses ignored (verdict 6 for 1) and pass now.

--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -49,12 +49,26 @@
 
 void CallerCalls::targetFailed(const std::string &ip)
 {
-    if (ip != target_ || seeds_.empty())
+    const auto candidates = controls_.size() + seeds_.size();
+    if (ip != target_ || candidates == 0)
         return;
-    target_ = seeds_[nextSeed_++ % seeds_.size()];
+    const auto next = nextCandidate_++ % candidates;
+    target_ = next < controls_.size() ? controls_[next] : seeds_[next - controls_.size()];
     confirmedAt_ = {};
 }
 
+void CallerCalls::setSeeds(std::vector<std::string> seeds)
+{
+    seeds_ = std::move(seeds);
+    if (target_.empty() && !seeds_.empty())
+        target_ = seeds_.front();
+}
+
+void CallerCalls::setControls(std::vector<std::string> controls)
+{
+    controls_ = std::move(controls);
+}
+
 void CallerCalls::leaderConfirmed(const std::string &ip)
 {
     target_ = ip;
--- a/src/libs/jobnode/callercalls.h
+++ b/src/libs/jobnode/callercalls.h
@@ -43,6 +43,12 @@
     /// \param answered called exactly once, later
     void call(const Wire::JobCall &call, Duration limit, Duration doubtLimit, Answered answered);
 
+    /// \param seeds the addresses of control instances, in place of earlier ones
+    void setSeeds(std::vector<std::string> seeds);
+
+    /// \param controls the addresses of control instances, as the leader named them last
+    void setControls(std::vector<std::string> controls);
+
     /// The instance has answered as the leader.
     void leaderConfirmed(const std::string &ip);
     [[nodiscard]] bool isLeaderConfirmed() const;
@@ -72,7 +78,8 @@
     Transport::EventLoop &loop_;
     Peers &peers_;
     std::vector<std::string> seeds_;
-    std::size_t nextSeed_ = 0;
+    std::vector<std::string> controls_;
+    std::size_t nextCandidate_ = 0;
     std::string target_;
     TimePoint confirmedAt_{};
     std::vector<std::string> relays_;
--- a/src/libs/jobnode/groupmembership.h
+++ b/src/libs/jobnode/groupmembership.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Pistachio::Storage
@@ -28,6 +29,9 @@
     /// \param catchUpTime after which the platform counts on the successor of a lost instance
     GroupMembership(InstanceId self, std::vector<std::string> seeds, std::size_t wantedVoters, Duration catchUpTime);
 
+    /// \param seeds the addresses of some instances, in place of earlier ones
+    void setSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+
     /// \param now the time
     /// \param group the group after the events up to \p now
     /// \return the addresses that must be told of this instance now.
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -46,9 +46,7 @@
 Result<void> JobControl::open()
 {
     const auto &settings = d_->settings;
-    std::vector<std::string> seeds;
-    for (const auto &seed : settings.seeds)
-        seeds.push_back(seed.ip);
+    const auto seeds = settings.seedIps();
     BOOST_OUTCOME_TRY(const auto identity,
                       loadIdentity(d_->files, settings.dataFolder, settings.ip, seeds, settings.bootstrap));
     BOOST_OUTCOME_TRY(d_->group, JobGroup::open(d_->files, settings.dataFolder, identity, d_->store, d_->peers, [this] {
@@ -69,6 +67,16 @@
     return success();
 }
 
+void JobControl::setSeeds(std::vector<std::string> seeds)
+{
+    d_->membership->setSeeds(std::move(seeds));
+}
+
+bool JobControl::hasLeader() const
+{
+    return !d_->group->replica().leaderHint().isEmpty();
+}
+
 void JobControl::stop(std::function<void()> finished)
 {
     d_->tickTimer.cancel();
@@ -294,6 +302,8 @@
                 other = d_->entries.begin();
             reply.add_entries(other->first);
         }
+        for (const auto &voter : d_->group->replica().membership().voters)
+            reply.add_controls(std::string(ipOf(voter)));
     } else {
         d_->membership->seen(now, instance);
     }
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Pistachio::Wire
 {
@@ -38,6 +39,12 @@
     /// Reads the data folder and listens on the internal port.
     Result<void> open();
 
+    /// \param seeds the addresses of some control instances, in place of those of the settings
+    void setSeeds(std::vector<std::string> seeds);
+
+    /// \return whether this instance leads or has heard of a leader.
+    [[nodiscard]] bool hasLeader() const;
+
     /// Stops taking work and calls \p finished when nothing is in flight.
     void stop(std::function<void()> finished);
 
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -34,9 +34,7 @@
 
 std::vector<std::string> seedIps(const Settings::JobSettings &settings)
 {
-    std::vector<std::string> ips;
-    for (const auto &seed : settings.seeds)
-        ips.push_back(seed.ip);
+    auto ips = settings.seedIps();
     // Entries begin at different seeds.
     if (!ips.empty())
         std::rotate(ips.begin(),
@@ -89,6 +87,11 @@
     return success();
 }
 
+void JobEntry::setSeeds(std::vector<std::string> seeds)
+{
+    d_->calls.setSeeds(std::move(seeds));
+}
+
 bool JobEntry::isReady() const
 {
     const auto seen = std::max(d_->leaderSeen, d_->calls.relayedAt());
@@ -126,6 +129,7 @@
             if (isLeader) {
                 d_->calls.leaderConfirmed(ip);
                 d_->calls.setRelays({reply.entries().begin(), reply.entries().end()});
+                d_->calls.setControls({reply.controls().begin(), reply.controls().end()});
             } else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty()) {
                 d_->calls.learnLeader(std::string(ipOf(InstanceId(reply.leader()))));
             } else {
--- a/src/libs/jobnode/jobentry.h
+++ b/src/libs/jobnode/jobentry.h
@@ -32,6 +32,9 @@
     /// Listens on the internal port and looks for the leader.
     Result<void> open();
 
+    /// \param seeds the addresses of control instances, in place of those of the settings
+    void setSeeds(std::vector<std::string> seeds);
+
     /// \return whether callers' requests are likely to be served.
     [[nodiscard]] bool isReady() const;
 
--- a/src/libs/jobnode/noderuntime.cpp
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -3,12 +3,20 @@
 #include "settings/jobsettings.h"
 
 #include <chrono>
+#include <utility>
 
 namespace Pistachio::Jobnode
 {
 
+namespace
+{
+constexpr Duration seedsInterval
+    = 2s; ///< bounds how long an instance that missed every replacement looks for the others
+} // namespace
+
 NodeRuntime::NodeRuntime(std::string_view program, const Settings::JobSettings &settings)
     : logger_(program, settings.instance, settings.log.level, settings.log.file)
+    , seeds_(settings.seedIps())
 {
 }
 
@@ -29,13 +37,31 @@
     return success();
 }
 
-void NodeRuntime::checkReload(const std::string &path)
+void NodeRuntime::reload(const std::string &path, const SeedsChanged &changed)
 {
     const auto loaded = Settings::JobSettings::load(path);
-    if (loaded)
-        logger_.write(Logging::LogLevel::Info, "reload", {{"settings", path}, {"applies", "at the next start"}});
-    else
+    if (!loaded) {
         logger_.write(Logging::LogLevel::Warning, "reload", {{"settings", path}, {"reason", loaded.error().message}});
+        return;
+    }
+    seeds_ = loaded.value().seedIps();
+    logger_.write(
+        Logging::LogLevel::Info, "reload",
+        {{"settings", path}, {"seeds", seeds_.size()}, {"applies", "seeds at once, all else at the next start"}});
+    changed(seeds_);
+}
+
+void NodeRuntime::watchSeeds(const std::string &path, std::function<bool()> hasLost, SeedsChanged changed)
+{
+    seedsTimer_
+        = loop_.callAfter(seedsInterval, [this, path, hasLost = std::move(hasLost), changed = std::move(changed)] {
+              if (hasLost()) {
+                  const auto loaded = Settings::JobSettings::load(path);
+                  if (loaded && loaded.value().seedIps() != seeds_)
+                      reload(path, changed);
+              }
+              watchSeeds(path, hasLost, changed);
+          });
 }
 
 std::int64_t NodeRuntime::unixMs()
--- a/src/libs/jobnode/noderuntime.h
+++ b/src/libs/jobnode/noderuntime.h
@@ -7,8 +7,10 @@
 #include "transport/httpserver.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Pistachio::Settings
 {
@@ -29,8 +31,19 @@
     /// Serves the metrics where the settings say so.
     Result<void> listen(const Settings::JobSettings &settings);
 
-    /// Checks and logs changed settings; they take effect at the next start, since addresses and seeds are used then.
-    void checkReload(const std::string &path);
+    using SeedsChanged = std::function<void(std::vector<std::string> seeds)>;
+
+    /// Reads the settings file again. New seeds take effect at once, all else at the next start.
+    /// \param path the settings file
+    /// \param changed called with the addresses of the seeds, if the file has no errors
+    void reload(const std::string &path, const SeedsChanged &changed);
+
+    /// Looks for new seeds every few seconds while the instance has lost the others, since the file may change without
+    /// a signal.
+    /// \param path the settings file
+    /// \param hasLost whether the instance knows no leader
+    /// \param changed called with the addresses of seeds that differ from the ones before
+    void watchSeeds(const std::string &path, std::function<bool()> hasLost, SeedsChanged changed);
 
     [[nodiscard]] Transport::EventLoop &loop() { return loop_; }
     [[nodiscard]] Logging::Logger &logger() { return logger_; }
@@ -44,6 +57,8 @@
     Metrics::Registry metrics_;
     Transport::EventLoop loop_;
     std::unique_ptr<Transport::HttpServer> metricsServer_;
+    std::vector<std::string> seeds_; ///< as last read
+    Transport::Timer seedsTimer_;
 };
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -20,6 +20,14 @@
 
 } // namespace
 
+std::vector<std::string> JobSettings::seedIps() const
+{
+    std::vector<std::string> ips;
+    for (const auto &seed : seeds)
+        ips.push_back(seed.ip);
+    return ips;
+}
+
 Result<JobSettings> JobSettings::load(const std::string &path)
 {
     auto opened = TableReader::open(path);
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -37,6 +37,9 @@
     std::size_t maxBodyBytes = std::size_t{4} << 20;
     LogSettings log;
 
+    /// \return the addresses of the seeds without their ports.
+    [[nodiscard]] std::vector<std::string> seedIps() const;
+
     /// \return where this instance listens.
     [[nodiscard]] const std::string &localIp() const { return bindIp.empty() ? ip : bindIp; }
 
--- a/tests/auto/jobnode/fakeleader.h
+++ b/tests/auto/jobnode/fakeleader.h
@@ -24,6 +24,8 @@
                     reply.set_leader(otherLeader);
                     if (!relay.empty())
                         reply.add_entries(relay);
+                    if (!otherControl.empty())
+                        reply.add_controls(otherControl);
                 } else {
                     ++calls;
                 }
@@ -39,6 +41,7 @@
     Pistachio::Wire::JobVerdict verdict = Pistachio::Wire::JOB_VERDICT_ACCEPTED;
     std::string relay;
     std::string otherLeader;
+    std::string otherControl;
     bool isSilent = false;
     int joins = 0;
     int calls = 0;
--- a/tests/auto/jobnode/membershipcell.cpp
+++ b/tests/auto/jobnode/membershipcell.cpp
@@ -8,8 +8,6 @@
 namespace Pistachio::Jobnode
 {
 
-using Replication::Cluster;
-
 namespace
 {
 
--- a/tests/auto/jobnode/tst_jobentry.cpp
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -86,6 +86,8 @@
     CPPUNIT_TEST(leaderWithoutConfigurationRefusesAtOnce);
     CPPUNIT_TEST(silentLeaderGetsNoJob);
     CPPUNIT_TEST(jobInDoubtIsNotRefused);
+    CPPUNIT_TEST(entryFindsALeaderThatIsNoSeed);
+    CPPUNIT_TEST(newSeedsAreAsked);
     CPPUNIT_TEST(otherEntryRelays);
     CPPUNIT_TEST_SUITE_END();
 
@@ -128,6 +130,32 @@
         CPPUNIT_ASSERT_EQUAL(2, fixture.leader.calls);
     }
 
+    // An entry whose seeds were all replaced asked them for ever once its leader was gone.
+    void entryFindsALeaderThatIsNoSeed()
+    {
+        Fixture fixture;
+        FakeLeader successor(fixture.runtime.loop(), "127.0.0.4", fixture.leader.port);
+        fixture.leader.otherControl = "127.0.0.4";
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        fixture.runtime.loop().runFor(1200ms);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        CPPUNIT_ASSERT_EQUAL(1, successor.calls);
+    }
+
+    // An entry that missed all replacements needs the seeds that the platform writes later.
+    void newSeedsAreAsked()
+    {
+        Fixture fixture;
+        FakeLeader successor(fixture.runtime.loop(), "127.0.0.4", fixture.leader.port);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        fixture.entry->setSeeds({"127.0.0.4"});
+        fixture.runtime.loop().runFor(1200ms);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        CPPUNIT_ASSERT_EQUAL(1, successor.calls);
+    }
+
     // An entry that is cut off from all control instances still reaches the other entries.
     void otherEntryRelays()
     {
