Let a planned stop end within the grace that the platform gives

Cause: an entry took new connections for 2.5 s and drained for 5 s, and a control instance for 1 s, whatever the time between SIGTERM and SIGKILL. With a grace below 5 s the entry is killed with requests that it has read and not answered. A drain timeout below 2.5 s left a negative time for the drain after the notice.

The drain takes the drain timeout, but leaves a sixth of the grace for the end of the process; the notice takes half of the drain, 2.5 s at most.

Result: drainEndsWithinTheGrace passes; before, the file was refused ("limits.stop_grace_s is not a known setting") and the functions did not exist.

--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/tablereader.h"
 
+#include <algorithm>
+
 namespace Pistachio::Settings
 {
 
@@ -12,6 +14,10 @@
 constexpr std::int64_t longestDurationMs = 600'000;
 constexpr Duration shortestCatchUp = 100ms;
 constexpr Duration longestCatchUp = 10min;
+constexpr Duration shortestGrace = 100ms;
+constexpr Duration longestGrace = 10min;
+constexpr int exitShare = 6; ///< this part of the grace is left for the end of the process
+constexpr Duration longestNotice = 2500ms; ///< the balancer needs two missed checks to send no more connections
 
 Duration readDuration(TableReader &reader, std::string_view key, Duration fallback)
 {
@@ -20,6 +26,16 @@
 
 } // namespace
 
+Duration JobSettings::drainLimit() const
+{
+    return std::min(drainTimeout, stopGrace - stopGrace / exitShare);
+}
+
+Duration JobSettings::drainNotice() const
+{
+    return std::min(longestNotice, drainLimit() / 2);
+}
+
 Result<JobSettings> JobSettings::load(const std::string &path)
 {
     auto opened = TableReader::open(path);
@@ -59,6 +75,7 @@
             = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
         settings.longestLease = readDuration(limits, "longest_lease_ms", settings.longestLease);
         settings.stopTimeout = readDuration(limits, "stop_timeout_ms", settings.stopTimeout);
+        settings.stopGrace = limits.optionalSeconds("stop_grace_s", settings.stopGrace, shortestGrace, longestGrace);
         settings.drainTimeout = readDuration(limits, "drain_timeout_ms", settings.drainTimeout);
     });
     reader.table("log", [&](TableReader &table) { settings.log = LogSettings::read(table); });
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -33,13 +33,20 @@
     Duration catchUpTime = std::chrono::seconds(4); ///< then the successor of a lost instance counts like the others
     Duration longestLease = std::chrono::seconds(6); ///< minions cut longer ones down to this
     Duration stopTimeout = std::chrono::milliseconds(400);
-    Duration drainTimeout = std::chrono::seconds(5); ///< of requests in flight, at a planned stop
+    Duration stopGrace = std::chrono::seconds(6); ///< a process that is told to stop is killed after it
+    Duration drainTimeout = std::chrono::seconds(5); ///< of requests in flight, at a planned stop; see drainLimit()
     std::size_t maxBodyBytes = std::size_t{4} << 20;
     LogSettings log;
 
     /// \return where this instance listens.
     [[nodiscard]] const std::string &localIp() const { return bindIp.empty() ? ip : bindIp; }
 
+    /// \return how long a planned stop waits for requests in flight: the drain timeout, as far as the grace allows.
+    [[nodiscard]] Duration drainLimit() const;
+
+    /// \return the part of drainLimit() in which an entry still takes new connections.
+    [[nodiscard]] Duration drainNotice() const;
+
     /// \param path the TOML file
     /// \return the checked settings, or every error with its file, line and key, one a line.
     static Result<JobSettings> load(const std::string &path);
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(syntaxErrorNamesTheLine);
     CPPUNIT_TEST(localAddressIsTheAdvertisedOneUnlessSet);
     CPPUNIT_TEST(catchUpTimeMayHaveAFraction);
+    CPPUNIT_TEST(drainEndsWithinTheGrace);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,6 +159,23 @@
         CPPUNIT_ASSERT(contains(message, "limits.catch_up_s must be a number of seconds"));
     }
 
+    // Guards against an entry that still drains when it is killed, and against a drain shorter than the notice.
+    void drainEndsWithinTheGrace()
+    {
+        const auto limits = [this](const std::string &text) {
+            const auto settings = JobSettings::load(write(jobText + "[limits]\n" + text));
+            CPPUNIT_ASSERT(settings.has_value());
+            return std::pair(settings.value().drainLimit() / 1ms, settings.value().drainNotice() / 1ms);
+        };
+        using Limits = std::pair<std::int64_t, std::int64_t>;
+        CPPUNIT_ASSERT(limits("") == Limits(5000, 2500));
+        CPPUNIT_ASSERT(limits("stop_grace_s = 6\ndrain_timeout_ms = 1000\n") == Limits(1000, 500));
+        CPPUNIT_ASSERT(limits("stop_grace_s = 60\ndrain_timeout_ms = 20000\n") == Limits(20'000, 2500));
+        CPPUNIT_ASSERT(limits("stop_grace_s = 1.5\n") == Limits(1250, 625));
+        const std::string message = errorOf(JobSettings::load(write(jobText + "[limits]\nstop_grace_s = 0\n")));
+        CPPUNIT_ASSERT(contains(message, "limits.stop_grace_s must be a number of seconds"));
+    }
+
 private:
     std::string write(const std::string &text)
     {
