Renew leases that are shorter than usual in proportion

Cause: the lease follows the longest one that minions grant (longest_lease_ms), but renewals waited 0.5 s, and 1.5 s for a minion without runs, whatever the lease. A lease of 1.5 s or less ended between two renewals: the minion was given up each time, and orders to start named an expiry that had passed.

Change: the waits are those of the usual lease of 4 s, and shrink with a shorter one. With 4 s and more they are the same as before.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -39,7 +39,8 @@
 };
 
 struct SchedulerSettings {
-    Duration lease = 4000ms; ///< longer than a restart of all control instances and the election that follows
+    static constexpr Duration usualLease = 4000ms; ///< outlasts a restart of all control instances and the election
+    Duration lease = usualLease; ///< a shorter one is renewed more often in proportion
     Duration stopTimeout = 400ms; ///< upper bound on the time a stop takes
     Duration finishedRetention = 150s; ///< how long a finished job stays readable
     std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -21,8 +21,8 @@
     = 500ms; ///< bounds how long a lost answer delays the ends of runs; allows several attempts per lease
 constexpr Duration lossyRenewalWait = 150ms; ///< while answers are being lost
 constexpr Duration maxLossGap = 1s; ///< a minion that answers again within it was responsive; only the answer was lost
-/// Renewals wait renewalWait, or lossyRenewalWait, times the number of full 100 minions, but at least once that and at
-/// most idleRenewalWait. This limits the rate of calls.
+/// Renewals of the usual lease wait renewalWait, or lossyRenewalWait, times the number of full 100 minions, but at
+/// least once that and at most idleRenewalWait. This limits the rate of calls.
 constexpr std::int64_t minionsPerRenewalWait = 100;
 constexpr Duration idleRenewalWait = 1500ms; ///< for a minion without runs
 constexpr Duration orderRetry = 20ms;
@@ -37,6 +37,13 @@
 constexpr std::uint32_t minThrottlePercent = 5;
 constexpr Duration throttleInterval = 400ms;
 
+/// \return the wait for a lease that may be shorter than the usual one.
+Duration scaledToLease(Duration wait, Duration lease)
+{
+    constexpr auto usual = SchedulerSettings::usualLease;
+    return lease < usual ? wait * lease.count() / usual.count() : wait;
+}
+
 } // namespace
 
 void JobScheduler::sendStart(Minion &minion, const TaskName &task, Run &run)
@@ -108,10 +115,11 @@
 {
     const auto share = static_cast<std::int64_t>(fleet_.minions().size()) / minionsPerRenewalWait;
     const auto shortest = answerLosses_.isLossy(now_.time) ? lossyRenewalWait : renewalWait;
-    const auto wait = std::clamp(shortest * share, shortest, idleRenewalWait);
+    const auto idleWait = scaledToLease(idleRenewalWait, settings_.lease);
+    const auto wait = scaledToLease(std::clamp(shortest * share, shortest, idleRenewalWait), settings_.lease);
     for (auto &[id, minion] : fleet_.minions()) {
         if (!minion.renewalOutstanding && !minion.endsProposed && now_.time >= minion.nextRenewal)
-            sendLeaseRenewal(minion, minion.runs.empty() ? idleRenewalWait : wait);
+            sendLeaseRenewal(minion, minion.runs.empty() ? idleWait : wait);
         for (auto &[task, run] : minion.runs)
             retryOrder(minion, task, run);
     }
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-SimulatedCell::SimulatedCell(std::uint64_t seed)
+SimulatedCell::SimulatedCell(std::uint64_t seed, const SchedulerSettings &settings)
     : now_(std::chrono::hours(1))
     , random_(seed)
 {
@@ -40,7 +40,7 @@
     }
     store_.apply(++index_, command.SerializeAsString());
     SchedulerPorts &ports = *this;
-    scheduler_ = std::make_unique<JobScheduler>(store_, ports, SchedulerSettings());
+    scheduler_ = std::make_unique<JobScheduler>(store_, ports, settings);
     scheduler_->becomeLeader(now(), term_);
 }
 
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -23,7 +23,7 @@
     using Duration = Pistachio::Duration;
     using TimePoint = Pistachio::TimePoint;
 
-    explicit SimulatedCell(std::uint64_t seed);
+    explicit SimulatedCell(std::uint64_t seed, const Pistachio::Jobs::SchedulerSettings &settings = {});
     ~SimulatedCell() override;
 
     /// Adds a minion, which reports at once.
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(longRunningTaskIsPlacedFirst);
     CPPUNIT_TEST(capacityIsReservedForLargeTask);
     CPPUNIT_TEST(largeTaskPreemptsLowerPriorityQueue);
+    CPPUNIT_TEST(shortLeaseIsRenewedInTime);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertNoViolations(const SimulatedCell &cell)
@@ -235,6 +236,23 @@
         CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["minion-slow"]);
     }
 
+    // Guards against minions that are given up between two renewals where the longest lease is short.
+    void shortLeaseIsRenewedInTime()
+    {
+        SchedulerSettings settings;
+        settings.lease = 1s;
+        SimulatedCell cell(1, settings);
+        cell.addMinion("a", 4000, 1s, 0.98);
+        cell.run(5s);
+        cell.submit(first, 1, 1000);
+        cell.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["minion-lost"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.firstMinionRunning(first));
+        cell.run(2s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        assertNoViolations(cell);
+    }
+
     // Guards against tasks that wait for a lease to expire, placed on a minion that has just become unresponsive.
     void unresponsiveMinionIsChosenLast()
     {
