Accept fractions in the limits that are given in milliseconds

Cause: the platform's bounds may be fractions, but longest_lease_ms, stop_timeout_ms and drain_timeout_ms were read as whole numbers. A fraction refused the settings file, so that the program did not start.

Change: they are read as numbers, as catch_up_s is. The accepted range stays 1 ms to 10 min.

--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -11,7 +11,8 @@
 {
 
 constexpr std::int64_t highestPort = 65'535;
-constexpr std::int64_t longestDurationMs = 600'000;
+constexpr Duration shortestTimeout = 1ms;
+constexpr Duration longestTimeout = 10min;
 constexpr Duration shortestCatchUp = 100ms;
 constexpr Duration longestCatchUp = 10min;
 constexpr Duration shortestGrace = 100ms;
@@ -19,9 +20,9 @@
 constexpr int exitShare = 6; ///< this part of the grace is left for the end of the process
 constexpr Duration longestNotice = 2500ms; ///< the balancer needs two missed checks to send no more connections
 
-Duration readDuration(TableReader &reader, std::string_view key, Duration fallback)
+Duration readTimeout(TableReader &reader, std::string_view key, Duration fallback)
 {
-    return std::chrono::milliseconds(reader.optionalInteger(key, fallback / 1ms, 1, longestDurationMs));
+    return reader.optionalMilliseconds(key, fallback, shortestTimeout, longestTimeout);
 }
 
 } // namespace
@@ -73,10 +74,10 @@
         settings.toleratedLosses = static_cast<std::size_t>(limits.optionalInteger("tolerated_losses", 1, 0, 3));
         settings.catchUpTime
             = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
-        settings.longestLease = readDuration(limits, "longest_lease_ms", settings.longestLease);
-        settings.stopTimeout = readDuration(limits, "stop_timeout_ms", settings.stopTimeout);
+        settings.longestLease = readTimeout(limits, "longest_lease_ms", settings.longestLease);
+        settings.stopTimeout = readTimeout(limits, "stop_timeout_ms", settings.stopTimeout);
         settings.stopGrace = limits.optionalSeconds("stop_grace_s", settings.stopGrace, shortestGrace, longestGrace);
-        settings.drainTimeout = readDuration(limits, "drain_timeout_ms", settings.drainTimeout);
+        settings.drainTimeout = readTimeout(limits, "drain_timeout_ms", settings.drainTimeout);
     });
     reader.table("log", [&](TableReader &table) { settings.log = LogSettings::read(table); });
     if (auto finished = reader.finish(); !finished)
--- a/src/libs/settings/tablereader.cpp
+++ b/src/libs/settings/tablereader.cpp
@@ -116,21 +116,32 @@
     return fallback;
 }
 
-Duration TableReader::optionalSeconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+Duration TableReader::optionalDuration(std::string_view key, std::string_view unitName, Duration unit,
+                                       Duration fallback, Duration lowest, Duration highest)
 {
     const toml::node *node = d_->node(key);
     if (!node)
         return fallback;
-    using Seconds = std::chrono::duration<double>;
+    using Fraction = std::chrono::duration<double, Duration::period>;
     const auto value = node->is_number() ? node->value<double>() : std::nullopt;
-    if (value && Seconds(*value) >= lowest && Seconds(*value) <= highest)
-        return std::chrono::duration_cast<Duration>(Seconds(*value));
+    if (value && *value * Fraction(unit) >= lowest && *value * Fraction(unit) <= highest)
+        return std::chrono::duration_cast<Duration>(*value * Fraction(unit));
     addError(key,
-             "must be a number of seconds from " + std::to_string(Seconds(lowest).count()) + " to "
-                 + std::to_string(Seconds(highest).count()));
+             "must be a number of " + std::string(unitName) + " from " + std::to_string(Fraction(lowest) / unit)
+                 + " to " + std::to_string(Fraction(highest) / unit));
     return fallback;
 }
 
+Duration TableReader::optionalSeconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+{
+    return optionalDuration(key, "seconds", 1s, fallback, lowest, highest);
+}
+
+Duration TableReader::optionalMilliseconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+{
+    return optionalDuration(key, "milliseconds", 1ms, fallback, lowest, highest);
+}
+
 Address TableReader::optionalAddress(std::string_view key)
 {
     const std::string text = optionalString(key, "");
--- a/src/libs/settings/tablereader.h
+++ b/src/libs/settings/tablereader.h
@@ -56,6 +56,8 @@
     /// \param highest the highest value accepted
     /// \return the value, or the fallback after an error.
     Duration optionalSeconds(std::string_view key, Duration fallback, Duration lowest, Duration highest);
+    /// As optionalSeconds(), for a number of milliseconds.
+    Duration optionalMilliseconds(std::string_view key, Duration fallback, Duration lowest, Duration highest);
     /// \param key the key
     /// \return the address; an empty one when the key is absent or empty, and after an error.
     Address optionalAddress(std::string_view key);
@@ -81,6 +83,8 @@
     class Private;
     explicit TableReader(std::unique_ptr<Private> state);
     void checkUnknownKeys();
+    Duration optionalDuration(std::string_view key, std::string_view unitName, Duration unit, Duration fallback,
+                              Duration lowest, Duration highest);
 
     std::unique_ptr<Private> d_;
 };
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(syntaxErrorNamesTheLine);
     CPPUNIT_TEST(localAddressIsTheAdvertisedOneUnlessSet);
     CPPUNIT_TEST(catchUpTimeMayHaveAFraction);
+    CPPUNIT_TEST(boundsInMillisecondsMayHaveAFraction);
     CPPUNIT_TEST(drainEndsWithinTheGrace);
     CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +160,19 @@
         CPPUNIT_ASSERT(contains(message, "limits.catch_up_s must be a number of seconds"));
     }
 
+    // Guards against a bound with a fraction that refuses the file, so that the process never starts.
+    void boundsInMillisecondsMayHaveAFraction()
+    {
+        const auto fraction = JobSettings::load(write(jobText + "[limits]\nlongest_lease_ms = 2500.5\n"));
+        CPPUNIT_ASSERT(fraction.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'500'500}, std::int64_t{fraction.value().longestLease.count()});
+        const auto whole = JobSettings::load(write(jobText + "[limits]\ndrain_timeout_ms = 700\n"));
+        CPPUNIT_ASSERT(whole.has_value());
+        CPPUNIT_ASSERT(whole.value().drainTimeout == std::chrono::milliseconds(700));
+        const std::string message = errorOf(JobSettings::load(write(jobText + "[limits]\nlongest_lease_ms = 0\n")));
+        CPPUNIT_ASSERT(contains(message, "limits.longest_lease_ms must be a number of milliseconds"));
+    }
+
     // Guards against an entry that still drains when it is killed, and against a drain shorter than the notice.
     void drainEndsWithinTheGrace()
     {
