Remove the setting of the stop timeout

stop_timeout_ms was read and passed to the scheduler, and nothing used it: the capacity of a stopped run is free only once its end is listed, and a stop order is repeated until then, however long a stop takes. No behaviour changes.

--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -40,7 +40,6 @@
 {
     Jobs::SchedulerSettings result;
     result.lease = std::min(result.lease, settings.longestLease);
-    result.stopTimeout = settings.stopTimeout;
     return result;
 }
 
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -41,7 +41,6 @@
 struct SchedulerSettings {
     static constexpr Duration usualLease = 4000ms; ///< outlasts a restart of all control instances and the election
     Duration lease = usualLease; ///< a shorter one is renewed more often in proportion
-    Duration stopTimeout = 400ms; ///< upper bound on the time a stop takes
     Duration finishedRetention = 150s; ///< how long a finished job stays readable
     std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
 };
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -75,7 +75,6 @@
         settings.catchUpTime
             = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
         settings.longestLease = readTimeout(limits, "longest_lease_ms", settings.longestLease);
-        settings.stopTimeout = readTimeout(limits, "stop_timeout_ms", settings.stopTimeout);
         settings.stopGrace = limits.optionalSeconds("stop_grace_s", settings.stopGrace, shortestGrace, longestGrace);
         settings.drainTimeout = readTimeout(limits, "drain_timeout_ms", settings.drainTimeout);
     });
