Remove the unused limit of a body from JobSettings

No key set it and nothing read it; the entries' servers have their own limit. No behaviour changes.

Result: the tests of settings and jobnode pass.

--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -33,7 +33,6 @@
     Duration longestLease = std::chrono::seconds(6); ///< minions cut longer ones down to this
     Duration stopGrace = std::chrono::seconds(6); ///< a process that is told to stop is killed after it
     Duration drainTimeout = std::chrono::seconds(5); ///< of requests in flight, at a planned stop; see drainLimit()
-    std::size_t maxBodyBytes = std::size_t{4} << 20;
     LogSettings log;
 
     /// \return where this instance listens.
