Keep finished jobs as long as the platform promises their state

Cause: the leader removed a finished job after 150 s, whatever time the platform promises callers (status_s, 120 s today). With a longer promise a caller would get 410 for a job that was accepted.

Change: the promise is a setting (finished_readable_s, default 120 s); jobs are kept 30 s longer, which is 150 s as before. What the scheduler takes from the settings is a function of its own (jobnode/schedulersettings), so that it can be tested, and its settings have their own header.

Result: finishedJobsOutlastThePromise passes; before, the time was a constant and the key was refused as unknown. The tests of settings, jobs and jobnode pass.

--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -10,6 +10,7 @@
 #include "jobnode/minionclient.h"
 #include "jobnode/noderuntime.h"
 #include "jobnode/peers.h"
+#include "jobnode/schedulersettings.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
 #include "storage/posixfilesystem.h"
@@ -35,14 +36,6 @@
     return {Transport::EventLoop::now(), NodeRuntime::unixMs()};
 }
 
-/// \return what the scheduler takes from the settings.
-inline Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
-{
-    Jobs::SchedulerSettings result;
-    result.lease = std::min(result.lease, settings.longestLease);
-    return result;
-}
-
 } // namespace Internal
 
 struct JobControl::Private {
@@ -52,7 +45,7 @@
         , runtime(nodeRuntime)
         , minions(minionClient)
         , advice(adviceClient)
-        , scheduler(store, owner, Internal::schedulerSettings(jobSettings))
+        , scheduler(store, owner, schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
         , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
         , server(nodeRuntime.loop(), serverLimits(),
--- /dev/null
+++ b/src/libs/jobnode/schedulersettings.cpp
@@ -0,0 +1,23 @@
+#include "jobnode/schedulersettings.h"
+
+#include "settings/jobsettings.h"
+
+#include <algorithm>
+
+namespace Pistachio::Jobnode
+{
+
+namespace
+{
+constexpr Duration readableMargin = 30s; ///< a change of leader does not shorten what callers are promised
+}
+
+Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
+{
+    Jobs::SchedulerSettings result;
+    result.lease = std::min(result.lease, settings.longestLease);
+    result.finishedRetention = settings.finishedReadable + readableMargin;
+    return result;
+}
+
+} // namespace Pistachio::Jobnode
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/durationmodel.h"
 #include "jobs/fleet.h"
 #include "jobs/jobstoreobserver.h"
+#include "jobs/schedulersettings.h"
 #include "jobs/speedtable.h"
 #include "jobs/workqueue.h"
 
@@ -38,13 +39,6 @@
     std::int64_t unixMs = 0; ///< wall clock, used only for due times and job ages, as it may jump
 };
 
-struct SchedulerSettings {
-    static constexpr Duration usualLease = 4000ms; ///< outlasts a restart of all control instances and the election
-    Duration lease = usualLease; ///< a shorter one is renewed more often in proportion
-    Duration finishedRetention = 150s; ///< how long a finished job stays readable
-    std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
-};
-
 /// Assigns the tasks of the job store to minions while this instance leads the job group.
 ///
 /// An assignment is committed before its start order is sent, and an end before it is acknowledged to the minion. A
--- /dev/null
+++ b/src/libs/jobs/schedulersettings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstddef>
+
+namespace Pistachio::Jobs
+{
+
+/// What a cell's surroundings ask of its scheduler.
+struct SchedulerSettings {
+    static constexpr Duration usualLease = 4000ms; ///< outlasts a restart of all control instances and the election
+    Duration lease = usualLease; ///< a shorter one is renewed more often in proportion
+    Duration finishedRetention = 150s; ///< how long a finished job stays readable
+    std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
+};
+
+} // namespace Pistachio::Jobs
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -15,6 +15,8 @@
 constexpr Duration longestTimeout = 10min;
 constexpr Duration shortestCatchUp = 100ms;
 constexpr Duration longestCatchUp = 10min;
+constexpr Duration shortestReadable = 1s;
+constexpr Duration longestReadable = 24h;
 constexpr Duration shortestGrace = 100ms;
 constexpr Duration longestGrace = 10min;
 constexpr int exitShare = 6; ///< this part of the grace is left for the end of the process
@@ -72,6 +74,8 @@
         settings.catchUpTime
             = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
         settings.longestLease = readTimeout(limits, "longest_lease_ms", settings.longestLease);
+        settings.finishedReadable = limits.optionalSeconds("finished_readable_s", settings.finishedReadable,
+                                                           shortestReadable, longestReadable);
         settings.stopGrace = limits.optionalSeconds("stop_grace_s", settings.stopGrace, shortestGrace, longestGrace);
         settings.drainTimeout = readTimeout(limits, "drain_timeout_ms", settings.drainTimeout);
     });
