Count the reports that a silent minion misses by the platform's interval

Cause: a minion without a lease was forgotten 6 s after its last report, which is four reports of 1.5 s. With reports further apart it is forgotten between two of them, and a minion that was cut off is not called again until its next report.

Result: minionIsKeptUntilReportsAreMissing passes: a minion cut off for 12 s is forgotten once with an interval of 1.5 s, as before, and not with 5 s. The tests of settings, jobs and jobnode pass.

--- a/src/libs/jobnode/schedulersettings.cpp
+++ b/src/libs/jobnode/schedulersettings.cpp
@@ -17,6 +17,7 @@
     Jobs::SchedulerSettings result;
     result.lease = std::min(result.lease, settings.longestLease);
     result.finishedRetention = settings.finishedReadable + readableMargin;
+    result.reportInterval = settings.reportInterval;
     return result;
 }
 
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -29,8 +29,7 @@
 constexpr std::uint32_t maxStartAttempts = 5;
 constexpr Duration avoidAfterRefusal = 1s;
 constexpr Duration avoidAfterUnansweredStart = 500ms;
-constexpr Duration removalDelay
-    = 6s; ///< after the last report and the end of the lease; several reports are missing by then
+constexpr int missingReports = 4; ///< before a minion is forgotten; counted from its last report and lease
 constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the network delay of the last order
 constexpr double throttleAbove = 0.85; ///< share of the target tail latency of a serving task
 constexpr double unthrottleBelow = 0.55;
@@ -273,6 +272,7 @@
 
 void JobScheduler::expireLeases()
 {
+    const auto removalDelay = missingReports * settings_.reportInterval;
     std::vector<std::string> removable;
     for (auto &[id, minion] : fleet_.minions()) {
         if (now_.time < minion.latestLeaseExpiry + leaseMargin)
--- a/src/libs/jobs/schedulersettings.h
+++ b/src/libs/jobs/schedulersettings.h
@@ -12,6 +12,7 @@
     static constexpr Duration usualLease = 4000ms; ///< outlasts a restart of all control instances and the election
     Duration lease = usualLease; ///< a shorter one is renewed more often in proportion
     Duration finishedRetention = 150s; ///< how long a finished job stays readable
+    Duration reportInterval = 1500ms; ///< between two reports of a minion about itself
     std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
 };
 
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(capacityIsReservedForLargeTask);
     CPPUNIT_TEST(largeTaskPreemptsLowerPriorityQueue);
     CPPUNIT_TEST(shortLeaseIsRenewedInTime);
+    CPPUNIT_TEST(minionIsKeptUntilReportsAreMissing);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertNoViolations(const SimulatedCell &cell)
@@ -253,6 +254,23 @@
         assertNoViolations(cell);
     }
 
+    // Guards against minions that are forgotten between two reports where these are far apart.
+    void minionIsKeptUntilReportsAreMissing()
+    {
+        const auto forgotten = [](Duration reportInterval) {
+            SchedulerSettings settings;
+            settings.reportInterval = reportInterval;
+            SimulatedCell cell(1, settings);
+            cell.addMinion("a", 4000, 1s);
+            cell.run(1s);
+            cell.minions.at("a")->isCut = true;
+            cell.run(12s);
+            return cell.eventCounts["minion-forgotten"];
+        };
+        CPPUNIT_ASSERT_EQUAL(1, forgotten(1500ms));
+        CPPUNIT_ASSERT_EQUAL(0, forgotten(5s));
+    }
+
     // Guards against tasks that wait for a lease to expire, placed on a minion that has just become unresponsive.
     void unresponsiveMinionIsChosenLast()
     {
