End the repeats of a start with the time that a leaving minion may be used

Cause: a start order without an answer was repeated up to five times, 0.85 s in all with the client's limit of 150 ms, and later still if the leader was suspended in between, without regard to how long a task may start on a minion that has announced to leave (drainMs, 2.5 s today). With a bound below 0.85 s a start could come later than it.

Change: the bound is a setting (minion_drain_ms, default 2500 ms). A start order is not repeated later than that after the assignment; the run is stopped instead. An announcement can't be older than the assignment, so the start keeps the bound.

Result: unansweredStartIsNotRepeatedPastItsLimit passes: five orders with a limit of 10 s, which is what was sent before, and two with 1 s. The tests of settings, jobs and jobnode pass.

--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -129,7 +129,7 @@
     if (run.orderOutstanding || now_.time < run.lastOrderAt + orderRetry)
         return;
     if (run.phase == RunPhase::Starting) {
-        if (run.attempts < maxStartAttempts)
+        if (run.attempts < maxStartAttempts && now_.time < run.phaseSince + settings_.startLimit)
             sendStart(minion, task, run);
         else
             sendStop(minion, task, run);
--- a/src/libs/jobs/schedulersettings.h
+++ b/src/libs/jobs/schedulersettings.h
@@ -13,6 +13,7 @@
     Duration lease = usualLease; ///< a shorter one is renewed more often in proportion
     Duration finishedRetention = 150s; ///< how long a finished job stays readable
     Duration reportInterval = 1500ms; ///< between two reports of a minion about itself
+    Duration startLimit = 2500ms; ///< a start order is not repeated later than this after the assignment
     std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
 };
 
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -74,6 +74,7 @@
         settings.catchUpTime
             = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
         settings.longestLease = readTimeout(limits, "longest_lease_ms", settings.longestLease);
+        settings.minionDrain = readTimeout(limits, "minion_drain_ms", settings.minionDrain);
         settings.reportInterval = readTimeout(limits, "report_interval_ms", settings.reportInterval);
         settings.finishedReadable = limits.optionalSeconds("finished_readable_s", settings.finishedReadable,
                                                            shortestReadable, longestReadable);
--- a/tests/auto/jobnode/tst_schedulersettings.cpp
+++ b/tests/auto/jobnode/tst_schedulersettings.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(SchedulerSettingsTest);
     CPPUNIT_TEST(leaseIsAtMostTheLongestOne);
     CPPUNIT_TEST(finishedJobsOutlastThePromise);
+    CPPUNIT_TEST(startsEndWithTheTimeToLeave);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -31,6 +32,15 @@
         settings.finishedReadable = 10min;
         CPPUNIT_ASSERT(schedulerSettings(settings).finishedRetention > 10min);
     }
+
+    // Guards against starts on a minion that has been leaving for longer than the cell may still use it.
+    void startsEndWithTheTimeToLeave()
+    {
+        Settings::JobSettings settings;
+        CPPUNIT_ASSERT(schedulerSettings(settings).startLimit == 2500ms);
+        settings.minionDrain = 600ms;
+        CPPUNIT_ASSERT(schedulerSettings(settings).startLimit == 600ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerSettingsTest);
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(largeTaskPreemptsLowerPriorityQueue);
     CPPUNIT_TEST(shortLeaseIsRenewedInTime);
     CPPUNIT_TEST(minionIsKeptUntilReportsAreMissing);
+    CPPUNIT_TEST(unansweredStartIsNotRepeatedPastItsLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertNoViolations(const SimulatedCell &cell)
@@ -271,6 +272,24 @@
         CPPUNIT_ASSERT_EQUAL(0, forgotten(5s));
     }
 
+    // Guards against a start on a minion whose time to leave is over, or beside members of a gang that no longer wait.
+    void unansweredStartIsNotRepeatedPastItsLimit()
+    {
+        const auto starts = [](Duration startLimit) {
+            SchedulerSettings settings;
+            settings.startLimit = startLimit;
+            SimulatedCell cell(1, settings);
+            cell.addMinion("a", 4000, 10s);
+            cell.run(1s);
+            cell.minions.at("a")->isCut = true;
+            cell.submit(first, 1, 1000);
+            cell.run(3500ms);
+            return cell.starts;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, starts(10s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts(1s));
+    }
+
     // Guards against tasks that wait for a lease to expire, placed on a minion that has just become unresponsive.
     void unresponsiveMinionIsChosenLast()
     {
