End the repeats of a start before the other members of a gang give up

With a shorter time the last member would start after the others have given up, and wait alone.

Change: the time is a setting (gang_timeout_ms, default 3000 ms); it limits the repeats like minion_drain_ms, whichever is shorter.

The tests of settings, jobs and jobnode pass.

--- a/src/libs/jobnode/schedulersettings.cpp
+++ b/src/libs/jobnode/schedulersettings.cpp
@@ -18,7 +18,7 @@
     result.lease = std::min(result.lease, settings.longestLease);
     result.finishedRetention = settings.finishedReadable + readableMargin;
     result.reportInterval = settings.reportInterval;
-    result.startLimit = settings.minionDrain;
+    result.startLimit = std::min(settings.minionDrain, settings.gangTimeout);
     return result;
 }
 
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -75,6 +75,7 @@
             = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
         settings.longestLease = readTimeout(limits, "longest_lease_ms", settings.longestLease);
         settings.minionDrain = readTimeout(limits, "minion_drain_ms", settings.minionDrain);
+        settings.gangTimeout = readTimeout(limits, "gang_timeout_ms", settings.gangTimeout);
         settings.reportInterval = readTimeout(limits, "report_interval_ms", settings.reportInterval);
         settings.finishedReadable = limits.optionalSeconds("finished_readable_s", settings.finishedReadable,
                                                            shortestReadable, longestReadable);
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -32,6 +32,7 @@
     Duration catchUpTime = std::chrono::seconds(4); ///< then the successor of a lost instance counts like the others
     Duration longestLease = std::chrono::seconds(6); ///< minions cut longer ones down to this
     Duration minionDrain = std::chrono::milliseconds(2500); ///< a minion that leaves starts nothing later than this
+    Duration gangTimeout = std::chrono::seconds(3); ///< the first members of a gang wait for the others this long
     Duration reportInterval = std::chrono::milliseconds(1500); ///< between two reports of a minion
     Duration finishedReadable = std::chrono::seconds(120); ///< how long callers may ask for a finished job
     Duration stopGrace = std::chrono::seconds(6); ///< a process that is told to stop is killed after it
--- a/tests/auto/jobnode/tst_schedulersettings.cpp
+++ b/tests/auto/jobnode/tst_schedulersettings.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(leaseIsAtMostTheLongestOne);
     CPPUNIT_TEST(finishedJobsOutlastThePromise);
     CPPUNIT_TEST(startsEndWithTheTimeToLeave);
+    CPPUNIT_TEST(startsEndBeforeAGangGivesUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -41,6 +42,14 @@
         settings.minionDrain = 600ms;
         CPPUNIT_ASSERT(schedulerSettings(settings).startLimit == 600ms);
     }
+
+    // Guards against members that start after the others have given up, and wait alone.
+    void startsEndBeforeAGangGivesUp()
+    {
+        Settings::JobSettings settings;
+        settings.gangTimeout = 500ms;
+        CPPUNIT_ASSERT(schedulerSettings(settings).startLimit == 500ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerSettingsTest);
