Split the callbacks and the field list out of Http2Connection

http2connection.cpp held 485 lines: the session on its socket, the functions that nghttp2 calls, and the conversion of header fields. The latter two are now http2callbacks and http2fieldlist; the connection keeps 327 lines. No behaviour changes.

Result: the 10 tests of transport pass unchanged.

--- a/src/libs/transport/http2connection.cpp
+++ b/src/libs/transport/http2connection.cpp
@@ -1,5 +1,8 @@
 #include "transport/http2connection.h"
 
+#include "transport/http2callbacks.h"
+#include "transport/http2fieldlist.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -22,169 +25,8 @@
 constexpr Duration shortestCheck = 10ms;
 constexpr Duration longestCheck = 1s;
 
-std::string lowerCase(std::string_view text)
-{
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char c) { return std::tolower(c); });
-    return result;
-}
-
-/// HTTP/2 forbids the fields that manage an HTTP/1.1 connection.
-bool isConnectionField(std::string_view lowerCaseName)
-{
-    return lowerCaseName == "connection" || lowerCaseName == "keep-alive" || lowerCaseName == "transfer-encoding"
-        || lowerCaseName == "upgrade" || lowerCaseName == "proxy-connection" || lowerCaseName == "host";
-}
-
-/// Header fields in the form of nghttp2. The strings are only borrowed by nghttp2 during the submission.
-class FieldList
-{
-public:
-    void add(std::string name, std::string_view value) { fields_.emplace_back(std::move(name), std::string(value)); }
-
-    void add(const Headers &headers)
-    {
-        for (const auto &header : headers) {
-            auto name = lowerCase(header.name);
-            if (!isConnectionField(name))
-                add(std::move(name), header.value);
-        }
-    }
-
-    std::vector<nghttp2_nv> view()
-    {
-        std::vector<nghttp2_nv> result;
-        result.reserve(fields_.size());
-        for (auto &[name, value] : fields_) {
-            result.push_back({reinterpret_cast<std::uint8_t *>(name.data()),
-                              reinterpret_cast<std::uint8_t *>(value.data()), name.size(), value.size(),
-                              NGHTTP2_NV_FLAG_NONE});
-        }
-        return result;
-    }
-
-private:
-    std::vector<std::pair<std::string, std::string>> fields_;
-};
-
-std::string_view view(const std::uint8_t *data, std::size_t size)
-{
-    return {reinterpret_cast<const char *>(data), size};
-}
-
-bool isInformational(int status)
-{
-    return status >= 100 && status < 200;
-}
-
 } // namespace
 
-/// The functions that nghttp2 calls; the user data is the connection.
-struct Http2Connection::Callbacks {
-    static Http2Connection &self(void *userData) { return *static_cast<Http2Connection *>(userData); }
-
-    static int onBeginHeaders(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *userData)
-    {
-        if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
-            self(userData).streams_[frame->hd.stream_id].begun = EventLoop::now();
-        return 0;
-    }
-
-    static int onHeader(nghttp2_session * /*session*/, const nghttp2_frame *frame, const std::uint8_t *name,
-                        std::size_t nameSize, const std::uint8_t *value, std::size_t valueSize, std::uint8_t /*flags*/,
-                        void *userData)
-    {
-        return self(userData).headerReceived(frame->hd.stream_id, view(name, nameSize), view(value, valueSize));
-    }
-
-    static int onFrame(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *userData)
-    {
-        if (frame->hd.type != NGHTTP2_DATA && frame->hd.type != NGHTTP2_HEADERS)
-            return 0;
-        auto &connection = self(userData);
-        const auto found = connection.streams_.find(frame->hd.stream_id);
-        if (found == connection.streams_.end())
-            return 0;
-        auto &stream = found->second;
-        const bool complete = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
-        if (!complete && frame->hd.type == NGHTTP2_HEADERS && isInformational(stream.status)) {
-            stream.status = 0;
-            stream.headers.clear();
-        }
-        if (!complete || stream.refused || stream.received)
-            return 0;
-        stream.received = true;
-        connection.messageReceived(frame->hd.stream_id, stream);
-        return 0;
-    }
-
-    static int onData(nghttp2_session * /*session*/, std::uint8_t /*flags*/, std::int32_t id, const std::uint8_t *data,
-                      std::size_t size, void *userData)
-    {
-        return self(userData).dataReceived(id, view(data, size));
-    }
-
-    static int onFrameSent(nghttp2_session *session, const nghttp2_frame *frame, void *userData)
-    {
-        auto &connection = self(userData);
-        // A response sent before the end of its request frees the stream: the rest of the request is not wanted.
-        const bool ended = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
-        if (connection.role_ == Role::Server && ended
-            && (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS)) {
-            const auto found = connection.streams_.find(frame->hd.stream_id);
-            if (found != connection.streams_.end() && !found->second.received)
-                nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, frame->hd.stream_id, NGHTTP2_NO_ERROR);
-        }
-        return 0;
-    }
-
-    static int beforeFrameSent(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *userData)
-    {
-        if (frame->hd.type == NGHTTP2_HEADERS)
-            self(userData).headersSent(frame->hd.stream_id);
-        return 0;
-    }
-
-    static int onStreamClose(nghttp2_session * /*session*/, std::int32_t id, std::uint32_t code, void *userData)
-    {
-        self(userData).streamEnded(id, code);
-        return 0;
-    }
-
-    static ssize_t readBody(nghttp2_session * /*session*/, std::int32_t /*id*/, std::uint8_t *buffer, std::size_t size,
-                            std::uint32_t *flags, nghttp2_data_source *source, void *userData)
-    {
-        auto &stream = *static_cast<Stream *>(source->ptr);
-        const auto count = std::min(size, stream.outgoing.size() - stream.outgoingSent);
-        std::copy_n(stream.outgoing.data() + stream.outgoingSent, count, buffer);
-        stream.outgoingSent += count;
-        self(userData).unsentBytes_ -= count;
-        if (stream.outgoingSent == stream.outgoing.size())
-            *flags |= NGHTTP2_DATA_FLAG_EOF;
-        return static_cast<ssize_t>(count);
-    }
-
-    static nghttp2_session *createSession(Http2Connection *connection)
-    {
-        nghttp2_session_callbacks *callbacks = nullptr;
-        nghttp2_session_callbacks_new(&callbacks);
-        nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, onBeginHeaders);
-        nghttp2_session_callbacks_set_on_header_callback(callbacks, onHeader);
-        nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, onFrame);
-        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, onData);
-        nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, onFrameSent);
-        nghttp2_session_callbacks_set_before_frame_send_callback(callbacks, beforeFrameSent);
-        nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, onStreamClose);
-        nghttp2_session *session = nullptr;
-        if (connection->role_ == Role::Server)
-            nghttp2_session_server_new(&session, callbacks, connection);
-        else
-            nghttp2_session_client_new(&session, callbacks, connection);
-        nghttp2_session_callbacks_del(callbacks);
-        return session;
-    }
-};
-
 void Http2Connection::SessionDeleter::operator()(nghttp2_session *session) const
 {
     nghttp2_session_del(session);
@@ -245,7 +87,7 @@
 
 Result<std::int32_t> Http2Connection::submitRequest(Request request, const std::string &authority)
 {
-    FieldList fields;
+    Http2FieldList fields;
     fields.add(":method", request.method);
     fields.add(":scheme", "http");
     fields.add(":path", request.target);
@@ -276,7 +118,7 @@
     if (closed_ || found == streams_.end())
         return;
     auto &stream = found->second;
-    FieldList fields;
+    Http2FieldList fields;
     fields.add(":status", std::to_string(response.status));
     fields.add(response.headers);
     auto views = fields.view();
@@ -409,7 +251,7 @@
         const auto size = nghttp2_session_mem_send(session_.get(), &data);
         if (closed_ || size <= 0)
             break;
-        writeBuffer_ += view(data, static_cast<std::size_t>(size));
+        writeBuffer_ += bytesOf(data, static_cast<std::size_t>(size));
     }
     if (closed_) {
         writing_ = false;
