Move the handlers of internal calls out of JobControl

The answers are now InternalCalls, which knows the parts that it reads and nothing of JobControl. It is destroyed after the group, whose proposals may end in it. No behaviour changes.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -1,12 +1,9 @@
 #include "jobnode/jobcontrol.h"
 
-#include "jobnode/advicerequests.h"
 #include "jobnode/jobcontrolprivate.h"
 
 #include <jobs.pb.h>
 
-#include <algorithm>
-#include <map>
 #include <utility>
 
 namespace Pistachio::Jobnode
@@ -24,15 +21,8 @@
 constexpr Duration flushInterval = 5ms; ///< about one sync of the disk; bounds the messages to the other members
 constexpr Duration announceLimit = 900ms;
 constexpr Duration forwardLimit = 900ms; ///< callers turn elsewhere after a second
-constexpr Duration entrySeenLimit = 3s;
-constexpr std::size_t relaysEach = 3; ///< entries named to another one, in case it loses the way to the leader
 constexpr Duration stopLimit = 500ms;
 
-Transport::Response bytes(std::string body)
-{
-    return {200, {{"Content-Type", "application/x-protobuf"}}, std::move(body)};
-}
-
 } // namespace
 
 JobControl::JobControl(const Settings::JobSettings &settings, NodeRuntime &runtime, MinionClient &minions,
@@ -57,6 +47,9 @@
     d_->membership
         = std::make_unique<GroupMembership>(identity.id, seeds, 2 * settings.toleratedLosses + 1, settings.catchUpTime);
     d_->calls = std::make_unique<JobCalls>(d_->store, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
+    d_->internalCalls = std::make_unique<InternalCalls>(
+        InternalCalls::Instance{d_->runtime, d_->advice, d_->store, *d_->group, *d_->calls, *d_->membership,
+                                d_->advisers, d_->forwarded, [this] { changed(); }});
     BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.localIp(), settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started",
                                {{"id", identity.id.value()},
@@ -215,93 +208,6 @@
                    });
 }
 
-void JobControl::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
-{
-    if (request.target == "/jobs/replication") {
-        if (!d_->group->receive(EventLoop::now(), request.body))
-            d_->runtime.logger().write(LogLevel::Warning, "replication-unreadable", {{"bytes", request.body.size()}});
-        responder.respond({204, {}, {}});
-        changed();
-    } else if (request.target == "/jobs/call") {
-        handleCall(request, responder);
-    } else if (request.target == "/jobs/join") {
-        handleJoin(request, responder);
-    } else if (request.target == "/jobs/forward") {
-        handleForwarded(request, responder);
-    } else if (request.target == "/jobs/advice") {
-        answerAdviceRequest(d_->advice, request, responder);
-    } else {
-        responder.respond({404, {}, {}});
-    }
-}
-
-void JobControl::handleCall(const Transport::Request &request, const Transport::Responder &responder)
-{
-    Wire::JobCall call;
-    if (!call.ParseFromString(request.body)) {
-        responder.respond({400, {}, "not a job call"});
-        return;
-    }
-    const auto begun = EventLoop::now();
-    d_->calls->handle(begun, call, [this, call, begun, responder](const Wire::JobReply &reply) {
-        logCall(call, reply, EventLoop::now() - begun);
-        responder.respond(bytes(reply.SerializeAsString()));
-    });
-    changed();
-}
-
-void JobControl::logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took)
-{
-    const std::string_view kind = call.has_submission() ? "submit" : call.cancel() ? "cancel" : "read";
-    auto &metrics = d_->runtime.metrics();
-    metrics.add("job_calls_total{kind=\"" + std::string(kind) + "\",verdict=\"" + std::to_string(reply.verdict())
-                + "\"}");
-    if (kind == "read")
-        return;
-    metrics.observe("job_" + std::string(kind) + "_seconds", static_cast<double>(took.count()) / 1e6);
-    d_->runtime.logger().write(LogLevel::Info, kind == "submit" ? "job-submitted" : "job-cancelled",
-                               {{"path", call.path()},
-                                {"verdict", static_cast<int>(reply.verdict())},
-                                {"reason", reply.reason()},
-                                {"configuration", d_->store.configuration().version()},
-                                {"term", d_->group->replica().term()},
-                                {"took_ms", took / 1ms}});
-}
-
-void JobControl::handleJoin(const Transport::Request &request, const Transport::Responder &responder)
-{
-    Wire::JobJoin join;
-    if (!join.ParseFromString(request.body)) {
-        responder.respond({400, {}, "not a join"});
-        return;
-    }
-    const auto now = EventLoop::now();
-    if (!d_->group->canAnswer(now)) {
-        responder.respond(bytes(d_->calls->notLeader().SerializeAsString()));
-        return;
-    }
-    const InstanceId instance(join.instance());
-    const std::string ip(ipOf(instance));
-    d_->advisers.peerSeen(now, ip);
-    Wire::JobReply reply;
-    if (join.is_entry()) {
-        d_->entries[ip] = now;
-        std::erase_if(d_->entries, [now](const auto &entry) { return now > entry.second + entrySeenLimit; });
-        // Those that follow in the order of addresses, so that the load of relaying is spread.
-        auto other = d_->entries.upper_bound(ip);
-        for (std::size_t count = 0; count < std::min(relaysEach, d_->entries.size() - 1); ++count, ++other) {
-            if (other == d_->entries.end())
-                other = d_->entries.begin();
-            reply.add_entries(other->first);
-        }
-    } else {
-        d_->membership->seen(now, instance);
-    }
-    reply.set_verdict(d_->store.configuration().version() > 0 ? Wire::JOB_VERDICT_ACCEPTED
-                                                              : Wire::JOB_VERDICT_UNAVAILABLE);
-    responder.respond(bytes(reply.SerializeAsString()));
-}
-
 bool JobControl::canAnswer() const
 {
     return d_->group->canAnswer(EventLoop::now());
@@ -337,25 +243,6 @@
     d_->forwarded = std::move(handler);
 }
 
-void JobControl::handleForwarded(const Transport::Request &request, const Transport::Responder &responder)
-{
-    Wire::JobForward message;
-    if (!d_->forwarded || !message.ParseFromString(request.body)) {
-        responder.respond({400, {}, "not a forwarded request"});
-        return;
-    }
-    Transport::Request inner;
-    inner.method = message.method();
-    inner.target = message.target();
-    inner.body = message.body();
-    d_->forwarded(std::move(inner), Transport::Responder([responder](const Transport::Response &response) {
-                      Wire::JobForwarded reply;
-                      reply.set_status(response.status);
-                      reply.set_body(response.body);
-                      responder.respond(bytes(reply.SerializeAsString()));
-                  }));
-}
-
 void JobControl::minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored)
 {
     if (!d_->scheduler.isLeading()) {
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -11,11 +11,6 @@
 #include <memory>
 #include <string>
 
-namespace Pistachio::Wire
-{
-class JobCall;
-}
-
 namespace Pistachio::Jobnode
 {
 
@@ -67,12 +62,7 @@
     void connectionLost(const std::string &ip) override;
     void connectionRefused(const std::string &ip) override;
 
-    void handleInternal(const Transport::Request &request, const Transport::Responder &responder);
-    void handleCall(const Transport::Request &request, const Transport::Responder &responder);
-    void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
-    void handleForwarded(const Transport::Request &request, const Transport::Responder &responder);
     [[nodiscard]] std::string leaderIp() const;
-    void logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took);
     void scheduleTick();
     void tick();
     void changed();
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -4,6 +4,7 @@
 #include "jobnode/adviserpool.h"
 #include "jobnode/groupmembership.h"
 #include "jobnode/groupreport.h"
+#include "jobnode/internalcalls.h"
 #include "jobnode/jobcalls.h"
 #include "jobnode/jobcontrol.h"
 #include "jobnode/jobgroup.h"
@@ -19,7 +20,6 @@
 
 #include <jobs.pb.h>
 
-#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -49,8 +49,8 @@
         , advisers(adviceClient, peers)
         , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
         , server(nodeRuntime.loop(), serverLimits(),
-                 [&owner](const Transport::Request &request, const Transport::Responder &responder) {
-                     owner.handleInternal(request, responder);
+                 [this](const Transport::Request &request, const Transport::Responder &responder) {
+                     internalCalls->handle(request, responder);
                  })
         , peers(nodeRuntime.loop(), jobSettings.internalPort, jobSettings.bindIp, &owner)
     {
@@ -72,6 +72,7 @@
     Jobs::JobScheduler scheduler;
     AdviserPool advisers;
     GroupReport groupReport;
+    std::unique_ptr<InternalCalls> internalCalls; ///< outlives the group, whose proposals end in it
     std::unique_ptr<JobGroup> group;
     std::unique_ptr<GroupMembership> membership;
     std::unique_ptr<JobCalls> calls;
@@ -84,7 +85,6 @@
     TimePoint ledSince{};
     std::string lastLeader;
     Transport::RequestHandler forwarded;
-    std::map<std::string, TimePoint> entries; ///< by address, with their last announcement
     Peers peers; ///< last, since its calls end in the others
 };
 
