--- a/src/libs/settings/tablereader.cpp
+++ b/src/libs/settings/tablereader.cpp
@@ -36,6 +36,23 @@
     }
 };
 
+namespace
+{
+
+/// \return the address in \p text; an empty one if there is no text, and after an error.
+Address parseAddress(TableReader &reader, std::string_view key, const std::string &text)
+{
+    if (text.empty())
+        return {};
+    auto address = Address::parse(text);
+    if (address)
+        return address.assume_value();
+    reader.addError(key, address.assume_error().message);
+    return {};
+}
+
+} // namespace
+
 TableReader::TableReader(std::unique_ptr<Private> state)
     : d_(std::move(state))
 {
@@ -82,14 +99,7 @@
 
 Address TableReader::requiredAddress(std::string_view key)
 {
-    const std::string text = requiredString(key);
-    if (text.empty())
-        return {};
-    auto address = Address::parse(text);
-    if (address)
-        return address.assume_value();
-    addError(key, address.assume_error().message);
-    return {};
+    return parseAddress(*this, key, requiredString(key));
 }
 
 std::int64_t TableReader::optionalInteger(std::string_view key, std::int64_t fallback, std::int64_t lowest,
@@ -144,14 +154,7 @@
 
 Address TableReader::optionalAddress(std::string_view key)
 {
-    const std::string text = optionalString(key, "");
-    if (text.empty())
-        return {};
-    auto address = Address::parse(text);
-    if (address)
-        return address.assume_value();
-    addError(key, address.assume_error().message);
-    return {};
+    return parseAddress(*this, key, optionalString(key, ""));
 }
 
 std::vector<std::string> TableReader::optionalStrings(std::string_view key)
