Read the headers of a versioned change in one place

Setting a configuration and applying a sheet read Request-Id, Author and Expect-Version with the same lines. versionedChange() returns all three; the order of refusals is the same.

--- a/src/libs/operatorapi/configurationrequests.cpp
+++ b/src/libs/operatorapi/configurationrequests.cpp
@@ -22,12 +22,10 @@
 
 Handling setConfiguration(const Context &context)
 {
-    const auto headers = changeHeaders(context);
-    if (const auto *refusal = std::get_if<Answer>(&headers))
-        return *refusal;
-    const auto version = expectedVersion(context);
-    if (const auto *refusal = std::get_if<Answer>(&version))
+    const auto fields = versionedChange(context);
+    if (const auto *refusal = std::get_if<Answer>(&fields))
         return *refusal;
+    const auto &change = std::get<VersionedChange>(fields);
     // What GET answers can be edited and sent back: the keys that only the cell sets are ignored.
     const auto body = jsonBody(context,
                                {"zones", "quotas", "services", "packing_weight_percent", "version", "author",
@@ -38,9 +36,9 @@
     if (configuration.has_error())
         return invalidRequest(configuration.error().message);
     Wire::CellCommand command;
-    command.mutable_set_configuration()->set_expected_version(std::get<std::uint64_t>(version));
+    command.mutable_set_configuration()->set_expected_version(change.expectedVersion);
     *command.mutable_set_configuration()->mutable_configuration() = configuration.value();
-    return proposal(context, std::get<ChangeHeaders>(headers), std::move(command), Subject::Configuration);
+    return proposal(context, change.headers, std::move(command), Subject::Configuration);
 }
 
 } // namespace Pistachio::Operatorapi::Internal
--- a/src/libs/operatorapi/requestfields.cpp
+++ b/src/libs/operatorapi/requestfields.cpp
@@ -79,14 +79,17 @@
     return headers;
 }
 
-Field<std::uint64_t> expectedVersion(const Context &context)
+Field<VersionedChange> versionedChange(const Context &context)
 {
+    auto headers = changeHeaders(context);
+    if (const auto *refusal = std::get_if<Answer>(&headers))
+        return *refusal;
     const std::string_view text = headerValue(context.request.headers, "Expect-Version");
     std::uint64_t version = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
     if (text.empty() || error != std::errc() || end != text.data() + text.size())
         return invalidRequest("the header Expect-Version must hold the version that the change was made for");
-    return version;
+    return VersionedChange{std::move(std::get<ChangeHeaders>(headers)), version};
 }
 
 Field<json> jsonBody(const Context &context, const std::vector<std::string_view> &keys)
--- a/src/libs/operatorapi/requestfields.h
+++ b/src/libs/operatorapi/requestfields.h
@@ -43,8 +43,14 @@
 /// \return the headers Request-Id and Author.
 Field<ChangeHeaders> changeHeaders(const Context &context);
 
-/// \return the header Expect-Version.
-Field<std::uint64_t> expectedVersion(const Context &context);
+/// The headers of a change to a version that the operator has seen.
+struct VersionedChange {
+    ChangeHeaders headers;
+    std::uint64_t expectedVersion = 0;
+};
+
+/// \return the headers Request-Id, Author and Expect-Version.
+Field<VersionedChange> versionedChange(const Context &context);
 
 /// \param context the request
 /// \param keys the keys that the body may have
--- a/src/libs/operatorapi/sheetrequests.cpp
+++ b/src/libs/operatorapi/sheetrequests.cpp
@@ -64,19 +64,17 @@
 
 Handling applySheet(const Context &context)
 {
-    const auto headers = changeHeaders(context);
-    if (const auto *refusal = std::get_if<Answer>(&headers))
-        return *refusal;
-    const auto version = expectedVersion(context);
-    if (const auto *refusal = std::get_if<Answer>(&version))
+    const auto fields = versionedChange(context);
+    if (const auto *refusal = std::get_if<Answer>(&fields))
         return *refusal;
+    const auto &change = std::get<VersionedChange>(fields);
     const Sheet::SheetReading reading = Sheet::readSheet(context.request.body);
     if (!reading.isAccepted())
         return invalidSheet(reading);
     Wire::CellCommand command;
-    command.mutable_apply_sheet()->set_expected_version(std::get<std::uint64_t>(version));
+    command.mutable_apply_sheet()->set_expected_version(change.expectedVersion);
     fill(*command.mutable_apply_sheet(), context, reading.bookings);
-    return proposal(context, std::get<ChangeHeaders>(headers), std::move(command), Subject::Sheet);
+    return proposal(context, change.headers, std::move(command), Subject::Sheet);
 }
 
 Handling listSheets(const Context &context)
