--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -49,11 +49,8 @@
                         {"configuration", store_.configuration().version()}});
 }
 
-void JobScheduler::loseLeadership()
+void JobScheduler::clearState()
 {
-    if (!leading_)
-        return;
-    leading_ = false;
     fleet_.clear();
     queue_.clear();
     advice_.clear();
@@ -64,6 +61,14 @@
     answerLosses_.clear();
     durations_.clearSteps();
     preemptions_.clear();
+}
+
+void JobScheduler::loseLeadership()
+{
+    if (!leading_)
+        return;
+    leading_ = false;
+    clearState();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
         for (const auto &stored : waiting)
             stored(false);
@@ -75,16 +80,7 @@
 {
     if (!leading_)
         return;
-    fleet_.clear();
-    queue_.clear();
-    advice_.clear();
-    futureTasks_.clear();
-    finishedJobs_.clear();
-    begunJobs_.clear();
-    movedTasks_.clear();
-    answerLosses_.clear();
-    durations_.clearSteps();
-    preemptions_.clear();
+    clearState();
     for (const auto &[id, minion] : store_.minions()) {
         fleet_.add(toReport(minion));
         // An earlier leader may have granted a lease just before this leader took over.
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -121,6 +121,8 @@
     };
 
     // jobscheduler.cpp and storeevents.cpp
+    /// Forgets what is not in the store; what was learnt about minions and run times stays.
+    void clearState();
     void enqueueJob(const Job &job);
     void enqueue(const Job &job, const TaskName &task);
     void adoptRuns(const Job &job);
