Record the answers to start and stop orders in one function

Both looked up the minion and the run, recorded the contact and the clock, and checked the phase with the same lines. No behaviour changes.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -115,6 +115,11 @@
         ResourceAmounts maxFree;
         ResourceAmounts minCapacity;
     };
+    /// A run whose order was answered, or nulls if it is not in the phase of the order any more.
+    struct AnsweredRun {
+        Minion *minion = nullptr;
+        Run *run = nullptr;
+    };
     enum class Tickets {
         Valid, ///< may start now
         Known, ///< may start once the ticket is renewed
@@ -143,6 +148,8 @@
     void sendLeaseRenewal(Minion &minion, Duration wait);
     /// Records whether a minion answered an order.
     void recordContact(Minion &minion, OrderOutcome outcome);
+    /// Records the answer to an order about a run in \p phase.
+    template<class Order> AnsweredRun recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase);
     void sendDueOrders();
     void retryOrder(Minion &minion, const TaskName &task, Run &run);
     /// \param isRecent whether the progress in the list is current
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -138,20 +138,30 @@
     }
 }
 
-void JobScheduler::startAnswered(const EventTime &now, const StartOrder &order, const OrderAnswer &answer)
+template<class Order>
+JobScheduler::AnsweredRun JobScheduler::recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase)
 {
-    now_ = now;
     auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
     if (!minion)
-        return;
+        return {};
     recordContact(*minion, answer.outcome);
     if (answer.clockMs)
-        minion->recordClock(now.time, *answer.clockMs);
+        minion->recordClock(now_.time, *answer.clockMs);
     const auto found = minion->runs.find(order.task);
-    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != RunPhase::Starting)
+    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != phase)
+        return {};
+    found->second.orderOutstanding = false;
+    return {minion, &found->second};
+}
+
+void JobScheduler::startAnswered(const EventTime &now, const StartOrder &order, const OrderAnswer &answer)
+{
+    now_ = now;
+    const auto answered = recordAnswer(order, answer, RunPhase::Starting);
+    if (!answered.run)
         return;
-    auto &run = found->second;
-    run.orderOutstanding = false;
+    auto *minion = answered.minion;
+    auto &run = *answered.run;
     if (answer.outcome == OrderOutcome::Done) {
         begunJobs_.insert(order.task.step.job);
         run.phase = RunPhase::Running;
@@ -201,17 +211,11 @@
 void JobScheduler::stopAnswered(const EventTime &now, const StopOrder &order, const OrderAnswer &answer)
 {
     now_ = now;
-    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
-    if (!minion)
-        return;
-    recordContact(*minion, answer.outcome);
-    if (answer.clockMs)
-        minion->recordClock(now.time, *answer.clockMs);
-    const auto found = minion->runs.find(order.task);
-    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != RunPhase::Stopping)
+    const auto answered = recordAnswer(order, answer, RunPhase::Stopping);
+    if (!answered.run)
         return;
-    auto &run = found->second;
-    run.orderOutstanding = false;
+    auto *minion = answered.minion;
+    auto &run = *answered.run;
     if (answer.outcome == OrderOutcome::IncarnationMismatch) {
         markMinionLost(*minion, "another incarnation answers at its address");
         return;
