Keep the connections of both servers in one class

HttpServer and Http2Server had the same listener, set of connections, planned stop and report of its end. ServerConnections holds them for both; what differs is how a connection is accepted, stopped and closed. No behaviour changes.

--- a/src/libs/transport/http2server.cpp
+++ b/src/libs/transport/http2server.cpp
@@ -1,13 +1,13 @@
 #include "transport/http2server.h"
 
 #include "transport/http2connection.h"
+#include "transport/serverconnections.h"
 
 #include <boost/asio/dispatch.hpp>
 
 #include <nghttp2/nghttp2.h>
 
 #include <functional>
-#include <set>
 #include <utility>
 
 namespace Pistachio::Transport
@@ -38,6 +38,10 @@
     {
     }
 
+    using Http2Connection::close;
+    void close() { close(failure(ErrorCode::Unavailable, "the server has stopped")); }
+    void stop() { goAway(); }
+
 protected:
     void messageReceived(std::int32_t id, Stream &stream) override
     {
@@ -74,85 +78,33 @@
 
 } // namespace
 
-class Http2Server::Implementation : public std::enable_shared_from_this<Implementation>
+class Http2Server::Implementation final : public Internal::ServerConnections<ServerConnection>
 {
 public:
     Implementation(EventLoop &loop, const Http2ServerLimits &limits, RequestHandler handler)
-        : loop_(loop)
+        : ServerConnections(loop)
         , limits_(limits)
         , handler_(std::move(handler))
     {
     }
 
-    Result<std::uint16_t> listen(const Endpoint &endpoint)
-    {
-        listener_ = std::make_shared<Internal::Listener>(loop_.context(), [weak = weak_from_this()](auto socket) {
-            if (const auto self = weak.lock())
-                self->accepted(std::move(socket));
-        });
-        return listener_->open(endpoint);
-    }
-
-    void stop(Duration limit, std::function<void()> finished)
-    {
-        if (listener_)
-            listener_->close();
-        stopping_ = true;
-        finished_ = std::move(finished);
-        const auto open = connections_;
-        for (const auto &connection : open)
-            connection->goAway();
-        stopTimer_ = loop_.callAfter(limit, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->closeAll();
-        });
-        reportWhenEmpty();
-    }
-
-    void closeAll()
-    {
-        if (listener_)
-            listener_->close();
-        const auto open = connections_;
-        for (const auto &connection : open)
-            connection->close(failure(ErrorCode::Unavailable, "the server has stopped"));
-    }
-
-    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
-
 private:
-    void accepted(Internal::Tcp::socket socket)
+    void accepted(Internal::Tcp::socket socket) override
     {
-        if (stopping_ || connections_.size() >= limits_.connections)
+        if (count() >= limits_.connections)
             return;
         const auto connection = std::make_shared<ServerConnection>(
-            loop_.context(), std::move(socket), limits_, handler_,
+            context(), std::move(socket), limits_, handler_,
             [weak = weak_from_this()](const std::shared_ptr<ServerConnection> &closed) {
-                if (const auto self = weak.lock()) {
-                    self->connections_.erase(closed);
-                    self->reportWhenEmpty();
-                }
+                if (const auto self = weak.lock())
+                    self->remove(closed);
             });
-        connections_.insert(connection);
+        add(connection);
         connection->start();
     }
 
-    void reportWhenEmpty()
-    {
-        if (!stopping_ || !connections_.empty() || !finished_)
-            return;
-        stopTimer_.cancel();
-        loop_.post(std::exchange(finished_, nullptr));
-    }
-
-    EventLoop &loop_;
     const Http2ServerLimits limits_;
     RequestHandler handler_;
-    std::shared_ptr<Internal::Listener> listener_;
-    std::set<std::shared_ptr<ServerConnection>> connections_;
-    std::function<void()> finished_;
-    Timer stopTimer_;
-    bool stopping_ = false;
 };
 
 Http2Server::Http2Server(EventLoop &loop, const Http2ServerLimits &limits, RequestHandler handler)
@@ -177,7 +129,7 @@
 
 std::size_t Http2Server::connections() const
 {
-    return implementation_->connections();
+    return implementation_->count();
 }
 
 } // namespace Pistachio::Transport
--- a/src/libs/transport/httpserver.cpp
+++ b/src/libs/transport/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/eventloopcontext.h"
 #include "transport/httpconversion.h"
+#include "transport/serverconnections.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -12,7 +13,6 @@
 
 #include <functional>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace Pistachio::Transport
@@ -275,90 +275,35 @@
 
 } // namespace
 
-class HttpServer::Implementation : public std::enable_shared_from_this<Implementation>
+class HttpServer::Implementation final : public ServerConnections<HttpSession>
 {
 public:
     Implementation(EventLoop &loop, const HttpServerLimits &limits, RequestHandler handler)
-        : loop_(loop)
+        : ServerConnections(loop)
         , limits_(limits)
         , handler_(std::move(handler))
     {
     }
 
-    Result<std::uint16_t> listen(const Endpoint &endpoint)
-    {
-        listener_ = std::make_shared<Listener>(loop_.context(), [weak = weak_from_this()](auto socket) {
-            if (const auto self = weak.lock())
-                self->accepted(std::move(socket));
-        });
-        return listener_->open(endpoint);
-    }
-
-    void stop(Duration limit, std::function<void()> finished)
-    {
-        if (listener_)
-            listener_->close();
-        stopping_ = true;
-        finished_ = std::move(finished);
-        const auto open = sessions_;
-        for (const auto &session : open)
-            session->stop();
-        stopTimer_ = loop_.callAfter(limit, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->closeAll();
-        });
-        reportWhenEmpty();
-    }
-
-    void closeAll()
-    {
-        if (listener_)
-            listener_->close();
-        const auto open = sessions_;
-        for (const auto &session : open)
-            session->close();
-    }
-
-    [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
-
     void onRejected(RejectionObserver observer) { rejected_ = std::move(observer); }
 
 private:
-    void accepted(Tcp::socket socket)
+    void accepted(Tcp::socket socket) override
     {
-        if (stopping_)
-            return;
         // The session refers to the limits and the observer, so it keeps this object alive.
-        const auto session
-            = std::make_shared<HttpSession>(loop_.context(), std::move(socket), limits_, rejected_, handler_,
-                                            [self = shared_from_this()](const std::shared_ptr<HttpSession> &closed) {
-                                                self->sessions_.erase(closed);
-                                                self->reportWhenEmpty();
-                                            });
-        sessions_.insert(session);
-        if (sessions_.size() > limits_.connections)
+        const auto session = std::make_shared<HttpSession>(
+            context(), std::move(socket), limits_, rejected_, handler_,
+            [self = shared_from_this()](const std::shared_ptr<HttpSession> &closed) { self->remove(closed); });
+        add(session);
+        if (count() > limits_.connections)
             session->refuse();
         else
             session->start();
     }
 
-    void reportWhenEmpty()
-    {
-        if (!stopping_ || !sessions_.empty() || !finished_)
-            return;
-        stopTimer_.cancel();
-        loop_.post(std::exchange(finished_, nullptr));
-    }
-
-    EventLoop &loop_;
     const HttpServerLimits limits_;
     RejectionObserver rejected_;
     RequestHandler handler_;
-    std::shared_ptr<Listener> listener_;
-    std::set<std::shared_ptr<HttpSession>> sessions_;
-    std::function<void()> finished_;
-    Timer stopTimer_;
-    bool stopping_ = false;
 };
 
 HttpServer::HttpServer(EventLoop &loop, const HttpServerLimits &limits, RequestHandler handler)
@@ -388,7 +333,7 @@
 
 std::size_t HttpServer::connections() const
 {
-    return implementation_->connections();
+    return implementation_->count();
 }
 
 } // namespace Pistachio::Transport
