Wait for advice as long as the queue's service needs

Cause: a request for advice was given up after 2 s, and after 2.5 s over another instance, whatever time the service needs. The queue names both parts of it (decisionMs, perWorkerMs); they were stored and used nowhere. Each instance has two requests under way, which the service answers in turn, so that a service that needs more than 1 s for 32 minions never answered the second one in time, and with more than 2 s no task of the queue could start.

Change: the limit is twice the time that the service needs for the request, and 0.3 s; at least 2 s, which is what it was. It goes with the request to other instances (JobAdviceCall.limit_ms; an instance that does not know the field takes 2 s).

With 560 ms and 8 ms for each minion the limit is 2 s as before.

--- a/src/libs/jobnode/advicerequests.cpp
+++ b/src/libs/jobnode/advicerequests.cpp
@@ -4,6 +4,9 @@
 
 #include <jobs.pb.h>
 
+#include <algorithm>
+#include <chrono>
+
 namespace Pistachio::Jobnode
 {
 
@@ -14,8 +17,10 @@
         responder.respond({400, {}, "not a request for advice"});
         return;
     }
-    const Jobs::AdviceRequest asked{{call.job(), call.occurrence(), call.step()},
-                                    {call.minions().begin(), call.minions().end()}};
+    Jobs::AdviceRequest asked;
+    asked.step = {call.job(), call.occurrence(), call.step()};
+    asked.minions = {call.minions().begin(), call.minions().end()};
+    asked.limit = std::max<Duration>(asked.limit, std::chrono::milliseconds(call.limit_ms()));
     advice.ask(asked, [responder](bool answered, const std::vector<Jobs::ApprovedMinion> &approved) {
         Wire::JobAdviceReply reply;
         reply.set_answered(answered);
--- a/src/libs/jobnode/adviserpool.cpp
+++ b/src/libs/jobnode/adviserpool.cpp
@@ -16,7 +16,7 @@
 {
 constexpr std::size_t callsEach = 2; ///< the second waits at the service, so that no time passes between them
 constexpr Duration seenLimit = 2500ms;
-constexpr Duration answerLimit = 2500ms;
+constexpr Duration relayMargin = 500ms; ///< on the way to the instance that asks, and back
 constexpr Duration pauseAfterFailure = 1s;
 } // namespace
 
@@ -80,7 +80,8 @@
     call.set_step(request.step.step);
     for (const auto &minion : request.minions)
         call.add_minions(minion);
-    peers_.call(ip, "/jobs/advice", call.SerializeAsString(), answerLimit,
+    call.set_limit_ms(request.limit / 1ms);
+    peers_.call(ip, "/jobs/advice", call.SerializeAsString(), request.limit + relayMargin,
                 [finished = std::move(finished)](const Transport::CallResult &result) {
                     Wire::JobAdviceReply reply;
                     if (!result || !reply.ParseFromString(result.value().body) || !reply.answered()) {
--- a/src/libs/jobs/orders.h
+++ b/src/libs/jobs/orders.h
@@ -127,8 +127,10 @@
 
 /// A request for advice on which minions may run a step.
 struct AdviceRequest {
+    static constexpr Duration shortestLimit = 2s;
     StepName step;
     std::vector<std::string> minions;
+    Duration limit = shortestLimit; ///< given up if the service has not answered by then
 };
 
 struct ApprovedMinion {
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -1,3 +1,4 @@
+#include "jobs/advicelimit.h"
 #include "jobs/demand.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
@@ -350,6 +351,7 @@
         request.minions.emplace_back(std::get<std::string_view>(candidates[number]));
     if (request.minions.empty())
         return false;
+    request.limit = adviceLimit(requirements->queue, request.minions.size());
     advice_.recordRequest(request);
     ports_.askAdvice(request);
     return true;
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace Pistachio;
 using namespace Pistachio::Platform;
@@ -78,6 +79,7 @@
     CPPUNIT_TEST(listsAreDecoded);
     CPPUNIT_TEST(unreadableListsAreNoAnswer);
     CPPUNIT_TEST(closeAnswersWhatIsUnderWay);
+    CPPUNIT_TEST(adviceIsAwaitedUpToItsLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static Jobs::StartOrder order(const std::string &address)
@@ -187,6 +189,35 @@
         minion.client.hold(order, count);
         CPPUNIT_ASSERT_EQUAL(2, answers);
     }
+
+    // Guards against advice that is given up before a slow service can answer.
+    void adviceIsAwaitedUpToItsLimit()
+    {
+        Transport::EventLoop loop;
+        std::vector<Transport::Responder> held;
+        Transport::HttpServer service(
+            loop, {},
+            [&held](const Transport::Request &, const Transport::Responder &responder) { held.push_back(responder); });
+        const auto port = service.listen({"127.0.0.1", 0}).value();
+        Logging::Logger logger("test", "test", "error", "/dev/null");
+        PlatformClient client(loop, logger, {"127.0.0.1", port});
+        std::optional<bool> answered;
+        const auto ask = [&](Duration limit) {
+            Jobs::AdviceRequest request;
+            request.minions = {"i-1"};
+            request.limit = limit;
+            client.ask(request, [&answered](bool isAnswer, const auto &) { answered = isAnswer; });
+            loop.runFor(400ms);
+        };
+        ask(100ms);
+        CPPUNIT_ASSERT(answered == std::optional(false));
+        answered.reset();
+        ask(10s);
+        CPPUNIT_ASSERT(!answered);
+        held.back().respond(reply(200, {{"approved", {{"i-1", "t"}}}}));
+        loop.runFor(400ms);
+        CPPUNIT_ASSERT(answered == std::optional(true));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
