Call lease renewals and throttling by the product's names

MinionClient and the stand-in of a minion used the platform's words hold and pace, which only platform/ should know. They are renewLease() and throttle(), as in the scheduler's ports; the metrics hold_orders_total and pace_orders_total are now lease_orders_total and throttle_orders_total.

--- a/src/libs/jobnode/jobcontrolports.cpp
+++ b/src/libs/jobnode/jobcontrolports.cpp
@@ -54,8 +54,8 @@
 
 void JobControl::renewLease(const Jobs::LeaseOrder &order)
 {
-    d_->runtime.metrics().add("hold_orders_total");
-    d_->minions.hold(order, [this, order](const Jobs::LeaseAnswer &answer) {
+    d_->runtime.metrics().add("lease_orders_total");
+    d_->minions.renewLease(order, [this, order](const Jobs::LeaseAnswer &answer) {
         d_->scheduler.leaseAnswered(momentNow(), order, answer);
         changed();
     });
@@ -63,8 +63,8 @@
 
 void JobControl::throttle(const Jobs::ThrottleOrder &order)
 {
-    d_->runtime.metrics().add("pace_orders_total");
-    d_->minions.pace(order, [this, order](const Jobs::OrderAnswer &answer) {
+    d_->runtime.metrics().add("throttle_orders_total");
+    d_->minions.throttle(order, [this, order](const Jobs::OrderAnswer &answer) {
         d_->scheduler.throttleAnswered(momentNow(), order, answer);
     });
 }
--- a/src/libs/jobnode/minionclient.h
+++ b/src/libs/jobnode/minionclient.h
@@ -21,8 +21,8 @@
 
     virtual void start(const Jobs::StartOrder &order, Answered answered) = 0;
     virtual void stop(const Jobs::StopOrder &order, Answered answered) = 0;
-    virtual void pace(const Jobs::ThrottleOrder &order, Answered answered) = 0;
-    virtual void hold(const Jobs::LeaseOrder &order, std::function<void(const Jobs::LeaseAnswer &)> answered) = 0;
+    virtual void throttle(const Jobs::ThrottleOrder &order, Answered answered) = 0;
+    virtual void renewLease(const Jobs::LeaseOrder &order, std::function<void(const Jobs::LeaseAnswer &)> answered) = 0;
 
     /// Answers all calls under way, and later ones at once, as unanswered.
     virtual void close() = 0;
--- a/tests/auto/jobnode/tst_jobcontrol.cpp
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -29,8 +29,9 @@
 public:
     void start(const Jobs::StartOrder & /*order*/, Answered answered) override { answered({}); }
     void stop(const Jobs::StopOrder & /*order*/, Answered answered) override { answered({}); }
-    void pace(const Jobs::ThrottleOrder & /*order*/, Answered answered) override { answered({}); }
-    void hold(const Jobs::LeaseOrder & /*order*/, std::function<void(const Jobs::LeaseAnswer &)> answered) override
+    void throttle(const Jobs::ThrottleOrder & /*order*/, Answered answered) override { answered({}); }
+    void renewLease(const Jobs::LeaseOrder & /*order*/,
+                    std::function<void(const Jobs::LeaseAnswer &)> answered) override
     {
         answered({});
     }
@@ -127,7 +128,7 @@
         CPPUNIT_ASSERT(leader.joins > 0);
     }
 
-    // Holds of a leader that stopped were answered after its end, which crashed it on every SIGTERM.
+    // Lease renewals of a leader that stopped were answered after its end, which crashed it on every SIGTERM.
     void stopEndsCallsToMinions()
     {
         TemporaryFolder folder;
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -295,7 +295,7 @@
                 scheduleForLeader(timeout, [this, order] { scheduler_->leaseAnswered(now(), order, {}); });
             return;
         }
-        minion->hold(now_, order, [this, order, lost](const LeaseAnswer &answer) {
+        minion->renewLease(now_, order, [this, order, lost](const LeaseAnswer &answer) {
             const bool isCut = !reachableMinion(order.address);
             if (lost)
                 return;
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -46,10 +46,10 @@
         return result.value();
     }
 
-    Jobs::LeaseAnswer hold(const Jobs::LeaseOrder &order)
+    Jobs::LeaseAnswer renewLease(const Jobs::LeaseOrder &order)
     {
         std::optional<Jobs::LeaseAnswer> result;
-        client.hold(order, [&](const Jobs::LeaseAnswer &given) { result = given; });
+        client.renewLease(order, [&](const Jobs::LeaseAnswer &given) { result = given; });
         while (!result)
             loop.runFor(10ms);
         return result.value();
@@ -148,7 +148,7 @@
                                {"born", 1700},
                                {"active", {{"5c0e7a21d94b36f8.0.1.17", 2, "cp", 41, 120}}},
                                {"endedRuns", {{58, "5c0e7a21d94b36f8.0.1.9", 1, "lapsed", "x"}}}});
-        const auto answer = minion.hold({{"i-1", 1700}, minion.address(), 9000, 57, 500ms, 7});
+        const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 57, 500ms, 7});
         CPPUNIT_ASSERT(answer.outcome == OrderOutcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1700}, answer.bornUnixMs);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{120}, answer.active.at(0).measurement);
@@ -165,7 +165,7 @@
         for (const auto &body : {json({{"clockMs", 5}, {"active", 7}}), json({{"clockMs", 5}, {"active", {7}}}),
                                  json({{"clockMs", 5}, {"endedRuns", {{1, "a.0.0.0", 1, "vanished"}}}})}) {
             minion.answer = reply(200, body);
-            CPPUNIT_ASSERT(minion.hold({{"i-1", 1}, minion.address(), {}, 0, 0ms, 7}).outcome
+            CPPUNIT_ASSERT(minion.renewLease({{"i-1", 1}, minion.address(), {}, 0, 0ms, 7}).outcome
                            == OrderOutcome::Unanswered);
         }
     }
@@ -182,11 +182,11 @@
         Jobs::LeaseOrder order;
         order.minion = {"m1", 5};
         order.address = minion.address();
-        minion.client.hold(order, count);
+        minion.client.renewLease(order, count);
         CPPUNIT_ASSERT_EQUAL(0, answers);
         minion.client.close();
         CPPUNIT_ASSERT_EQUAL(1, answers);
-        minion.client.hold(order, count);
+        minion.client.renewLease(order, count);
         CPPUNIT_ASSERT_EQUAL(2, answers);
     }
 
--- a/tests/standins/platform/minionserver.cpp
+++ b/tests/standins/platform/minionserver.cpp
@@ -206,8 +206,8 @@
         responder.respond(jsonResponse(400, json::object()));
         return;
     }
-    minion_.hold(EventLoop::now(), order,
-                 [responder](const LeaseAnswer &answer) { responder.respond(encode(answer)); });
+    minion_.renewLease(EventLoop::now(), order,
+                       [responder](const LeaseAnswer &answer) { responder.respond(encode(answer)); });
 }
 
 void MinionServer::tick()
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -63,7 +63,8 @@
     return {OrderOutcome::Done, clock(now)};
 }
 
-void SimulatedMinion::hold(TimePoint now, const LeaseOrder &order, std::function<void(const LeaseAnswer &)> answer)
+void SimulatedMinion::renewLease(TimePoint now, const LeaseOrder &order,
+                                 std::function<void(const LeaseAnswer &)> answer)
 {
     LeaseAnswer refused;
     refused.clockMs = clock(now);
@@ -127,12 +128,12 @@
     }
     for (const auto &task : over)
         end(task, lapsed ? RunEnd::LeaseExpired : runs.at(task).how);
-    std::vector<WaitingHold> due;
+    std::vector<WaitingRenewal> due;
     for (auto &item : waiting_) {
         if (!ended_.empty() || now >= item.until)
             due.push_back(std::move(item));
     }
-    std::erase_if(waiting_, [](const WaitingHold &item) { return item.answer == nullptr; });
+    std::erase_if(waiting_, [](const WaitingRenewal &item) { return item.answer == nullptr; });
     for (const auto &item : due)
         item.answer(lists(now));
 }
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -25,7 +25,7 @@
         Pistachio::Jobs::RunEnd how = Pistachio::Jobs::RunEnd::Done;
         std::string checkpoint;
     };
-    struct WaitingHold {
+    struct WaitingRenewal {
         TimePoint until{};
         std::function<void(const Pistachio::Jobs::LeaseAnswer &)> answer;
     };
@@ -34,8 +34,8 @@
 
     Pistachio::Jobs::OrderAnswer start(TimePoint now, const Pistachio::Jobs::StartOrder &order);
     Pistachio::Jobs::OrderAnswer stop(TimePoint now, const Pistachio::Jobs::StopOrder &order);
-    void hold(TimePoint now, const Pistachio::Jobs::LeaseOrder &order,
-              std::function<void(const Pistachio::Jobs::LeaseAnswer &)> answer);
+    void renewLease(TimePoint now, const Pistachio::Jobs::LeaseOrder &order,
+                    std::function<void(const Pistachio::Jobs::LeaseAnswer &)> answer);
     void tick(TimePoint now);
 
     /// Starts anew under the same id, with everything forgotten.
@@ -65,5 +65,5 @@
     std::uint64_t lastEnd_ = 0;
     std::map<Pistachio::Jobs::TaskName, std::uint64_t> highestEnded_;
     std::vector<Pistachio::Jobs::EndedRun> ended_;
-    std::vector<WaitingHold> waiting_;
+    std::vector<WaitingRenewal> waiting_;
 };
