--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/durationmodel.h"
 #include "jobs/fleet.h"
 #include "jobs/jobstoreobserver.h"
+#include "jobs/schedulersettings.h"
 #include "jobs/speedtable.h"
 #include "jobs/workqueue.h"
 
@@ -38,13 +39,6 @@
     std::int64_t unixMs = 0; ///< wall clock, used only for due times and job ages, as it may jump
 };
 
-struct SchedulerSettings {
-    Duration lease = 4000ms; ///< longer than a restart of all control instances and the election that follows
-    Duration stopTimeout = 400ms; ///< upper bound on the time a stop takes
-    Duration finishedRetention = 150s; ///< how long a finished job stays readable
-    std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
-};
-
 /// Assigns the tasks of the job store to minions while this instance leads the job group.
 ///
 /// An assignment is committed before its start order is sent, and an end before it is acknowledged to the minion. A
@@ -121,12 +115,19 @@
         ResourceAmounts maxFree;
         ResourceAmounts minCapacity;
     };
+    /// A run whose order was answered, or nulls if it is not in the phase of the order any more.
+    struct AnsweredRun {
+        Minion *minion = nullptr;
+        Run *run = nullptr;
+    };
     enum class Tickets {
         Valid, ///< may start now
         Known, ///< may start once the ticket is renewed
     };
 
     // jobscheduler.cpp and storeevents.cpp
+    /// Forgets what is not in the store; what was learnt about minions and run times stays.
+    void clearState();
     void enqueueJob(const Job &job);
     void enqueue(const Job &job, const TaskName &task);
     void adoptRuns(const Job &job);
@@ -147,6 +148,8 @@
     void sendLeaseRenewal(Minion &minion, Duration wait);
     /// Records whether a minion answered an order.
     void recordContact(Minion &minion, OrderOutcome outcome);
+    /// Records the answer to an order about a run in \p phase.
+    template<class Order> AnsweredRun recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase);
     void sendDueOrders();
     void retryOrder(Minion &minion, const TaskName &task, Run &run);
     /// \param isRecent whether the progress in the list is current
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -21,22 +21,28 @@
     = 500ms; ///< bounds how long a lost answer delays the ends of runs; allows several attempts per lease
 constexpr Duration lossyRenewalWait = 150ms; ///< while answers are being lost
 constexpr Duration maxLossGap = 1s; ///< a minion that answers again within it was responsive; only the answer was lost
-/// Renewals wait renewalWait, or lossyRenewalWait, times the number of full 100 minions, but at least once that and at
-/// most idleRenewalWait. This limits the rate of calls.
+/// Renewals of the usual lease wait renewalWait, or lossyRenewalWait, times the number of full 100 minions, but at
+/// least once that and at most idleRenewalWait. This limits the rate of calls.
 constexpr std::int64_t minionsPerRenewalWait = 100;
 constexpr Duration idleRenewalWait = 1500ms; ///< for a minion without runs
 constexpr Duration orderRetry = 20ms;
 constexpr std::uint32_t maxStartAttempts = 5;
 constexpr Duration avoidAfterRefusal = 1s;
 constexpr Duration avoidAfterUnansweredStart = 500ms;
-constexpr Duration removalDelay
-    = 6s; ///< after the last report and the end of the lease; several reports are missing by then
+constexpr int missingReports = 4; ///< before a minion is forgotten; counted from its last report and lease
 constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the network delay of the last order
 constexpr double throttleAbove = 0.85; ///< share of the target tail latency of a serving task
 constexpr double unthrottleBelow = 0.55;
 constexpr std::uint32_t minThrottlePercent = 5;
 constexpr Duration throttleInterval = 400ms;
 
+/// \return the wait for a lease that may be shorter than the usual one.
+Duration scaledToLease(Duration wait, Duration lease)
+{
+    constexpr auto usual = SchedulerSettings::usualLease;
+    return lease < usual ? wait * lease.count() / usual.count() : wait;
+}
+
 } // namespace
 
 void JobScheduler::sendStart(Minion &minion, const TaskName &task, Run &run)
@@ -108,10 +114,11 @@
 {
     const auto share = static_cast<std::int64_t>(fleet_.minions().size()) / minionsPerRenewalWait;
     const auto shortest = answerLosses_.isLossy(now_.time) ? lossyRenewalWait : renewalWait;
-    const auto wait = std::clamp(shortest * share, shortest, idleRenewalWait);
+    const auto idleWait = scaledToLease(idleRenewalWait, settings_.lease);
+    const auto wait = scaledToLease(std::clamp(shortest * share, shortest, idleRenewalWait), settings_.lease);
     for (auto &[id, minion] : fleet_.minions()) {
         if (!minion.renewalOutstanding && !minion.endsProposed && now_.time >= minion.nextRenewal)
-            sendLeaseRenewal(minion, minion.runs.empty() ? idleRenewalWait : wait);
+            sendLeaseRenewal(minion, minion.runs.empty() ? idleWait : wait);
         for (auto &[task, run] : minion.runs)
             retryOrder(minion, task, run);
     }
@@ -122,7 +129,7 @@
     if (run.orderOutstanding || now_.time < run.lastOrderAt + orderRetry)
         return;
     if (run.phase == RunPhase::Starting) {
-        if (run.attempts < maxStartAttempts)
+        if (run.attempts < maxStartAttempts && now_.time < run.phaseSince + settings_.startLimit)
             sendStart(minion, task, run);
         else
             sendStop(minion, task, run);
@@ -131,20 +138,30 @@
     }
 }
 
-void JobScheduler::startAnswered(const EventTime &now, const StartOrder &order, const OrderAnswer &answer)
+template<class Order>
+JobScheduler::AnsweredRun JobScheduler::recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase)
 {
-    now_ = now;
     auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
     if (!minion)
-        return;
+        return {};
     recordContact(*minion, answer.outcome);
     if (answer.clockMs)
-        minion->recordClock(now.time, *answer.clockMs);
+        minion->recordClock(now_.time, *answer.clockMs);
     const auto found = minion->runs.find(order.task);
-    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != RunPhase::Starting)
+    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != phase)
+        return {};
+    found->second.orderOutstanding = false;
+    return {minion, &found->second};
+}
+
+void JobScheduler::startAnswered(const EventTime &now, const StartOrder &order, const OrderAnswer &answer)
+{
+    now_ = now;
+    const auto answered = recordAnswer(order, answer, RunPhase::Starting);
+    if (!answered.run)
         return;
-    auto &run = found->second;
-    run.orderOutstanding = false;
+    auto *minion = answered.minion;
+    auto &run = *answered.run;
     if (answer.outcome == OrderOutcome::Done) {
         begunJobs_.insert(order.task.step.job);
         run.phase = RunPhase::Running;
@@ -194,17 +211,11 @@
 void JobScheduler::stopAnswered(const EventTime &now, const StopOrder &order, const OrderAnswer &answer)
 {
     now_ = now;
-    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
-    if (!minion)
-        return;
-    recordContact(*minion, answer.outcome);
-    if (answer.clockMs)
-        minion->recordClock(now.time, *answer.clockMs);
-    const auto found = minion->runs.find(order.task);
-    if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != RunPhase::Stopping)
+    const auto answered = recordAnswer(order, answer, RunPhase::Stopping);
+    if (!answered.run)
         return;
-    auto &run = found->second;
-    run.orderOutstanding = false;
+    auto *minion = answered.minion;
+    auto &run = *answered.run;
     if (answer.outcome == OrderOutcome::IncarnationMismatch) {
         markMinionLost(*minion, "another incarnation answers at its address");
         return;
@@ -265,6 +276,7 @@
 
 void JobScheduler::expireLeases()
 {
+    const auto removalDelay = missingReports * settings_.reportInterval;
     std::vector<std::string> removable;
     for (auto &[id, minion] : fleet_.minions()) {
         if (now_.time < minion.latestLeaseExpiry + leaseMargin)
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/tablereader.h"
 
+#include <algorithm>
+
 namespace Pistachio::Settings
 {
 
@@ -9,13 +11,20 @@
 {
 
 constexpr std::int64_t highestPort = 65'535;
-constexpr std::int64_t longestDurationMs = 600'000;
+constexpr Duration shortestTimeout = 1ms;
+constexpr Duration longestTimeout = 10min;
 constexpr Duration shortestCatchUp = 100ms;
 constexpr Duration longestCatchUp = 10min;
+constexpr Duration shortestReadable = 1s;
+constexpr Duration longestReadable = 24h;
+constexpr Duration shortestGrace = 100ms;
+constexpr Duration longestGrace = 10min;
+constexpr int exitShare = 6; ///< this part of the grace is left for the end of the process
+constexpr Duration longestNotice = 2500ms; ///< the balancer needs two missed checks to send no more connections
 
-Duration readDuration(TableReader &reader, std::string_view key, Duration fallback)
+Duration readTimeout(TableReader &reader, std::string_view key, Duration fallback)
 {
-    return std::chrono::milliseconds(reader.optionalInteger(key, fallback / 1ms, 1, longestDurationMs));
+    return reader.optionalMilliseconds(key, fallback, shortestTimeout, longestTimeout);
 }
 
 } // namespace
@@ -28,6 +37,16 @@
     return ips;
 }
 
+Duration JobSettings::drainLimit() const
+{
+    return std::min(drainTimeout, stopGrace - stopGrace / exitShare);
+}
+
+Duration JobSettings::drainNotice() const
+{
+    return std::min(longestNotice, drainLimit() / 2);
+}
+
 Result<JobSettings> JobSettings::load(const std::string &path)
 {
     auto opened = TableReader::open(path);
@@ -57,17 +76,19 @@
         settings.listenReady = listen.optionalAddress("ready");
         settings.listenControl = listen.optionalAddress("control");
     });
-    reader.table("services", [&](TableReader &services) {
-        settings.advice = services.optionalAddress("advice");
-        settings.machines = services.optionalAddress("machines");
-    });
+    reader.table("services", [&](TableReader &services) { settings.advice = services.optionalAddress("advice"); });
     reader.table("limits", [&](TableReader &limits) {
         settings.toleratedLosses = static_cast<std::size_t>(limits.optionalInteger("tolerated_losses", 1, 0, 3));
         settings.catchUpTime
             = limits.optionalSeconds("catch_up_s", settings.catchUpTime, shortestCatchUp, longestCatchUp);
-        settings.longestLease = readDuration(limits, "longest_lease_ms", settings.longestLease);
-        settings.stopTimeout = readDuration(limits, "stop_timeout_ms", settings.stopTimeout);
-        settings.drainTimeout = readDuration(limits, "drain_timeout_ms", settings.drainTimeout);
+        settings.longestLease = readTimeout(limits, "longest_lease_ms", settings.longestLease);
+        settings.minionDrain = readTimeout(limits, "minion_drain_ms", settings.minionDrain);
+        settings.gangTimeout = readTimeout(limits, "gang_timeout_ms", settings.gangTimeout);
+        settings.reportInterval = readTimeout(limits, "report_interval_ms", settings.reportInterval);
+        settings.finishedReadable = limits.optionalSeconds("finished_readable_s", settings.finishedReadable,
+                                                           shortestReadable, longestReadable);
+        settings.stopGrace = limits.optionalSeconds("stop_grace_s", settings.stopGrace, shortestGrace, longestGrace);
+        settings.drainTimeout = readTimeout(limits, "drain_timeout_ms", settings.drainTimeout);
     });
     reader.table("log", [&](TableReader &table) { settings.log = LogSettings::read(table); });
     if (auto finished = reader.finish(); !finished)
--- a/src/libs/settings/tablereader.cpp
+++ b/src/libs/settings/tablereader.cpp
@@ -36,6 +36,23 @@
     }
 };
 
+namespace
+{
+
+/// \return the address in \p text; an empty one if there is no text, and after an error.
+Address parseAddress(TableReader &reader, std::string_view key, const std::string &text)
+{
+    if (text.empty())
+        return {};
+    auto address = Address::parse(text);
+    if (address)
+        return address.assume_value();
+    reader.addError(key, address.assume_error().message);
+    return {};
+}
+
+} // namespace
+
 TableReader::TableReader(std::unique_ptr<Private> state)
     : d_(std::move(state))
 {
@@ -82,14 +99,7 @@
 
 Address TableReader::requiredAddress(std::string_view key)
 {
-    const std::string text = requiredString(key);
-    if (text.empty())
-        return {};
-    auto address = Address::parse(text);
-    if (address)
-        return address.assume_value();
-    addError(key, address.assume_error().message);
-    return {};
+    return parseAddress(*this, key, requiredString(key));
 }
 
 std::int64_t TableReader::optionalInteger(std::string_view key, std::int64_t fallback, std::int64_t lowest,
@@ -116,31 +126,35 @@
     return fallback;
 }
 
-Duration TableReader::optionalSeconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+Duration TableReader::optionalDuration(std::string_view key, std::string_view unitName, Duration unit,
+                                       Duration fallback, Duration lowest, Duration highest)
 {
     const toml::node *node = d_->node(key);
     if (!node)
         return fallback;
-    using Seconds = std::chrono::duration<double>;
+    using Fraction = std::chrono::duration<double, Duration::period>;
     const auto value = node->is_number() ? node->value<double>() : std::nullopt;
-    if (value && Seconds(*value) >= lowest && Seconds(*value) <= highest)
-        return std::chrono::duration_cast<Duration>(Seconds(*value));
+    if (value && *value * Fraction(unit) >= lowest && *value * Fraction(unit) <= highest)
+        return std::chrono::duration_cast<Duration>(*value * Fraction(unit));
     addError(key,
-             "must be a number of seconds from " + std::to_string(Seconds(lowest).count()) + " to "
-                 + std::to_string(Seconds(highest).count()));
+             "must be a number of " + std::string(unitName) + " from " + std::to_string(Fraction(lowest) / unit)
+                 + " to " + std::to_string(Fraction(highest) / unit));
     return fallback;
 }
 
+Duration TableReader::optionalSeconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+{
+    return optionalDuration(key, "seconds", 1s, fallback, lowest, highest);
+}
+
+Duration TableReader::optionalMilliseconds(std::string_view key, Duration fallback, Duration lowest, Duration highest)
+{
+    return optionalDuration(key, "milliseconds", 1ms, fallback, lowest, highest);
+}
+
 Address TableReader::optionalAddress(std::string_view key)
 {
-    const std::string text = optionalString(key, "");
-    if (text.empty())
-        return {};
-    auto address = Address::parse(text);
-    if (address)
-        return address.assume_value();
-    addError(key, address.assume_error().message);
-    return {};
+    return parseAddress(*this, key, optionalString(key, ""));
 }
 
 std::vector<std::string> TableReader::optionalStrings(std::string_view key)
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(longRunningTaskIsPlacedFirst);
     CPPUNIT_TEST(capacityIsReservedForLargeTask);
     CPPUNIT_TEST(largeTaskPreemptsLowerPriorityQueue);
+    CPPUNIT_TEST(shortLeaseIsRenewedInTime);
+    CPPUNIT_TEST(minionIsKeptUntilReportsAreMissing);
+    CPPUNIT_TEST(unansweredStartIsNotRepeatedPastItsLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertNoViolations(const SimulatedCell &cell)
@@ -235,6 +238,58 @@
         CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["minion-slow"]);
     }
 
+    // Guards against minions that are given up between two renewals where the longest lease is short.
+    void shortLeaseIsRenewedInTime()
+    {
+        SchedulerSettings settings;
+        settings.lease = 1s;
+        SimulatedCell cell(1, settings);
+        cell.addMinion("a", 4000, 1s, 0.98);
+        cell.run(5s);
+        cell.submit(first, 1, 1000);
+        cell.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["minion-lost"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.firstMinionRunning(first));
+        cell.run(2s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        assertNoViolations(cell);
+    }
+
+    // Guards against minions that are forgotten between two reports where these are far apart.
+    void minionIsKeptUntilReportsAreMissing()
+    {
+        const auto forgotten = [](Duration reportInterval) {
+            SchedulerSettings settings;
+            settings.reportInterval = reportInterval;
+            SimulatedCell cell(1, settings);
+            cell.addMinion("a", 4000, 1s);
+            cell.run(1s);
+            cell.minions.at("a")->isCut = true;
+            cell.run(12s);
+            return cell.eventCounts["minion-forgotten"];
+        };
+        CPPUNIT_ASSERT_EQUAL(1, forgotten(1500ms));
+        CPPUNIT_ASSERT_EQUAL(0, forgotten(5s));
+    }
+
+    // Guards against a start on a minion whose time to leave is over, or beside members of a gang that no longer wait.
+    void unansweredStartIsNotRepeatedPastItsLimit()
+    {
+        const auto starts = [](Duration startLimit) {
+            SchedulerSettings settings;
+            settings.startLimit = startLimit;
+            SimulatedCell cell(1, settings);
+            cell.addMinion("a", 4000, 10s);
+            cell.run(1s);
+            cell.minions.at("a")->isCut = true;
+            cell.submit(first, 1, 1000);
+            cell.run(3500ms);
+            return cell.starts;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, starts(10s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts(1s));
+    }
+
     // Guards against tasks that wait for a lease to expire, placed on a minion that has just become unresponsive.
     void unresponsiveMinionIsChosenLast()
     {
