Let the simulated cell lose its leader, its minions and proposals

Minions report every 1.5 s however short the single steps of a test are; before, a test that advanced in steps of less than that got no reports.

--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -13,34 +13,24 @@
 constexpr Duration commitDelay = 20ms;
 constexpr Duration step = 10ms;
 constexpr Duration tickInterval = 20ms;
+constexpr Duration reportInterval = 1500ms;
 constexpr Duration orderTimeout = 700ms;
 constexpr std::int64_t startUnixMs = 1'000'000;
 const std::string highPriorityKey = "host/queue/";
 const std::string lowPriorityKey = "host/later/"; ///< its work may be preempted
+const std::string advisedKey = "host/advised/";
+constexpr Duration ticketValidity = 1500ms;
 
 } // namespace
 
 SimulatedCell::SimulatedCell(std::uint64_t seed)
     : now_(std::chrono::hours(1))
     , random_(seed)
+    , nextReport_(now_ + reportInterval)
+    , store_(std::make_unique<JobStore>())
 {
-    Wire::JobCommand command;
-    auto &configuration = *command.mutable_configuration();
-    configuration.set_version(1);
-    configuration.add_services()->set_name("service");
-    for (const std::uint32_t priority : {1U, 2U}) {
-        auto &queue = *configuration.add_queues();
-        queue.set_host("host");
-        queue.set_path_prefix(priority == 1 ? "/queue/" : "/later/");
-        queue.set_service("service");
-        queue.set_priority(priority);
-        queue.set_max_attempts(3);
-        queue.set_slack_factor(2 * priority);
-        queue.set_timeout_ms(3000);
-    }
-    store_.apply(++index_, command.SerializeAsString());
-    SchedulerPorts &ports = *this;
-    scheduler_ = std::make_unique<JobScheduler>(store_, ports, SchedulerSettings());
+    configure("service");
+    createScheduler();
     scheduler_->becomeLeader(now(), term_);
 }
 
@@ -68,7 +58,8 @@
 
 void SimulatedCell::report(const SimulatedMinion &minion)
 {
-    scheduler_->minionReported(now(), minion.report, [](bool) {});
+    if (hasLeader_)
+        scheduler_->minionReported(now(), minion.report, [](bool) {});
 }
 
 void SimulatedCell::submit(const std::string &id, std::uint32_t tasks, std::int64_t milliCores,
@@ -88,37 +79,25 @@
 {
     Wire::JobCommand command;
     command.mutable_submission()->set_id(id);
-    command.mutable_submission()->set_queue(queue == Queue::HighPriority ? highPriorityKey : lowPriorityKey);
+    command.mutable_submission()->set_queue(queue == Queue::HighPriority  ? highPriorityKey
+                                                : queue == Queue::Advised ? advisedKey
+                                                                          : lowPriorityKey);
     *command.mutable_submission()->mutable_spec() = spec;
     command.mutable_submission()->set_accepted_unix_ms(now().unixMs);
-    store_.apply(++index_, command.SerializeAsString());
+    commit(command);
 }
 
 void SimulatedCell::cancel(const std::string &id)
 {
     Wire::JobCommand command;
     command.set_cancelled_job(id);
-    store_.apply(++index_, command.SerializeAsString());
-}
-
-void SimulatedCell::changeLeader()
-{
-    scheduler_->loseLeadership();
-    ++term_;
-    scheduler_->becomeLeader(now(), term_);
-    for (const auto &[id, minion] : minions) {
-        if (minion->isCut)
-            continue;
-        ++minion->report.sequence;
-        report(*minion);
-    }
+    commit(command);
 }
 
 void SimulatedCell::run(Duration span)
 {
     const auto end = now_ + span;
     auto nextTick = now_;
-    auto nextReport = now_ + 1500ms;
     while (now_ < end) {
         now_ += step;
         while (!events_.empty() && events_.begin()->first <= now_) {
@@ -128,8 +107,8 @@
         }
         for (const auto &[id, minion] : minions)
             minion->tick(now_);
-        if (now_ >= nextReport && now_ >= frozenUntil_) {
-            nextReport = now_ + 1500ms;
+        if (now_ >= nextReport_ && now_ >= frozenUntil_) {
+            nextReport_ = now_ + reportInterval;
             for (const auto &[id, minion] : minions) {
                 ++minion->report.sequence;
                 if (!minion->isCut)
@@ -151,7 +130,7 @@
         std::int64_t used = 0;
         for (const auto &[task, work] : minion->runs) {
             ++running[task];
-            const auto *job = store_.job(task.step.job);
+            const auto *job = store_->job(task.step.job);
             used += job ? job->spec(task.step.step).milli_cores() : 0;
         }
         if (used > minion->report.milliCores)
@@ -165,7 +144,7 @@
 
 JobPhase SimulatedCell::phase(const std::string &id) const
 {
-    return store_.job(id)->phase();
+    return store_->job(id)->phase();
 }
 
 std::uint32_t SimulatedCell::pending() const
@@ -179,6 +158,15 @@
     return all.empty() ? std::string() : all.front();
 }
 
+SimulatedMinion *SimulatedCell::minionRunning(const TaskName &task) const
+{
+    for (const auto &[id, minion] : minions) {
+        if (minion->runs.contains(task))
+            return minion.get();
+    }
+    return nullptr;
+}
+
 std::vector<std::string> SimulatedCell::minionsRunning(const std::string &job) const
 {
     std::vector<std::string> result;
@@ -198,10 +186,10 @@
 
 void SimulatedCell::scheduleForLeader(Duration delay, std::function<void()> function)
 {
-    schedule(delay, [this, function = std::move(function)] {
+    schedule(delay, [this, function = std::move(function), process = process_] {
         if (now_ < frozenUntil_)
             schedule(frozenUntil_ - now_, function);
-        else
+        else if (process == process_)
             function();
     });
 }
@@ -220,8 +208,11 @@
 
 SimulatedMinion *SimulatedCell::reachableMinion(const std::string &address)
 {
-    const auto found = minions.find(address.substr(0, address.find(':')));
-    return found == minions.end() || found->second->isCut ? nullptr : found->second.get();
+    for (const auto &[id, minion] : minions) {
+        if (minion->report.address == address && !minion->isCut)
+            return minion.get();
+    }
+    return nullptr;
 }
 
 bool SimulatedCell::chance(std::uint64_t percent)
@@ -231,19 +222,30 @@
 
 void SimulatedCell::propose(Wire::JobCommand command, std::function<void(bool applied)> ended)
 {
-    schedule(commitDelay, [this, command = std::move(command), ended = std::move(ended), term = term_] {
+    const bool failed = failedProposals > 0 && chance(failedProposals);
+    schedule(commitDelay, [this, command = std::move(command), ended = std::move(ended), term = term_, failed] {
+        const bool isLeaders = term == term_ && hasLeader_;
+        if (failed && isLeaders)
+            scheduler_->proposalFailed(now(), command);
         // Uncommitted entries of an earlier leader are lost.
-        if (term != term_)
-            return;
-        store_.apply(++index_, command.SerializeAsString());
-        if (ended)
-            ended(true);
+        else if (!failed && (isLeaders || term == committedTerm_))
+            commit(command);
+        if (ended && isLeaders)
+            ended(!failed);
     });
 }
 
 void SimulatedCell::start(const StartOrder &order)
 {
     ++starts;
+    startLog.push_back(std::to_string(now_.time_since_epoch() / 1ms) + ' ' + order.task.toString() + " run "
+                       + std::to_string(order.run) + " on " + order.minion.id);
+    if (const auto fault = startFault ? startFault(order) : std::nullopt) {
+        const OrderAnswer answer{*fault, std::nullopt};
+        scheduleForLeader(*fault == OrderOutcome::Unanswered ? orderTimeout : 2 * networkDelay,
+                          [this, order, answer] { scheduler_->startAnswered(now(), order, answer); });
+        return;
+    }
     const bool late = chance(lateOrders);
     const bool lost = chance(lostAnswers);
     if (late || lost)
@@ -257,7 +259,10 @@
                                            [this, order] { scheduler_->startAnswered(now(), order, {}); });
                      return;
                  }
-                 const auto answer = minion->start(now_, order);
+                 const bool isTicketExpired
+                     = !order.ticket.empty() && std::stoll(order.ticket) < now_.time_since_epoch() / 1ms;
+                 const auto answer = isTicketExpired ? OrderAnswer{OrderOutcome::TicketRejected, std::nullopt}
+                                                     : minion->start(now_, order);
                  if (!late && !lost)
                      scheduleForLeader(networkDelay,
                                        [this, order, answer] { scheduler_->startAnswered(now(), order, answer); });
@@ -316,5 +321,11 @@
 
 void SimulatedCell::askAdvice(const AdviceRequest &request)
 {
-    schedule(networkDelay, [this, request] { scheduler_->adviceAnswered(now(), request, false, {}); });
+    const auto validUntil = (now_ + ticketValidity).time_since_epoch() / 1ms;
+    std::vector<ApprovedMinion> approved;
+    for (const auto &minion : request.minions)
+        approved.push_back({minion, std::to_string(validUntil)});
+    scheduleForLeader(networkDelay, [this, request, approved, answered = answersAdvice] {
+        scheduler_->adviceAnswered(now(), request, answered, answered ? approved : std::vector<ApprovedMinion>());
+    });
 }
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,7 @@
     /// Submits a job of one step.
     void submit(const std::string &id, std::uint32_t tasks, std::int64_t milliCores,
                 const std::function<void(Pistachio::Wire::JobStep &)> &adjust = {});
-    enum class Queue { HighPriority, LowPriority };
+    enum class Queue { HighPriority, LowPriority, Advised };
     void submit(const std::string &id, const Pistachio::Wire::JobSpec &spec, Queue queue = Queue::HighPriority);
     void cancel(const std::string &id);
 
@@ -45,6 +46,24 @@
     /// Another instance becomes leader; uncommitted proposals of the current one are lost.
     void changeLeader();
 
+    enum class Proposals { Lost, Committed };
+    /// Leaves the group without a leader.
+    /// \param pending what becomes of the proposals that are not applied yet
+    void loseLeader(Proposals pending);
+    [[nodiscard]] bool isWithoutLeader() const { return !hasLeader_; }
+    enum class StoreOrigin { Kept, Log, Snapshot };
+    /// An instance becomes leader. Unless its store is kept, its process is a new one, which gets no earlier answers.
+    void electLeader(StoreOrigin origin);
+
+    /// The minion shuts down gracefully.
+    void leave(SimulatedMinion &minion);
+    /// The minion loses its power and does not come back.
+    void destroy(SimulatedMinion &minion);
+    /// The store forgets the minion, as after its removal.
+    void removeFromStore(const std::string &id);
+    /// Sets the service of all queues.
+    void configure(const std::string &service);
+
     [[nodiscard]] Pistachio::Jobs::JobPhase phase(const std::string &id) const;
     [[nodiscard]] std::uint32_t pending() const;
     [[nodiscard]] Pistachio::Jobs::EventTime now() const;
@@ -54,10 +73,18 @@
     /// \return the first minion that runs a task of the job, or an empty string.
     [[nodiscard]] std::string firstMinionRunning(const std::string &job) const;
 
+    /// \return a minion that runs the task, or null.
+    [[nodiscard]] SimulatedMinion *minionRunning(const Pistachio::Jobs::TaskName &task) const;
+
     std::map<std::string, std::unique_ptr<SimulatedMinion>> minions;
     std::vector<std::string> violations;
     std::uint64_t lostAnswers = 0; ///< percentage of answers that are lost
     std::uint64_t lateOrders = 0; ///< percentage of starts that stay unanswered and are executed 2 to 12 s later
+    std::uint64_t failedProposals = 0; ///< percentage of proposals that are not appended to the log
+    /// \return the outcome of a start that the minion does not carry out, or nothing.
+    std::function<std::optional<Pistachio::Jobs::OrderOutcome>(const Pistachio::Jobs::StartOrder &order)> startFault;
+    bool answersAdvice = false; ///< approves all minions
+    std::vector<std::string> startLog; ///< task, run and minion of each start order, with its time
     std::size_t starts = 0;
     std::map<std::string, int> eventCounts; ///< log lines by event
 
@@ -78,14 +105,21 @@
     void schedule(Duration delay, std::function<void()> function);
     SimulatedMinion *reachableMinion(const std::string &address);
     [[nodiscard]] bool chance(std::uint64_t percent);
+    void commit(const Pistachio::Wire::JobCommand &command);
+    void createScheduler();
+    void lead();
     void checkInvariants();
 
     TimePoint now_{};
     TimePoint frozenUntil_{};
     Pistachio::RandomSource random_;
-    Pistachio::Jobs::JobStore store_;
+    TimePoint nextReport_;
+    std::unique_ptr<Pistachio::Jobs::JobStore> store_;
     std::unique_ptr<Pistachio::Jobs::JobScheduler> scheduler_;
     std::multimap<TimePoint, std::function<void()>> events_;
+    std::vector<std::string> log_; ///< committed commands
     std::uint64_t term_ = 1;
-    std::uint64_t index_ = 0;
+    std::uint64_t committedTerm_ = 0; ///< an earlier term whose pending proposals are still committed
+    std::uint64_t process_ = 1; ///< number of the leader's process
+    bool hasLeader_ = true;
 };
