Start a task elsewhere if its minion goes while it is assigned

Cause: an assignment that was committed while its minion left, was removed or reported as a new incarnation stayed in the job store, though no minion knew of the run and nothing ended it; the task waited for the next leader. So did a run whose end, proposed when its minion was already unknown, was not appended to the log. Change: the scheduler keeps the runs that no minion has and proposes their end as lost every 200 ms until the store has it.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -64,6 +64,7 @@
     answerLosses_.clear();
     durations_.clearSteps();
     preemptions_.clear();
+    lostRuns_.clear();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
         for (const auto &stored : waiting)
             stored(false);
@@ -85,6 +86,7 @@
     answerLosses_.clear();
     durations_.clearSteps();
     preemptions_.clear();
+    lostRuns_.clear();
     for (const auto &[id, minion] : store_.minions()) {
         fleet_.add(toReport(minion));
         // An earlier leader may have granted a lease just before this leader took over.
@@ -116,12 +118,7 @@
                     continue;
                 auto *minion = fleet_.find(MinionIncarnation{task.minion, task.minionBornUnixMs});
                 if (!minion) {
-                    Wire::JobCommand command;
-                    auto &end = *command.add_ends();
-                    fill(*end.mutable_task(), {{job.id(), occurrence, number}, index});
-                    end.set_run(task.run);
-                    end.set_how(Wire::JOB_RUN_END_LOST);
-                    ports_.propose(std::move(command), {});
+                    lostRuns_[{{job.id(), occurrence, number}, index}] = task.run;
                     continue;
                 }
                 Run run;
@@ -362,6 +359,7 @@
         return;
     enqueueDueTasks();
     expireLeases();
+    proposeLostRuns();
     sendDueOrders();
     removeFinishedJobs();
     if (planNeeded_ || now.time >= lastPlan_ + planInterval)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -137,6 +137,9 @@
     void enqueueDueTasks();
     void removeFinishedJobs();
     void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int runEnd);
+    /// Records that the runs of an incarnation that is removed or replaced are over.
+    void loseRunsOf(const Minion &minion);
+    void proposeLostRuns();
     void stopRunsOf(const Job &job);
     void stopRuns(const Job &job, const StepName &step);
     Minion *minionOf(const Task &task);
@@ -213,6 +216,9 @@
     std::map<std::string, TimePoint> services_; ///< services that have had waiting tasks, with the time of the last one
     std::set<TaskName> movedTasks_; ///< moved off a slow minion; a task is moved at most once
     std::map<TaskName, std::uint32_t> preemptions_; ///< preemptions of each task of active jobs
+    std::map<TaskName, std::uint64_t>
+        lostRuns_; ///< assigned runs that no minion has; proposed until their end is stored
+    TimePoint lostRunsProposedAt_{};
     std::set<std::string> begunJobs_; ///< active jobs with a confirmed start
     bool planNeeded_ = true; ///< something changed since the last round
     TimePoint lastPlan_{};
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -15,6 +15,11 @@
 
 using Logging::LogLevel;
 
+namespace
+{
+constexpr Duration lostRunRetry = 200ms; ///< several times a commit
+} // namespace
+
 void JobScheduler::minionRecorded(const Wire::JobMinion &minion)
 {
     if (!leading_)
@@ -24,6 +29,8 @@
     if (known) {
         known->report.draining = known->report.draining || report.draining;
     } else {
+        if (const auto *replaced = fleet_.find(minion.id()))
+            loseRunsOf(*replaced);
         fleet_.add(std::move(report));
         fleet_.find(minion.id())->lastReportAt = now_.time;
         advice_.removeMinion(minion.id());
@@ -40,10 +47,48 @@
 {
     if (!leading_)
         return;
+    if (const auto *removed = fleet_.find(minion))
+        loseRunsOf(*removed);
     fleet_.remove(minion);
     advice_.removeMinion(minion);
 }
 
+void JobScheduler::loseRunsOf(const Minion &minion)
+{
+    for (const auto &[task, run] : minion.runs) {
+        const auto *job = store_.job(task.step.job);
+        const auto *record = job ? job->task(task) : nullptr;
+        if (record && record->state == TaskState::Assigned && record->run == run.run)
+            lostRuns_[task] = run.run;
+    }
+}
+
+void JobScheduler::proposeLostRuns()
+{
+    if (lostRuns_.empty() || now_.time < lostRunsProposedAt_ + lostRunRetry)
+        return;
+    lostRunsProposedAt_ = now_.time;
+    Wire::JobCommand command;
+    for (auto entry = lostRuns_.begin(); entry != lostRuns_.end();) {
+        const auto &[task, run] = *entry;
+        const auto *job = store_.job(task.step.job);
+        const auto *record = job ? job->task(task) : nullptr;
+        if (!record || record->state != TaskState::Assigned || record->run != run) {
+            entry = lostRuns_.erase(entry);
+            continue;
+        }
+        auto &end = *command.add_ends();
+        fill(*end.mutable_task(), task);
+        end.set_run(run);
+        end.set_how(Wire::JOB_RUN_END_LOST);
+        ++entry;
+    }
+    if (command.ends_size() == 0)
+        return;
+    ports_.logDecision(LogLevel::Info, "runs-without-minion", {{"runs", command.ends_size()}});
+    ports_.propose(std::move(command), {});
+}
+
 void JobScheduler::configurationChanged()
 {
     planNeeded_ = true;
@@ -107,7 +152,13 @@
 {
     auto *minion = leading_ ? minionOf(*job.task(task)) : nullptr;
     const auto found = minion ? minion->runs.find(task) : std::map<TaskName, Run>::iterator();
-    if (!minion || found == minion->runs.end() || found->second.run != run || found->second.phase != RunPhase::Proposed)
+    if (!minion || found == minion->runs.end() || found->second.run != run) {
+        // The minion was removed or replaced while the assignment was being committed.
+        if (leading_)
+            lostRuns_[task] = run;
+        return;
+    }
+    if (found->second.phase != RunPhase::Proposed)
         return;
     found->second.phase = RunPhase::Starting;
     found->second.phaseSince = now_.time;
--- /dev/null
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -0,0 +1,94 @@
+#include "simulatedcell.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+using namespace Pistachio;
+using namespace Pistachio::Jobs;
+
+namespace
+{
+
+const std::string first = "0000000000000001";
+constexpr Duration maxIdle = 6s; ///< a long-running task that fits runs again by then
+
+void longRunning(Wire::JobStep &step)
+{
+    step.set_long_running(true);
+}
+
+void runUntilAssigned(SimulatedCell &cell)
+{
+    const auto before = cell.eventCounts["tasks-assigned"];
+    for (int steps = 0; steps < 100 && cell.eventCounts["tasks-assigned"] == before; ++steps)
+        cell.run(10ms);
+}
+
+} // namespace
+
+/// Single causes that kept a long-running task from running again.
+class LostRunsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LostRunsTest);
+    CPPUNIT_TEST(assignmentToLeavingMinionIsGivenAway);
+    CPPUNIT_TEST(assignmentToRebornMinionIsGivenAway);
+    CPPUNIT_TEST(endIsRecordedThoughItsProposalFails);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void assertRuns(SimulatedCell &cell, const std::string &job)
+    {
+        cell.run(maxIdle);
+        CPPUNIT_ASSERT_MESSAGE("the task doesn't run", !cell.firstMinionRunning(job).empty());
+        CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(), cell.violations.empty());
+    }
+
+public:
+    // Guards against an assignment that is committed while its minion leaves, and is never started anywhere.
+    void assignmentToLeavingMinionIsGivenAway()
+    {
+        SimulatedCell cell(1);
+        auto &leaving = cell.addMinion("a", 1000, 1h);
+        cell.addMinion("b", 4000, 1h);
+        cell.run(1s);
+        cell.submit(first, 1, 1000, longRunning);
+        runUntilAssigned(cell);
+        cell.leave(leaving);
+        assertRuns(cell, first);
+    }
+
+    // Guards against an assignment to the earlier incarnation of a minion that is recorded anew before the commit.
+    void assignmentToRebornMinionIsGivenAway()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 1h);
+        cell.run(1s);
+        cell.submit(first, 1, 1000, longRunning);
+        runUntilAssigned(cell);
+        minion.restart(cell.now().time);
+        cell.report(minion);
+        assertRuns(cell, first);
+    }
+
+    // Guards against a run of a removed minion whose end isn't proposed again when its proposal is not appended.
+    void endIsRecordedThoughItsProposalFails()
+    {
+        SimulatedCell cell(1);
+        auto &leaving = cell.addMinion("a", 1000, 1h);
+        cell.submit(first, 1, 1000, longRunning);
+        cell.run(1s);
+        cell.addMinion("b", 4000, 1h);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.firstMinionRunning(first));
+        cell.loseLeader(SimulatedCell::Proposals::Lost);
+        cell.leave(leaving);
+        cell.removeFromStore("a");
+        cell.failedProposals = 100;
+        cell.electLeader(SimulatedCell::StoreOrigin::Log);
+        cell.run(100ms);
+        cell.failedProposals = 0;
+        assertRuns(cell, first);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
