Free the capacity of an assignment that the job store drops

Cause: an assignment whose job was cancelled before the commit was dropped by the store without a word, and the scheduler kept its run as proposed, with its capacity, until the next leader. A failed proposal also removed whatever run the minion had of the task, and let a task wait that was assigned. Change: the store tells its observer of a dropped assignment; a failed proposal and a dropped assignment are reverted alike, and only if they concern the proposed run.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -311,13 +311,8 @@
         return;
     ports_.logDecision(LogLevel::Warning, "proposal-failed",
                        {{"assignments", command.assignments_size()}, {"ends", command.ends_size()}});
-    for (const auto &assignment : command.assignments()) {
-        if (auto *minion = fleet_.find(MinionIncarnation{assignment.minion(), assignment.minion_born_unix_ms()}))
-            minion->remove(toTaskName(assignment.task()));
-        const auto *job = store_.job(assignment.task().job());
-        if (job && job->phase() == JobPhase::Active)
-            enqueue(*job, toTaskName(assignment.task()));
-    }
+    for (const auto &assignment : command.assignments())
+        revertAssignment(assignment);
     for (auto &[id, minion] : fleet_.minions()) {
         minion.endsProposed = false;
         for (auto &[task, run] : minion.runs) {
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -99,6 +99,7 @@
     void jobEnded(const Job &job) override;
     void jobRemoved(const std::string &job) override;
     void taskAssigned(const Job &job, const TaskName &task, std::uint64_t run) override;
+    void assignmentDropped(const Wire::JobAssignment &assignment) override;
     void taskEnded(const Job &job, const Wire::JobEnd &end, bool changed) override;
     void minionRecorded(const Wire::JobMinion &minion) override;
     void minionRemoved(const std::string &minion) override;
@@ -143,6 +144,8 @@
     void stopRunsOf(const Job &job);
     void stopRuns(const Job &job, const StepName &step);
     Minion *minionOf(const Task &task);
+    /// Releases what an assignment reserved that is not stored, and lets its task wait again.
+    void revertAssignment(const Wire::JobAssignment &assignment);
 
     // runorders.cpp and leaseanswers.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
--- a/src/libs/jobs/jobstore.cpp
+++ b/src/libs/jobs/jobstore.cpp
@@ -91,12 +91,13 @@
 {
     for (const auto &assignment : command.assignments()) {
         const auto found = jobs_.find(assignment.task().job());
-        if (found == jobs_.end())
-            continue;
-        auto &job = found->second;
         const auto name = toTaskName(assignment.task());
-        if (!job.canAssign(name, assignment.run()))
+        if (found == jobs_.end() || !found->second.canAssign(name, assignment.run())) {
+            if (observer_)
+                observer_->assignmentDropped(assignment);
             continue;
+        }
+        auto &job = found->second;
         job.assign(name, assignment.run(), assignment.minion(), assignment.minion_born_unix_ms());
         if (observer_)
             observer_->taskAssigned(job, name, assignment.run());
--- a/src/libs/jobs/jobstoreobserver.h
+++ b/src/libs/jobs/jobstoreobserver.h
@@ -7,6 +7,7 @@
 
 namespace Pistachio::Wire
 {
+class JobAssignment;
 class JobEnd;
 class JobMinion;
 } // namespace Pistachio::Wire
@@ -31,6 +32,8 @@
     virtual void jobEnded(const Job &job) = 0;
     virtual void jobRemoved(const std::string &job) = 0;
     virtual void taskAssigned(const Job &job, const TaskName &task, std::uint64_t run) = 0;
+    /// The assignment was not stored: its job has ended, or the task can't have this run.
+    virtual void assignmentDropped(const Wire::JobAssignment &assignment) = 0;
     /// \param changed whether the end changed the job; false for the end of an outdated run
     virtual void taskEnded(const Job &job, const Wire::JobEnd &end, bool changed) = 0;
     virtual void minionRecorded(const Wire::JobMinion &minion) = 0;
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -165,6 +165,27 @@
     sendStart(*minion, task, found->second);
 }
 
+void JobScheduler::assignmentDropped(const Wire::JobAssignment &assignment)
+{
+    if (leading_)
+        revertAssignment(assignment);
+}
+
+void JobScheduler::revertAssignment(const Wire::JobAssignment &assignment)
+{
+    const auto task = toTaskName(assignment.task());
+    auto *minion = fleet_.find(MinionIncarnation{assignment.minion(), assignment.minion_born_unix_ms()});
+    const auto found = minion ? minion->runs.find(task) : std::map<TaskName, Run>::iterator();
+    if (minion && found != minion->runs.end() && found->second.run == assignment.run()
+        && found->second.phase == RunPhase::Proposed)
+        minion->remove(task);
+    planNeeded_ = true;
+    const auto *job = store_.job(task.step.job);
+    const auto *record = job ? job->task(task) : nullptr;
+    if (record && job->phase() == JobPhase::Active && record->state == TaskState::Waiting)
+        enqueue(*job, task);
+}
+
 void JobScheduler::taskEnded(const Job &job, const Wire::JobEnd &end, bool changed)
 {
     if (!leading_)
--- a/tests/auto/jobs/tst_lostruns.cpp
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -11,6 +11,7 @@
 {
 
 const std::string first = "0000000000000001";
+const std::string second = "0000000000000002";
 constexpr Duration maxIdle = 6s; ///< a long-running task that fits runs again by then
 
 void longRunning(Wire::JobStep &step)
@@ -34,6 +35,7 @@
     CPPUNIT_TEST(assignmentToLeavingMinionIsGivenAway);
     CPPUNIT_TEST(assignmentToRebornMinionIsGivenAway);
     CPPUNIT_TEST(endIsRecordedThoughItsProposalFails);
+    CPPUNIT_TEST(droppedAssignmentFreesItsCapacity);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertRuns(SimulatedCell &cell, const std::string &job)
@@ -89,6 +91,19 @@
         cell.failedProposals = 0;
         assertRuns(cell, first);
     }
+
+    // Guards against capacity that stays reserved for an assignment that the store dropped with its cancelled job.
+    void droppedAssignmentFreesItsCapacity()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 1000, 1h);
+        cell.run(1s);
+        cell.submit(first, 1, 1000);
+        runUntilAssigned(cell);
+        cell.cancel(first);
+        cell.submit(second, 1, 1000, longRunning);
+        assertRuns(cell, second);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
