Place waiting tasks on the service that their queue has now

Cause: a waiting step kept the service that its queue had when it began to wait. After a configuration that gives the queue another service, the free capacity of the old one decided whether the step is looked at, so it never started if that service was full or without minions. Change: a new configuration updates the service of each waiting step.

--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -92,8 +92,16 @@
 void JobScheduler::configurationChanged()
 {
     planNeeded_ = true;
-    if (leading_)
-        ports_.logDecision(LogLevel::Info, "configuration-in-force", {{"version", store_.configuration().version()}});
+    if (!leading_)
+        return;
+    queue_.updateServices([this](const std::string &id) {
+        const auto *job = store_.job(id);
+        const auto *queue = job ? store_.queue(job->submission().queue()) : nullptr;
+        return queue ? queue->service() : std::string();
+    });
+    for (const auto &queue : store_.configuration().queues())
+        services_.try_emplace(queue.service(), now_.time);
+    ports_.logDecision(LogLevel::Info, "configuration-in-force", {{"version", store_.configuration().version()}});
 }
 
 void JobScheduler::jobEnded(const Job &job)
--- a/src/libs/jobs/workqueue.cpp
+++ b/src/libs/jobs/workqueue.cpp
@@ -76,6 +76,12 @@
         found->second.deadlines = deadlines;
 }
 
+void WorkQueue::updateServices(const std::function<std::string(const std::string &job)> &serviceOf)
+{
+    for (auto &[step, waiting] : steps_)
+        waiting.service = serviceOf(step.job);
+}
+
 void WorkQueue::remove(const TaskName &task)
 {
     const auto found = steps_.find(task.step);
--- a/src/libs/jobs/workqueue.h
+++ b/src/libs/jobs/workqueue.h
@@ -4,6 +4,7 @@
 #include "jobs/taskname.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -51,6 +52,8 @@
 
     /// Replaces the deadlines of a step, if it waits.
     void update(const StepName &step, const StartDeadlines &deadlines);
+    /// \param serviceOf the service whose minions run the tasks of a job
+    void updateServices(const std::function<std::string(const std::string &job)> &serviceOf);
     void remove(const TaskName &task);
     void removeJob(const std::string &job);
     void clear() { steps_.clear(); }
--- a/tests/auto/jobs/tst_lostruns.cpp
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(assignmentToRebornMinionIsGivenAway);
     CPPUNIT_TEST(endIsRecordedThoughItsProposalFails);
     CPPUNIT_TEST(droppedAssignmentFreesItsCapacity);
+    CPPUNIT_TEST(newServiceOfQueueAppliesToWaitingTasks);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertRuns(SimulatedCell &cell, const std::string &job)
@@ -104,6 +105,19 @@
         cell.submit(second, 1, 1000, longRunning);
         assertRuns(cell, second);
     }
+
+    // Guards against tasks that wait for the minions of the service that their queue had before.
+    void newServiceOfQueueAppliesToWaitingTasks()
+    {
+        SimulatedCell cell(1);
+        cell.configure("other");
+        cell.addMinion("a", 4000, 1h);
+        cell.submit(first, 1, 1000, longRunning);
+        cell.run(1s);
+        CPPUNIT_ASSERT(cell.firstMinionRunning(first).empty());
+        cell.configure("service");
+        assertRuns(cell, first);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
