Run long-running tasks on avoided minions if nothing else fits

Cause: a minion on which three jobs in a row failed got no task for 8 s, and one found slow for up to 6 s, each renewed by the next finding. A long-running task waited that long even if no other minion had room. Change: long-running tasks may use such minions, after all others. A minion that refused a start or didn't answer one still gets no task for 1 s or 0.5 s.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -120,6 +120,7 @@
     /// The largest free amount and the smallest capacity among usable minions, for each resource separately.
     struct CapacityBounds {
         ResourceAmounts maxFree;
+        ResourceAmounts maxFreeForLongRunning; ///< with the minions that only long-running tasks may use now
         ResourceAmounts minCapacity;
     };
     enum class Tickets {
@@ -178,7 +179,8 @@
     bool placeStep(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     bool placeGang(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     void place(const Job &job, const TaskName &task, std::uint64_t run, Minion &minion, Wire::JobCommand &command);
-    [[nodiscard]] bool isUsable(const Minion &minion) const;
+    /// \return whether the minion may get a task of a step.
+    [[nodiscard]] bool isUsable(const Minion &minion, bool isLongRunning) const;
     [[nodiscard]] std::optional<StepRequirements> requirementsOf(const Job &job, const StepName &name) const;
     [[nodiscard]] static bool isEligible(const Minion &minion, const StepRequirements &requirements);
     /// \return the bounds for a service, which rule out most steps under load without a look at each minion.
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -74,7 +74,8 @@
     std::optional<std::int64_t> clockMs; ///< reading of the minion's clock, taken at clockAt or earlier
     TimePoint clockAt{};
 
-    TimePoint avoidUntil{}; ///< no new tasks are placed here before
+    TimePoint refusesUntil{}; ///< no new tasks are placed here before: it refused a start or didn't answer one
+    TimePoint avoidUntil{}; ///< failing or slow: only long-running tasks are placed here before, if nowhere else fits
     std::uint32_t consecutiveSlowFindings = 0; ///< reset when the minion is no longer slow
     std::uint32_t consecutiveFailures = 0; ///< each of another job than the one before
     std::string lastFailedJob;
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -26,6 +26,7 @@
 constexpr double looseSlownessWeight = -0.5; ///< leaves fast minions to steps with tight slack
 constexpr double unansweredPenalty
     = 5; ///< outweighs all but data locality: a task on an unresponsive minion waits for its lease to expire
+constexpr double avoidedPenalty = 20; ///< outweighs all else: a long-running task runs badly there
 constexpr std::size_t maxGangReservations = 2; ///< per service; more would leave minions idle
 constexpr Duration fullRoundInterval = 60ms;
 constexpr std::size_t shortRoundFailures = 16;
@@ -66,7 +67,7 @@
         const StepName name = entry->first;
         const auto &step = job->spec(name.step);
         const bool isGang = step.gang();
-        const bool canFit = demandOf(step).fitsIn(bounds.maxFree);
+        const bool canFit = demandOf(step).fitsIn(step.long_running() ? bounds.maxFreeForLongRunning : bounds.maxFree);
         const bool placed = canFit && (isGang ? placeGang(*entry, *job, command) : placeStep(*entry, *job, command));
         // A gang whose last run has not fully ended can't be placed yet.
         if (placed || (isGang && entry->second.tasks.size() < step.tasks()))
@@ -88,16 +89,22 @@
 JobScheduler::CapacityBounds JobScheduler::capacityBounds(const std::string &service) const
 {
     constexpr auto most = std::numeric_limits<std::int64_t>::max();
-    CapacityBounds bounds{{0, 0, 0}, {most, most, most}};
+    CapacityBounds bounds{{0, 0, 0}, {0, 0, 0}, {most, most, most}};
     const auto raise = [](std::int64_t &bound, std::int64_t value) { bound = std::max(bound, value); };
+    const auto raiseAll = [&raise](ResourceAmounts &bound, const ResourceAmounts &value) {
+        raise(bound.milliCores, value.milliCores);
+        raise(bound.memoryMb, value.memoryMb);
+        raise(bound.accelerators, value.accelerators);
+    };
     const auto lower = [](std::int64_t &bound, std::int64_t value) { bound = std::min(bound, value); };
     for (const auto &[id, minion] : fleet_.minions()) {
-        if (minion.report.service != service || !isUsable(minion))
+        if (minion.report.service != service || !isUsable(minion, true))
             continue;
         const auto available = minion.freeCapacity();
-        raise(bounds.maxFree.milliCores, available.milliCores);
-        raise(bounds.maxFree.memoryMb, available.memoryMb);
-        raise(bounds.maxFree.accelerators, available.accelerators);
+        raiseAll(bounds.maxFreeForLongRunning, available);
+        if (!isUsable(minion, false))
+            continue;
+        raiseAll(bounds.maxFree, available);
         const auto capacity = minion.capacity();
         lower(bounds.minCapacity.milliCores, capacity.milliCores);
         lower(bounds.minCapacity.memoryMb, capacity.memoryMb);
@@ -121,10 +128,11 @@
     }
 }
 
-bool JobScheduler::isUsable(const Minion &minion) const
+bool JobScheduler::isUsable(const Minion &minion, bool isLongRunning) const
 {
     return minion.leaseConfirmed && !minion.removalProposed && !minion.report.draining && minion.clockMs
-        && now_.time < minion.lastContactAt + maxContactAge && now_.time >= minion.avoidUntil;
+        && now_.time < minion.lastContactAt + maxContactAge && now_.time >= minion.refusesUntil
+        && (isLongRunning || now_.time >= minion.avoidUntil);
 }
 
 std::optional<JobScheduler::StepRequirements> JobScheduler::requirementsOf(const Job &job, const StepName &name) const
@@ -147,7 +155,7 @@
 {
     std::vector<Minion *> result;
     const auto consider = [&](Minion &minion) {
-        if (isUsable(minion) && isEligible(minion, requirements)
+        if (isUsable(minion, requirements.step.long_running()) && isEligible(minion, requirements)
             && !reservedMinions_.contains(minion.report.incarnation.id))
             result.push_back(&minion);
     };
@@ -201,6 +209,8 @@
             score += 10;
         if (minion->lastUnansweredAt != TimePoint{})
             score += unansweredPenalty;
+        if (now_.time < minion->avoidUntil)
+            score += avoidedPenalty;
         score += speeds_.slowness(minion->kind()) * slownessWeight;
         if (score < bestScore) {
             bestScore = score;
@@ -336,8 +346,8 @@
     // Minions with enough free capacity first; among them, those already approved.
     std::vector<std::tuple<bool, bool, std::int64_t, std::string_view>> candidates;
     for (const auto &[id, minion] : fleet_.minions()) {
-        if (!isUsable(minion) || !isEligible(minion, *requirements) || known.denied.contains(id)
-            || known.hasTicket(id, now_.time + ticketMargin))
+        if (!isUsable(minion, requirements->step.long_running()) || !isEligible(minion, *requirements)
+            || known.denied.contains(id) || known.hasTicket(id, now_.time + ticketMargin))
             continue;
         candidates.emplace_back(!fits(minion, requirements->step, name), !known.approved.contains(id),
                                 -minion.freeCapacity().milliCores, id);
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -161,7 +161,7 @@
                         {"outcome", toString(answer.outcome)}});
     switch (answer.outcome) {
     case OrderOutcome::Unanswered:
-        minion->avoidUntil = std::max(minion->avoidUntil, now.time + avoidAfterUnansweredStart);
+        minion->refusesUntil = std::max(minion->refusesUntil, now.time + avoidAfterUnansweredStart);
         return;
     case OrderOutcome::IncarnationMismatch:
         markMinionLost(*minion, "another incarnation answers at its address");
@@ -176,7 +176,7 @@
         advice_.invalidateTicket(order.task.step, order.minion.id);
         break;
     case OrderOutcome::Refused:
-        minion->avoidUntil = std::max(minion->avoidUntil, now.time + avoidAfterRefusal);
+        minion->refusesUntil = std::max(minion->refusesUntil, now.time + avoidAfterRefusal);
         break;
     default:
         break;
--- a/tests/auto/jobs/tst_lostruns.cpp
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -19,6 +19,11 @@
     step.set_long_running(true);
 }
 
+std::string otherJob(int number)
+{
+    return "00000000000001" + std::to_string(10 + number);
+}
+
 void runUntilAssigned(SimulatedCell &cell)
 {
     const auto before = cell.eventCounts["tasks-assigned"];
@@ -37,6 +42,8 @@
     CPPUNIT_TEST(endIsRecordedThoughItsProposalFails);
     CPPUNIT_TEST(droppedAssignmentFreesItsCapacity);
     CPPUNIT_TEST(newServiceOfQueueAppliesToWaitingTasks);
+    CPPUNIT_TEST(failingMinionIsUsedIfNoOtherHasRoom);
+    CPPUNIT_TEST(slowMinionIsUsedIfNoOtherHasRoom);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertRuns(SimulatedCell &cell, const std::string &job)
@@ -118,6 +125,37 @@
         cell.configure("service");
         assertRuns(cell, first);
     }
+
+    // Guards against waiting for 8 s and more because the only minion with room has failed other jobs.
+    void failingMinionIsUsedIfNoOtherHasRoom()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 200ms);
+        minion.failsEverything = true;
+        for (int number = 0; number < 3; ++number)
+            cell.submit(otherJob(number), 3, 1000);
+        cell.run(1500ms);
+        CPPUNIT_ASSERT(cell.eventCounts["minion-avoided"] > 0);
+        const auto before = cell.starts;
+        cell.submit(first, 1, 1000, longRunning);
+        cell.run(maxIdle);
+        CPPUNIT_ASSERT(cell.starts > before);
+    }
+
+    // Guards against a long-running task that never starts because the only minion with room is found slow again.
+    void slowMinionIsUsedIfNoOtherHasRoom()
+    {
+        SimulatedCell cell(1);
+        auto &slow = cell.addMinion("a", 8000, 20s);
+        slow.standsStill = true;
+        for (int number = 0; number < 4; ++number)
+            cell.submit(otherJob(number), 1, 1000, [](Wire::JobStep &step) { step.set_estimate_ms(2000); });
+        cell.run(8s);
+        CPPUNIT_ASSERT(cell.eventCounts["minion-slow"] > 0);
+        cell.submit(first, 1, 1000, longRunning);
+        cell.run(100ms);
+        assertRuns(cell, first);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
