Don't repeat a start at once on a minion without room

Cause: after a start that was refused for want of room the task was placed on the same minion again at once, about every 50 ms, even if another minion had room, as long as the scheduler believed in room on the first one.

--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -175,6 +175,10 @@
     case OrderOutcome::TicketRejected:
         advice_.invalidateTicket(order.task.step, order.minion.id);
         break;
+    case OrderOutcome::InsufficientCapacity:
+        // What is being stopped there still uses capacity.
+        minion->refusesUntil = std::max(minion->refusesUntil, now.time + settings_.stopTimeout);
+        break;
     case OrderOutcome::Refused:
         minion->refusesUntil = std::max(minion->refusesUntil, now.time + avoidAfterRefusal);
         break;
--- a/tests/auto/jobs/tst_lostruns.cpp
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(newServiceOfQueueAppliesToWaitingTasks);
     CPPUNIT_TEST(failingMinionIsUsedIfNoOtherHasRoom);
     CPPUNIT_TEST(slowMinionIsUsedIfNoOtherHasRoom);
+    CPPUNIT_TEST(minionWithoutRoomIsNotTriedForever);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertRuns(SimulatedCell &cell, const std::string &job)
@@ -156,6 +157,20 @@
         cell.run(100ms);
         assertRuns(cell, first);
     }
+
+    // Guards against starts that are sent to the same minion over and over though it has less room than it reports.
+    void minionWithoutRoomIsNotTriedForever()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 1000, 1h);
+        cell.addMinion("b", 4000, 1h);
+        cell.startFault = [](const StartOrder &order) -> std::optional<OrderOutcome> {
+            return order.minion.id == "a" ? std::optional(OrderOutcome::InsufficientCapacity) : std::nullopt;
+        };
+        cell.run(1s);
+        cell.submit(first, 1, 1000, longRunning);
+        assertRuns(cell, first);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
