Reserve minions for a waiting task only where it can come to fit

Cause: for a long-running task that doesn't fit, the minions with the most free cores were kept free, even if the task could never run there: it was at its limit per minion, or other long-running tasks used the memory. Tasks that fitted there waited for good, and where the task could have run, small tasks took all memory as it became free. Change: only minions on which the task fits beside the long-running ones, and below its limit, are reserved.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -195,6 +195,9 @@
     void prefetchAdvice(const Job &job, const StepName &name);
 
     // reservations.cpp
+    /// \return whether the step fits on the minion once all but its long-running tasks have ended.
+    [[nodiscard]] bool canBecomeFree(const Minion &minion, const StepName &name,
+                                     const StepRequirements &requirements) const;
     void reserveMinions(const WaitingEntry &entry, const Job &job);
     void reserveCapacity(const WaitingEntry &entry, const Job &job);
     [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -102,6 +102,20 @@
     }
 }
 
+bool JobScheduler::canBecomeFree(const Minion &minion, const StepName &name, const StepRequirements &requirements) const
+{
+    const auto limit = requirements.step.max_per_minion();
+    if (limit > 0 && minion.taskCount(name) >= limit)
+        return false;
+    auto available = minion.capacity();
+    for (const auto &[task, run] : minion.runs) {
+        const auto *job = store_.job(task.step.job);
+        if (job && job->spec(task.step.step).long_running())
+            available -= run.reserved;
+    }
+    return requirements.demand.fitsIn(available);
+}
+
 void JobScheduler::reserveMinions(const WaitingEntry &entry, const Job &job)
 {
     const auto requirements = requirementsOf(job, entry.first);
@@ -109,6 +123,8 @@
         return;
     // Minions with more free capacity are expected to be free earlier.
     auto candidates = eligibleMinions(entry.first, *requirements, Tickets::Known);
+    std::erase_if(candidates,
+                  [&](const Minion *minion) { return !canBecomeFree(*minion, entry.first, *requirements); });
     const auto freeCapacityOf = [](const Minion &minion) {
         const auto available = minion.freeCapacity();
         return available.accelerators * 100'000 + available.milliCores;
--- a/tests/auto/jobs/tst_lostruns.cpp
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(failingMinionIsUsedIfNoOtherHasRoom);
     CPPUNIT_TEST(slowMinionIsUsedIfNoOtherHasRoom);
     CPPUNIT_TEST(minionWithoutRoomIsNotTriedForever);
+    CPPUNIT_TEST(taskThatFitsNowhereReservesNothing);
+    CPPUNIT_TEST(smallTasksDontTakeFreedMemory);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertRuns(SimulatedCell &cell, const std::string &job)
@@ -171,6 +173,52 @@
         cell.submit(first, 1, 1000, longRunning);
         assertRuns(cell, first);
     }
+
+    // Guards against a task beyond its limit per minion that keeps a minion free which another task needs.
+    void taskThatFitsNowhereReservesNothing()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 1h);
+        cell.submit(first, 2, 1000, [](Wire::JobStep &step) {
+            step.set_long_running(true);
+            step.set_max_per_minion(1);
+        });
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.minionsRunning(first).size());
+        cell.submit(second, 1, 1000, longRunning);
+        assertRuns(cell, second);
+    }
+
+    // Guards against reserving the minion with the most free cores, whose memory is used by another service for good.
+    void smallTasksDontTakeFreedMemory()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 8000, 1h);
+        cell.submit(first, 1, 100, [](Wire::JobStep &step) {
+            step.set_long_running(true);
+            step.set_memory_mb(900);
+        });
+        cell.run(1s);
+        cell.addMinion("b", 4000, 1s);
+        const auto addSmall = [&cell](int number) {
+            cell.submit(otherJob(number), 1, 1000, [](Wire::JobStep &step) { step.set_memory_mb(250); });
+        };
+        for (int number = 0; number < 8; ++number) {
+            addSmall(number);
+            cell.run(250ms);
+        }
+        cell.submit(second, 1, 100, [](Wire::JobStep &step) {
+            step.set_long_running(true);
+            step.set_memory_mb(600);
+        });
+        for (int number = 8; number < 32; ++number) {
+            addSmall(number);
+            cell.run(250ms);
+            if (!cell.firstMinionRunning(second).empty())
+                return;
+        }
+        CPPUNIT_FAIL("the task doesn't run");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
