Stop the rest of a gang when a new leader finds a part of it ended

Cause: the leader stops the other members when the end of one is committed. If it lost the leadership just before, the new leader adopted the others as running and let the ended member wait; a gang starts only as a whole, so it waited until the others ended by themselves. Change: a new leader stops the assigned members of a gang of which a member waits.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -129,6 +129,7 @@
                 run.phaseSince = now_.time;
                 minion->add({{job.id(), occurrence, number}, index}, run);
             }
+            stopPartOfGang(job, {job.id(), occurrence, number});
         }
     }
 }
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -144,6 +144,8 @@
     void proposeLostRuns();
     void stopRunsOf(const Job &job);
     void stopRuns(const Job &job, const StepName &step);
+    /// Stops the runs of a gang of which a member has ended, in case the earlier leader didn't.
+    void stopPartOfGang(const Job &job, const StepName &step);
     Minion *minionOf(const Task &task);
     /// Releases what an assignment reserved that is not stored, and lets its task wait again.
     void revertAssignment(const Wire::JobAssignment &assignment);
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -149,6 +149,17 @@
     }
 }
 
+void JobScheduler::stopPartOfGang(const Job &job, const StepName &step)
+{
+    if (!job.spec(step.step).gang())
+        return;
+    const auto &tasks = job.step(step.occurrence, step.step)->tasks;
+    const bool isWhole
+        = std::none_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.state == TaskState::Waiting; });
+    if (!isWhole)
+        stopRuns(job, step);
+}
+
 Minion *JobScheduler::minionOf(const Task &task)
 {
     return fleet_.find(MinionIncarnation{task.minion, task.minionBornUnixMs});
--- a/tests/auto/jobs/tst_lostruns.cpp
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(minionWithoutRoomIsNotTriedForever);
     CPPUNIT_TEST(taskThatFitsNowhereReservesNothing);
     CPPUNIT_TEST(smallTasksDontTakeFreedMemory);
+    CPPUNIT_TEST(newLeaderStopsTheRestOfAGang);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertRuns(SimulatedCell &cell, const std::string &job)
@@ -219,6 +220,27 @@
         }
         CPPUNIT_FAIL("the task doesn't run");
     }
+
+    // Guards against a gang that waits for its running members, since the leader that had to stop them is gone.
+    void newLeaderStopsTheRestOfAGang()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 1h);
+        cell.submit(first, 2, 1000, [](Wire::JobStep &step) {
+            step.set_long_running(true);
+            step.set_gang(true);
+        });
+        cell.run(1s);
+        const TaskName ended{{first, 0, 0}, 0};
+        cell.minionRunning(ended)->runs.at(ended).endsAt = cell.now().time;
+        cell.run(20ms);
+        CPPUNIT_ASSERT(!cell.minionRunning(ended));
+        cell.loseLeader(SimulatedCell::Proposals::Committed);
+        cell.run(100ms);
+        cell.electLeader(SimulatedCell::StoreOrigin::Log);
+        assertRuns(cell, first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.minionsRunning(first).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
