Try a failing service again every minute instead of every 10

Cause: a service that failed on three workers or six times was on hold for 10 minutes, even if what it failed on lasted for 15 s. The other delays after failures end at one minute; there was no reason for a longer one for work that has to run. Change: a service is shown as failing as before, but tried again after the usual delay of up to one minute.

--- a/src/libs/scheduler/ends.cpp
+++ b/src/libs/scheduler/ends.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t failedWorkersBeforeHold = 3;
 // Ends the retries in a zone that has fewer workers than failedWorkersBeforeHold.
 constexpr std::uint32_t failuresBeforeHold = 6;
-// Services have to run until their booked end, so they are retried even while on hold.
-constexpr Duration heldServiceRetryDelay = 10min;
 constexpr Duration firstRetryDelay = 1s;
 constexpr Duration maxRetryDelay = 1min;
 constexpr Duration notStartedRetryDelay = 1s;
@@ -173,18 +171,18 @@
     TaskEntry &entry = booking.tasks[index];
     entry.phase = TaskPhase::Delayed;
     const bool hold = failedWorkers >= failedWorkersBeforeHold || past.failures >= failuresBeforeHold;
-    if (!hold) {
+    // Services have to run until their booked end, so they are retried even if they fail everywhere.
+    const bool isService = booking.spec.kind == Placement::WorkKind::Service;
+    if (!hold || isService)
         delayedTasks_.emplace(now.time + retryDelay(past.failures), id);
+    if (!hold)
         return;
-    }
     booking.held = true;
     booking.heldReason = "failed " + std::to_string(past.failures) + " times on "
         + std::to_string(past.failedWorkers.size()) + " workers, last: " + past.detail;
     recordDecision("hold", id, nullptr, booking.heldReason);
-    if (booking.spec.kind == Placement::WorkKind::Service) {
-        delayedTasks_.emplace(now.time + heldServiceRetryDelay, id);
+    if (isService)
         return;
-    }
     for (std::uint32_t other = 0; other < booking.tasks.size(); ++other)
         withdraw(booking, other);
 }
