Start lost tasks of a service while another task of it fails

Cause: a service was on hold as a whole when one of its tasks had failed often. A task that was lost meanwhile was not queued, and when the hold ended only the task that had failed was; the others stayed away until the next sheet or leader. Change: a hold keeps batches and gangs from starting; of a service only the failing task waits for its next attempt. Before, failedTaskDoesNotKeepOthersAway printed "Expected: 2, Actual: 1"; it passes now, as do the other 20 tests.

--- a/src/libs/scheduler/bookings.cpp
+++ b/src/libs/scheduler/bookings.cpp
@@ -175,7 +175,7 @@
     TaskEntry &entry = booking.tasks[index];
     const TaskId id{booking.spec.id, index};
     const ZoneState::TaskPast *past = state_.tasks().past(id);
-    if (!booking.active || booking.held || entry.phase != TaskPhase::Idle || (past != nullptr && past->completed))
+    if (!booking.active || booking.isOnHold() || entry.phase != TaskPhase::Idle || (past != nullptr && past->completed))
         return;
     if (entry.readyAt == TimePoint{})
         entry.readyAt = now.time;
--- a/src/libs/scheduler/bookingtable.h
+++ b/src/libs/scheduler/bookingtable.h
@@ -91,9 +91,12 @@
     bool active = false; ///< after its start date, before its end, and in the sheet
     bool removedFromSheet = false; ///< erased once none of its tasks is placed
     bool startProposed = false; ///< the StartJob command of a gang is proposed
-    bool held = false; ///< on hold after failing on several workers
+    bool held = false; ///< shown as failing after failures on several workers
     std::string heldReason;
     std::vector<TaskEntry> tasks;
+
+    /// \return whether its tasks wait for a change of the booking. Services have to run, so they never do.
+    [[nodiscard]] bool isOnHold() const { return held && spec.kind != Placement::WorkKind::Service; }
 };
 
 } // namespace Pistachio::Scheduler
--- a/tests/auto/scheduler/tst_services.cpp
+++ b/tests/auto/scheduler/tst_services.cpp
@@ -145,6 +145,7 @@
 {
     CPPUNIT_TEST_SUITE(ServicesTest);
     CPPUNIT_TEST(serviceRunsAgainHoweverItsRunEnded);
+    CPPUNIT_TEST(failedTaskDoesNotKeepOthersAway);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -165,6 +166,24 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), failures);
     }
+
+    // Guards against a lost task of a service that is never queued again because another task had failed often.
+    void failedTaskDoesNotKeepOthersAway()
+    {
+        SimulatedZone zone({});
+        bool isFailing = true;
+        zone.fails = [&](const std::string &worker, const std::string &) { return isFailing && worker != "w0"; };
+        zone.book("service", Wire::WORK_KIND_SERVICE, 2, 8000);
+        zone.advance(40s);
+        CPPUNIT_ASSERT(zone.stateOf("service") == BookingState::Failing);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.runningOn("service").size());
+        zone.partition(0, 10min);
+        zone.advance(15s);
+        isFailing = false;
+        zone.advance(maxFailureBackoff);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, zone.runningOn("service").size());
+        CPPUNIT_ASSERT(zone.violations().empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicesTest);
