Retry a service at once if it failed after a long run

Cause: failures are counted over the whole life of a booking, so a service that had crashed six times in weeks was shown as failing and waited for up to the longest delay at each further crash.

--- a/src/libs/scheduler/ends.cpp
+++ b/src/libs/scheduler/ends.cpp
@@ -123,6 +123,7 @@
         estimates_.recordCompletion(id.booking, now.time - *entry.runningSince);
     planner_->release(slot, *entry.work, id);
     const TimePoint readyAt = entry.readyAt;
+    const Duration ran = entry.runningSince ? now.time - *entry.runningSince : Duration::zero();
     recordDecision("end", id, &entry, std::string(Wire::TaskEndReason_Name(end.reason())) + ' ' + end.detail());
     entry = TaskEntry();
     entry.readyAt = readyAt;
@@ -133,12 +134,13 @@
     else if (booking.spec.kind == Placement::WorkKind::Gang)
         gangMemberEnded(now, booking);
     else
-        rescheduleEndedTask(now, booking, id.index);
+        rescheduleEndedTask(now, booking, id.index, ran);
     updateAccepting(now, slot);
     removeUnusedWorker(slot);
 }
 
-void ZoneScheduler::Private::rescheduleEndedTask(const EventContext &now, BookingEntry &booking, std::uint32_t index)
+void ZoneScheduler::Private::rescheduleEndedTask(const EventContext &now, BookingEntry &booking, std::uint32_t index,
+                                                 Duration ran)
 {
     const ZoneState::TaskPast *past = state_.tasks().past({booking.spec.id, index});
     // Tasks of a booking that was removed and booked again run again, whatever they were stopped for.
@@ -147,6 +149,12 @@
     TaskEntry &entry = booking.tasks[index];
     switch (past->reason) {
     case ZoneState::EndReason::Failed:
+        // Failures are counted for the life of a booking, so those before a long run of a service say nothing.
+        if (booking.spec.kind == Placement::WorkKind::Service && ran >= maxRetryDelay) {
+            entry.phase = TaskPhase::Delayed;
+            delayedTasks_.emplace(now.time + firstRetryDelay, TaskId{booking.spec.id, index});
+            return;
+        }
         taskFailed(now, booking, index);
         return;
     case ZoneState::EndReason::NotStarted:
--- a/src/libs/scheduler/zoneschedulerprivate.h
+++ b/src/libs/scheduler/zoneschedulerprivate.h
@@ -104,7 +104,8 @@
     void flushEnds(const EventContext &now);
     void endsApplied(const EventContext &now, const Wire::EndTasks &command);
     void endApplied(const EventContext &now, const Wire::TaskEnd &end, TaskEntry &entry);
-    void rescheduleEndedTask(const EventContext &now, BookingEntry &booking, std::uint32_t index);
+    /// \param ran how long the ended run lasted
+    void rescheduleEndedTask(const EventContext &now, BookingEntry &booking, std::uint32_t index, Duration ran);
     void taskFailed(const EventContext &now, BookingEntry &booking, std::uint32_t index);
     void gangMemberEnded(const EventContext &now, BookingEntry &booking);
     void updateWorkerHealth(const EventContext &now, const TaskId &id, const TaskEntry &entry,
--- a/tests/auto/scheduler/tst_services.cpp
+++ b/tests/auto/scheduler/tst_services.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST_SUITE(ServicesTest);
     CPPUNIT_TEST(serviceRunsAgainHoweverItsRunEnded);
     CPPUNIT_TEST(failedTaskDoesNotKeepOthersAway);
+    CPPUNIT_TEST(failureAfterLongRunIsRetriedAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +185,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, zone.runningOn("service").size());
         CPPUNIT_ASSERT(zone.violations().empty());
     }
+
+    // Guards against a service that waits minutes after a crash because it had crashed often in the weeks before.
+    void failureAfterLongRunIsRetriedAtOnce()
+    {
+        SimulatedZone zone({});
+        zone.book("service", Wire::WORK_KIND_SERVICE, 1, 1000);
+        zone.runTime["service"] = 5min;
+        for (int crash = 0; crash < 8; ++crash) {
+            zone.advance(5min + 5s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, zone.runningOn("service").size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServicesTest);
