--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -61,6 +61,7 @@
     answerLosses_.clear();
     durations_.clearSteps();
     preemptions_.clear();
+    lostRuns_.clear();
 }
 
 void JobScheduler::loseLeadership()
@@ -112,12 +113,7 @@
                     continue;
                 auto *minion = fleet_.find(MinionIncarnation{task.minion, task.minionBornUnixMs});
                 if (!minion) {
-                    Wire::JobCommand command;
-                    auto &end = *command.add_ends();
-                    fill(*end.mutable_task(), {{job.id(), occurrence, number}, index});
-                    end.set_run(task.run);
-                    end.set_how(Wire::JOB_RUN_END_LOST);
-                    ports_.propose(std::move(command), {});
+                    lostRuns_[{{job.id(), occurrence, number}, index}] = task.run;
                     continue;
                 }
                 Run run;
@@ -128,6 +124,7 @@
                 run.phaseSince = now_.time;
                 minion->add({{job.id(), occurrence, number}, index}, run);
             }
+            stopPartOfGang(job, {job.id(), occurrence, number});
         }
     }
 }
@@ -310,13 +307,8 @@
         return;
     ports_.logDecision(LogLevel::Warning, "proposal-failed",
                        {{"assignments", command.assignments_size()}, {"ends", command.ends_size()}});
-    for (const auto &assignment : command.assignments()) {
-        if (auto *minion = fleet_.find(MinionIncarnation{assignment.minion(), assignment.minion_born_unix_ms()}))
-            minion->remove(toTaskName(assignment.task()));
-        const auto *job = store_.job(assignment.task().job());
-        if (job && job->phase() == JobPhase::Active)
-            enqueue(*job, toTaskName(assignment.task()));
-    }
+    for (const auto &assignment : command.assignments())
+        revertAssignment(assignment);
     for (auto &[id, minion] : fleet_.minions()) {
         minion.endsProposed = false;
         for (auto &[task, run] : minion.runs) {
@@ -358,6 +350,7 @@
         return;
     enqueueDueTasks();
     expireLeases();
+    proposeLostRuns();
     sendDueOrders();
     removeFinishedJobs();
     if (planNeeded_ || now.time >= lastPlan_ + planInterval)
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -178,7 +178,7 @@
                         {"outcome", toString(answer.outcome)}});
     switch (answer.outcome) {
     case OrderOutcome::Unanswered:
-        minion->avoidUntil = std::max(minion->avoidUntil, now.time + avoidAfterUnansweredStart);
+        minion->refusesUntil = std::max(minion->refusesUntil, now.time + avoidAfterUnansweredStart);
         return;
     case OrderOutcome::IncarnationMismatch:
         markMinionLost(*minion, "another incarnation answers at its address");
@@ -192,8 +192,12 @@
     case OrderOutcome::TicketRejected:
         advice_.invalidateTicket(order.task.step, order.minion.id);
         break;
+    case OrderOutcome::InsufficientCapacity:
+        // What is being stopped there still uses capacity.
+        minion->refusesUntil = std::max(minion->refusesUntil, now.time + settings_.stopTimeout);
+        break;
     case OrderOutcome::Refused:
-        minion->avoidUntil = std::max(minion->avoidUntil, now.time + avoidAfterRefusal);
+        minion->refusesUntil = std::max(minion->refusesUntil, now.time + avoidAfterRefusal);
         break;
     default:
         break;
--- a/src/libs/scheduler/ends.cpp
+++ b/src/libs/scheduler/ends.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t failedWorkersBeforeHold = 3;
 // Ends the retries in a zone that has fewer workers than failedWorkersBeforeHold.
 constexpr std::uint32_t failuresBeforeHold = 6;
-// Services have to run until their booked end, so they are retried even while on hold.
-constexpr Duration heldServiceRetryDelay = 10min;
 constexpr Duration firstRetryDelay = 1s;
 constexpr Duration maxRetryDelay = 1min;
 constexpr Duration notStartedRetryDelay = 1s;
@@ -125,6 +123,7 @@
         estimates_.recordCompletion(id.booking, now.time - *entry.runningSince);
     planner_->release(slot, *entry.work, id);
     const TimePoint readyAt = entry.readyAt;
+    const Duration ran = entry.runningSince ? now.time - *entry.runningSince : Duration::zero();
     recordDecision("end", id, &entry, std::string(Wire::TaskEndReason_Name(end.reason())) + ' ' + end.detail());
     entry = TaskEntry();
     entry.readyAt = readyAt;
@@ -135,12 +134,13 @@
     else if (booking.spec.kind == Placement::WorkKind::Gang)
         gangMemberEnded(now, booking);
     else
-        rescheduleEndedTask(now, booking, id.index);
+        rescheduleEndedTask(now, booking, id.index, ran);
     updateAccepting(now, slot);
     removeUnusedWorker(slot);
 }
 
-void ZoneScheduler::Private::rescheduleEndedTask(const EventContext &now, BookingEntry &booking, std::uint32_t index)
+void ZoneScheduler::Private::rescheduleEndedTask(const EventContext &now, BookingEntry &booking, std::uint32_t index,
+                                                 Duration ran)
 {
     const ZoneState::TaskPast *past = state_.tasks().past({booking.spec.id, index});
     // Tasks of a booking that was removed and booked again run again, whatever they were stopped for.
@@ -149,6 +149,12 @@
     TaskEntry &entry = booking.tasks[index];
     switch (past->reason) {
     case ZoneState::EndReason::Failed:
+        // Failures are counted for the life of a booking, so those before a long run of a service say nothing.
+        if (booking.spec.kind == Placement::WorkKind::Service && ran >= maxRetryDelay) {
+            entry.phase = TaskPhase::Delayed;
+            delayedTasks_.emplace(now.time + firstRetryDelay, TaskId{booking.spec.id, index});
+            return;
+        }
         taskFailed(now, booking, index);
         return;
     case ZoneState::EndReason::NotStarted:
@@ -173,18 +179,18 @@
     TaskEntry &entry = booking.tasks[index];
     entry.phase = TaskPhase::Delayed;
     const bool hold = failedWorkers >= failedWorkersBeforeHold || past.failures >= failuresBeforeHold;
-    if (!hold) {
+    // Services have to run until their booked end, so they are retried even if they fail everywhere.
+    const bool isService = booking.spec.kind == Placement::WorkKind::Service;
+    if (!hold || isService)
         delayedTasks_.emplace(now.time + retryDelay(past.failures), id);
+    if (!hold)
         return;
-    }
     booking.held = true;
     booking.heldReason = "failed " + std::to_string(past.failures) + " times on "
         + std::to_string(past.failedWorkers.size()) + " workers, last: " + past.detail;
     recordDecision("hold", id, nullptr, booking.heldReason);
-    if (booking.spec.kind == Placement::WorkKind::Service) {
-        delayedTasks_.emplace(now.time + heldServiceRetryDelay, id);
+    if (isService)
         return;
-    }
     for (std::uint32_t other = 0; other < booking.tasks.size(); ++other)
         withdraw(booking, other);
 }
