Keep the later incarnation of a minion in the job store

Cause: the report of an earlier incarnation that announced a drain, arriving while the record of a later one was being committed, was committed after it and replaced it in the store. A new leader then took the runs of the later incarnation for lost and started their tasks again while they went on. Change: the store ignores a record of an earlier incarnation. Before, earlierIncarnationDoesNotReplaceLater printed "Expected: 2000, Actual: 1000"; all 53 tests of tst_jobs pass now.

--- a/src/libs/jobs/jobstore.cpp
+++ b/src/libs/jobs/jobstore.cpp
@@ -28,11 +28,8 @@
     reply.set_verdict(Wire::JOB_VERDICT_ACCEPTED);
     if (command.has_configuration())
         configure(command.configuration());
-    for (const auto &minion : command.minions()) {
-        minions_[minion.id()] = minion;
-        if (observer_)
-            observer_->minionRecorded(minion);
-    }
+    for (const auto &minion : command.minions())
+        recordMinion(minion);
     for (const auto &minion : command.gone_minions()) {
         minions_.erase(minion);
         if (observer_)
@@ -60,6 +57,17 @@
     return reply.SerializeAsString();
 }
 
+void JobStore::recordMinion(const Wire::JobMinion &minion)
+{
+    auto &known = minions_[minion.id()];
+    // A delayed record of an earlier incarnation says nothing about the later one.
+    if (minion.born_unix_ms() < known.born_unix_ms())
+        return;
+    known = minion;
+    if (observer_)
+        observer_->minionRecorded(minion);
+}
+
 void JobStore::configure(const Wire::JobConfiguration &configuration)
 {
     // Versions that are not newer are ignored, so that a resent or delayed command can't restore an old configuration.
--- a/src/libs/jobs/jobstore.h
+++ b/src/libs/jobs/jobstore.h
@@ -61,6 +61,7 @@
 
 private:
     void configure(const Wire::JobConfiguration &configuration);
+    void recordMinion(const Wire::JobMinion &minion);
     void applyEnd(const Wire::JobEnd &end);
     void assign(const Wire::JobCommand &command);
     void submit(const Wire::JobCommand &command);
--- a/tests/auto/jobs/tst_jobstore.cpp
+++ b/tests/auto/jobs/tst_jobstore.cpp
@@ -107,6 +107,7 @@
     CPPUNIT_TEST(gangIsDoneWhenOneMemberIsDone);
     CPPUNIT_TEST(failedGangRunCountsOnce);
     CPPUNIT_TEST(endedLongRunningTaskWaitsAgain);
+    CPPUNIT_TEST(earlierIncarnationDoesNotReplaceLater);
     CPPUNIT_TEST(resubmittedJobIsKept);
     CPPUNIT_TEST(unstartedRunLeavesJobPending);
     CPPUNIT_TEST(snapshotRestoresAllState);
@@ -230,6 +231,20 @@
         }
     }
 
+    // A delayed record of an earlier incarnation would end the runs of the later one in the store while they go on.
+    void earlierIncarnationDoesNotReplaceLater()
+    {
+        Fixture fixture;
+        for (const std::int64_t born : {2000, 1000}) {
+            Wire::JobCommand command;
+            auto &minion = *command.add_minions();
+            minion.set_id("m");
+            minion.set_born_unix_ms(born);
+            fixture.apply(command);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2000}, std::int64_t{fixture.store.minions().at("m").born_unix_ms()});
+    }
+
     // A resent submission must not replace the job and lose its assignments.
     void resubmittedJobIsKept()
     {
