Keep runs that an incomplete list of a minion may hide

Cause: the scheduler takes a run that a minion's list lacks for ended. Once a row that can't be read is dropped instead of the whole answer, its run would be started again while it is active.

Change: a lease answer says whether its list of active runs is complete, and a row whether its progress could be read. A run that an incomplete list lacks is not ended by that; after 1 s it is stopped, and it ends once the stop has taken its longest time. So neither a row that is unreadable for a moment ends a running task, nor does a lasting one keep a task waiting whose start was lost.

Tests, each red on a trial of the code without the part that it guards: - unreadableRowEndsRunningTask: "assertion failed - Expression: cell.phase(first) == JobPhase::Completed" when an incomplete list counts like a complete one; - unreadableRowKeepsLostStartsForever: the same expression when an incomplete list ends nothing; - unreadableProgressMovesTask: the same expression when unreadable progress counts as 0.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -152,6 +152,7 @@
     /// \param isRecent whether the progress in the list is current
     void processActiveRun(Minion &minion, const ActiveRun &active, bool isRecent);
     void processEndedRun(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
+    [[nodiscard]] bool isStopOver(const Run &run, TimePoint sent) const;
     void endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command);
     void markMinionLost(Minion &minion, std::string_view reason);
     void expireLeases();
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint32_t failuresBeforeAvoiding = 3;
 constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration renewalRetryAfterExpiry = 1s; ///< of a minion whose lease has expired
+constexpr Duration unlistedLimit = 1s; ///< of a run that may be among those that a minion's list lacks
 
 Wire::JobRunEnd toWire(RunEnd end)
 {
@@ -131,9 +132,11 @@
     auto &run = found->second;
     if (run.run != active.run)
         return;
-    if (isRecent)
+    run.listedAt = now_.time;
+    if (isRecent && active.hasProgress)
         recordProgress(minion, active, run);
-    run.measurement = active.measurement;
+    if (active.hasProgress)
+        run.measurement = active.measurement;
     if (!active.checkpoint.empty())
         run.checkpoint = active.checkpoint;
     if (run.phase == RunPhase::Adopted || run.phase == RunPhase::Starting) {
@@ -189,6 +192,13 @@
         proposeEnd(command, minion, ended.task, ended.run, toWire(ended.end));
 }
 
+/// \return whether a stop had taken its longest time when the minion was asked.
+bool JobScheduler::isStopOver(const Run &run, TimePoint sent) const
+{
+    return run.phase == RunPhase::Stopping && run.stopConfirmed && sent > run.phaseSince + settings_.stopTimeout;
+}
+
+/// A run that an incomplete list lacks may still be active, so it ends only after a stop.
 void JobScheduler::endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command)
 {
     std::vector<TaskName> unlisted;
@@ -202,8 +212,12 @@
         const auto listed = std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &active) {
             return active.run == number && active.task == name;
         });
-        if (!listed)
+        if (listed)
+            continue;
+        if (answer.isActiveComplete || isStopOver(run, sent))
             unlisted.push_back(task);
+        else if (sent > std::max(run.listedAt, run.phaseSince) + unlistedLimit)
+            sendStop(minion, task, run);
     }
     for (const auto &task : unlisted) {
         const auto run = minion.runs.at(task).run;
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -46,6 +46,7 @@
     bool isOrphan = false; ///< not the task's current run according to the store
     std::string checkpoint;
     std::uint32_t percent = 0;
+    TimePoint listedAt{}; ///< when the minion last listed it as active
     TimePoint progressAt{}; ///< when percent was last recorded
     TimePoint startedAt{};
     Duration expected{}; ///< predicted run time
--- a/src/libs/jobs/orders.h
+++ b/src/libs/jobs/orders.h
@@ -91,6 +91,7 @@
     std::string checkpoint;
     std::uint32_t percent = 0; ///< completed share of the work
     std::int64_t measurement = 0; ///< tail latency in ms for a serving task, else the millicores in use
+    bool hasProgress = true; ///< false: percent and measurement could not be read
 };
 
 enum class RunEnd : std::uint8_t { Done, Failed, Stopped, LeaseExpired, GangMemberEnded, GangIncomplete };
@@ -108,6 +109,7 @@
     std::optional<std::int64_t> clockMs;
     std::int64_t bornUnixMs = 0; ///< 0 if not reported
     std::vector<ActiveRun> active;
+    bool isActiveComplete = true; ///< false: active lacks runs that could not be read
     std::vector<EndedRun> ended;
 };
 
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -31,6 +31,9 @@
     CPPUNIT_TEST(newLeaderKeepsRunningTasks);
     CPPUNIT_TEST(restartedMinionLosesItsTasksAtOnce);
     CPPUNIT_TEST(endedLongRunningTaskIsRestarted);
+    CPPUNIT_TEST(unreadableRowEndsRunningTask);
+    CPPUNIT_TEST(unreadableRowKeepsLostStartsForever);
+    CPPUNIT_TEST(unreadableProgressMovesTask);
     CPPUNIT_TEST(stalledTaskIsMovedOnce);
     CPPUNIT_TEST(tasksMoveOffSlowMinion);
     CPPUNIT_TEST(tasksSlowEverywhereAreNotMoved);
@@ -182,6 +185,53 @@
         CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
     }
 
+    // A task whose row can't be read for a moment would be started again while it runs.
+    void unreadableRowEndsRunningTask()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 5s);
+        cell.submit(first, 2, 1000, estimate(5s));
+        cell.run(3s);
+        minion.hidesRuns = true;
+        cell.run(800ms);
+        minion.hidesRuns = false;
+        cell.run(4s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.starts);
+        assertNoViolations(cell);
+    }
+
+    // One row of another writer must not make the leader wait for what was lost on its way, or no longer is there.
+    void unreadableRowKeepsLostStartsForever()
+    {
+        SimulatedCell cell(1);
+        for (const auto *id : {"a", "b"})
+            cell.addMinion(id, 4000, 1s).hasOddRow = true;
+        cell.lateOrders = 100;
+        cell.submit(first, 4, 1000, estimate(1s));
+        cell.run(300ms);
+        cell.changeLeader();
+        cell.run(2s);
+        cell.lateOrders = 0;
+        cell.run(15s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        assertNoViolations(cell);
+    }
+
+    // Progress that can't be read is not a lack of progress.
+    void unreadableProgressMovesTask()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 3s).hidesProgress = true;
+        cell.submit(first, 1, 1000, estimate(3s));
+        cell.run(500ms);
+        cell.addMinion("b", 4000, 3s);
+        cell.run(4s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.starts);
+        assertNoViolations(cell);
+    }
+
     // A minion whose tasks make no progress still renews its lease, so nothing else would move the task.
     void stalledTaskIsMovedOnce()
     {
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -91,7 +91,11 @@
     answer.clockMs = clock(now);
     answer.bornUnixMs = report.incarnation.bornUnixMs;
     for (const auto &[task, work] : runs)
-        answer.active.push_back({task, work.run, work.checkpoint, percent(now, work), 0});
+        answer.active.push_back(
+            {task, work.run, work.checkpoint, hidesProgress ? 0 : percent(now, work), 0, !hidesProgress});
+    answer.isActiveComplete = !hidesRuns && !hasOddRow;
+    if (hidesRuns)
+        answer.active.clear();
     answer.ended = ended_;
     return answer;
 }
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -47,6 +47,9 @@
     std::map<Pistachio::Jobs::TaskName, Work> runs;
     bool isCut = false; ///< nothing reaches it and nothing leaves it
     bool failsEverything = false;
+    bool hidesRuns = false; ///< its active runs are listed in rows that can't be read
+    bool hasOddRow = false; ///< its list of active runs has one row more, which can't be read
+    bool hidesProgress = false; ///< the progress in its rows can't be read
     bool standsStill = false; ///< what starts there makes no progress
     std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
     RunObserver *observer = nullptr; ///< null: nobody
