Refuse reports, jobs and configurations with numbers or ports out of range

A report with a sequence of -1 made all later ones of its incarnation stale. Amounts near the 64-bit range overflow sums and due times. A report could name port 0.

A job's and a configuration's durations are at most ten years, checked with the other rules of the job store. Each such body is one thing and is refused as a whole with 400 and a reason; nothing of it reaches the instance.

--- a/src/libs/jobs/jobvalidation.cpp
+++ b/src/libs/jobs/jobvalidation.cpp
@@ -2,6 +2,9 @@
 
 #include <jobs.pb.h>
 
+#include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <string>
 #include <utility>
@@ -16,19 +19,34 @@
 constexpr int maxSteps = 256;
 constexpr std::uint64_t maxTasks = 10'000; ///< over all occurrences; bounds the memory of one job
 constexpr std::uint32_t maxOccurrences = 1000;
+constexpr std::int64_t maxAmount = std::numeric_limits<std::int32_t>::max(); ///< sums over all tasks fit into 64 bits
+constexpr std::int64_t maxDurationMs = 10LL * 365 * 86'400'000;
+constexpr std::int64_t maxUnixMs = 100'000'000'000'000; ///< in the year 5138
+constexpr double maxSlackFactor = 1000;
 
 Error invalid(const std::string &text)
 {
     return failure(ErrorCode::InvalidArgument, text);
 }
 
+template<class Number> bool isWithin(Number value, Number highest)
+{
+    return value >= 0 && value <= highest;
+}
+
 Result<void> checkStep(const Wire::JobStep &step, std::uint32_t number)
 {
     const std::string name = "step " + std::to_string(number);
     if (step.tasks() == 0)
         return invalid(name + " has no tasks");
-    if (step.milli_cores() < 0 || step.memory_mb() < 0 || step.accelerators() < 0 || step.estimate_ms() < 0)
-        return invalid(name + " has a negative amount");
+    for (const auto amount : {step.milli_cores(), step.memory_mb(), step.accelerators()}) {
+        if (!isWithin(amount, maxAmount))
+            return invalid(name + " has an amount out of range: " + std::to_string(amount));
+    }
+    for (const auto duration : {step.estimate_ms(), step.target_ms()}) {
+        if (!isWithin(duration, maxDurationMs))
+            return invalid(name + " has a duration out of range: " + std::to_string(duration) + " ms");
+    }
     std::set<std::uint32_t> seen;
     for (const auto other : step.depends_on()) {
         if (other >= number)
@@ -39,6 +57,19 @@
     return success();
 }
 
+Result<void> checkQueueNumbers(const Wire::JobQueue &queue)
+{
+    constexpr auto longest = static_cast<double>(maxDurationMs);
+    const bool areDurations = isWithin(queue.timeout_ms(), maxDurationMs)
+        && isWithin(queue.target_latency_ms(), maxDurationMs) && isWithin(queue.ticket_validity_ms(), maxDurationMs)
+        && isWithin(queue.advice_base_ms(), longest) && isWithin(queue.advice_per_minion_ms(), longest);
+    if (!areDurations)
+        return invalid("queue " + queue.name() + " has a duration that is negative or above ten years");
+    if (!isWithin(queue.slack_factor(), maxSlackFactor))
+        return invalid("queue " + queue.name() + " has a slack factor of " + std::to_string(queue.slack_factor()));
+    return success();
+}
+
 } // namespace
 
 Result<void> checkJob(const Wire::JobSpec &spec)
@@ -52,8 +83,10 @@
         return invalid("the job has more than " + std::to_string(maxSteps) + " steps");
     if (spec.repeat_count() > maxOccurrences)
         return invalid("the job repeats more than " + std::to_string(maxOccurrences) + " times");
-    if (spec.interval_ms() < 0)
-        return invalid("the interval is negative");
+    if (!isWithin(spec.interval_ms(), maxDurationMs))
+        return invalid("the interval is out of range: " + std::to_string(spec.interval_ms()) + " ms");
+    if (!isWithin(spec.start_at_unix_ms(), maxUnixMs))
+        return invalid("the start is out of range: " + std::to_string(spec.start_at_unix_ms()) + " ms");
     std::uint64_t tasks = 0;
     for (int number = 0; number < spec.steps_size(); ++number) {
         BOOST_OUTCOME_TRYV(checkStep(spec.steps(number), static_cast<std::uint32_t>(number)));
@@ -81,6 +114,7 @@
             return invalid("two queues share " + queue.host() + queue.path_prefix());
         if (queue.timeout_ms() <= 0)
             return invalid("queue " + queue.name() + " has a timeout of " + std::to_string(queue.timeout_ms()) + " ms");
+        BOOST_OUTCOME_TRYV(checkQueueNumbers(queue));
     }
     return success();
 }
--- /dev/null
+++ b/tests/auto/platform/tst_oddbodies.cpp
@@ -0,0 +1,156 @@
+#include "jobnode/controlservice.h"
+#include "logging/logger.h"
+#include "oddvalues.h"
+#include "platform/callerprotocol.h"
+#include "platform/controlprotocol.h"
+
+#include <jobs.pb.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace Pistachio;
+using namespace Pistachio::Platform;
+
+namespace
+{
+
+/// Records what reaches the instance.
+class RecordingService : public Jobnode::ControlService
+{
+public:
+    [[nodiscard]] bool canAnswer() const override { return true; }
+    void forward(const Transport::Request & /*request*/, std::function<void(Transport::Response)> /*answered*/) override
+    {
+    }
+    void onForwarded(Transport::RequestHandler /*handler*/) override { }
+    void minionReported(const Jobs::MinionReport & /*report*/, std::function<void(bool stored)> stored) override
+    {
+        ++calls;
+        stored(true);
+    }
+    void minionLeft(const Jobs::MinionIncarnation & /*incarnation*/) override { ++calls; }
+    void configure(const Wire::JobConfiguration & /*configuration*/,
+                   std::function<void(const Wire::JobReply &)> /*answered*/) override
+    {
+        ++calls;
+    }
+    void readConfiguration(std::function<void(std::optional<std::string> document)> /*answered*/) override { }
+
+    int calls = 0;
+};
+
+} // namespace
+
+/// Reports, jobs and configurations of another writer: each is refused as a whole.
+class OddBodiesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OddBodiesTest);
+    CPPUNIT_TEST(oddReportIsAccepted);
+    CPPUNIT_TEST(oddJobIsAccepted);
+    CPPUNIT_TEST(oddConfigurationIsAccepted);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string shorten(const std::string &text) { return text.substr(0, 120); }
+
+    static std::string report(const std::string &address, const std::string &cpu, const std::string &labels,
+                              const std::string &more)
+    {
+        return R"({"service":"s","address":)" + address + R"(,"zone":"z","state":"ready","capacity":{"cpu":)" + cpu
+            + R"(,"memMb":1,"gpu":0},"labels":)" + labels + more + "}";
+    }
+
+public:
+    void oddReportIsAccepted()
+    {
+        const std::string address = R"("10.0.0.9:80")";
+        CPPUNIT_ASSERT(ControlProtocol::decodeReport("i-1", report(address, "1", R"(["a"])", "")));
+        std::vector<std::string> bodies;
+        for (const auto *odd : {"65536", "99999999999999999999", "-1", "0", "", "80x"})
+            bodies.push_back(report(R"("10.0.0.9:)" + std::string(odd) + "\"", "1", "[]", ""));
+        for (const auto &odd : oddValues()) {
+            bodies.push_back(report(address, "1", "[" + odd + "]", ""));
+            if (odd == "null")
+                continue;
+            bodies.push_back(report(odd, "1", "[]", ""));
+            bodies.push_back(report(address, odd, "[]", ""));
+            bodies.push_back(report(address, "1", "[]", R"(,"sequence":)" + odd));
+            if (odd != "-1")
+                bodies.push_back(report(address, "1", "[]", R"(,"born":)" + odd));
+        }
+        RecordingService service;
+        Logging::Logger logger("test", "test", "error", "/dev/null");
+        ControlProtocol protocol(service, logger, {"127.0.0.1", 1});
+        for (const auto &body : bodies) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shorten(body), 400,
+                                         post(protocol, "/pistachioworks/instances/i-1/heartbeat", body));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shorten(body), 0, service.calls);
+        }
+    }
+
+    static int post(ControlProtocol &protocol, const std::string &target, const std::string &body)
+    {
+        int status = 0;
+        protocol.handle(
+            {"POST", target, {}, body},
+            Transport::Responder([&status](const Transport::Response &response) { status = response.status; }));
+        return status;
+    }
+
+    void oddJobIsAccepted()
+    {
+        const auto job = [](const std::string &step, const std::string &more) {
+            return R"({"taskSpec":"x","jobSteps":[{"count":1)" + step + "}]" + more + "}";
+        };
+        CPPUNIT_ASSERT(CallerProtocol::decodeJob(job("", "")));
+        for (const auto &odd : oddValues()) {
+            if (odd == "null")
+                continue;
+            for (const auto *name :
+                 {"cpu", "memMb", "gpu", "estimateMs", "maxPerServer", "missAllowed", "targetMs", "requiredLabel"})
+                CPPUNIT_ASSERT_MESSAGE(name + shorten(odd),
+                                       !CallerProtocol::decodeJob(job(std::string(",\"") + name + "\":" + odd, "")));
+            for (const auto *name : {"repeatCount", "startAtMs", "intervalMs"})
+                CPPUNIT_ASSERT_MESSAGE(name + shorten(odd),
+                                       !CallerProtocol::decodeJob(job("", std::string(",\"") + name + "\":" + odd)));
+            CPPUNIT_ASSERT_MESSAGE(shorten(odd), !CallerProtocol::decodeJob(job(R"(,"dependsOn":[)" + odd + "]", "")));
+            CPPUNIT_ASSERT_MESSAGE(shorten(odd), !CallerProtocol::decodeJob(R"({"jobSteps":[)" + odd + "]}"));
+        }
+        // Sums and products of such amounts would overflow.
+        for (const auto *step :
+             {R"(,"cpu":9000000000000000)", R"(,"memMb":9000000000000000)", R"(,"estimateMs":9000000000000000)"})
+            CPPUNIT_ASSERT_MESSAGE(step, !CallerProtocol::decodeJob(job(step, "")));
+        for (const auto *more :
+             {R"(,"repeatCount":3,"intervalMs":9000000000000000)", R"(,"repeatCount":3,"startAtMs":9000000000000000)"})
+            CPPUNIT_ASSERT_MESSAGE(more, !CallerProtocol::decodeJob(job("", more)));
+    }
+
+    void oddConfigurationIsAccepted()
+    {
+        const auto configuration = [](const std::string &route, const std::string &more) {
+            return R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"service":"s")"
+                + route + R"(}],"services":[{"name":"s"}])" + more + "}";
+        };
+        CPPUNIT_ASSERT(ControlProtocol::decodeConfiguration(configuration("", "")));
+        for (const auto &odd : oddValues()) {
+            if (odd == "null")
+                continue;
+            for (const auto *name : {"priority", "maxAttempts", "slackFactor", "targetLatencyMs", "recommendation"}) {
+                if (odd == "{}" && std::string_view(name) == "recommendation")
+                    continue;
+                const auto body = configuration(std::string(",\"") + name + "\":" + odd, "");
+                CPPUNIT_ASSERT_MESSAGE(shorten(name + odd), !ControlProtocol::decodeConfiguration(body));
+            }
+        }
+        for (const auto &odd : {std::string("1e999"), nested(200'000)})
+            CPPUNIT_ASSERT(!ControlProtocol::decodeConfiguration(configuration("", R"(,"limits":)" + odd)));
+        CPPUNIT_ASSERT(!ControlProtocol::decodeConfiguration(configuration(R"(,"maxAttempts":4294967297)", "")));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OddBodiesTest);
