--- a/tests/auto/platform/tst_oddbodies.cpp
+++ b/tests/auto/platform/tst_oddbodies.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(oddReportIsAccepted);
     CPPUNIT_TEST(oddJobIsAccepted);
     CPPUNIT_TEST(oddConfigurationIsAccepted);
+    CPPUNIT_TEST(oddIncarnationRemovesTheMinion);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string shorten(const std::string &text) { return text.substr(0, 120); }
@@ -151,6 +152,24 @@
             CPPUNIT_ASSERT(!ControlProtocol::decodeConfiguration(configuration("", R"(,"limits":)" + odd)));
         CPPUNIT_ASSERT(!ControlProtocol::decodeConfiguration(configuration(R"(,"maxAttempts":4294967297)", "")));
     }
+
+    // Without a readable incarnation the whole id left, whichever incarnation the message was about.
+    void oddIncarnationRemovesTheMinion()
+    {
+        RecordingService service;
+        Logging::Logger logger("test", "test", "error", "/dev/null");
+        ControlProtocol protocol(service, logger, {"127.0.0.1", 1});
+        const std::string target = "/pistachioworks/instances/i-1/deregister";
+        for (const std::string &body :
+             {std::string(R"({"born":1e999})"), std::string(R"({"born":18446744073709551615})"),
+              R"({"born":)" + nested(100) + "}", std::string("\xff"), std::string("[]")}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shorten(body), 400, post(protocol, target, body));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(shorten(body), 0, service.calls);
+        }
+        CPPUNIT_ASSERT_EQUAL(200, post(protocol, target, ""));
+        CPPUNIT_ASSERT_EQUAL(200, post(protocol, target, R"({"born":7})"));
+        CPPUNIT_ASSERT_EQUAL(2, service.calls);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OddBodiesTest);
