Leave out an odd seed instead of refusing the settings file

Cause: the platform renders the list of seeds. One with a port out of range, or one item that TOML refuses (a number out of range, null, very deep arrays), made the whole file an error, so the process ended at each start.

Other settings stay checked. Each item of the list that isn't a string is replaced before the file is parsed, since one bad token makes TOML refuse all. When an instance of a new group leaves out so many seeds that a majority of the rest needn't overlap one of all, it founds no group but waits to be added, since it could lead beside another one.

Before: oddSeedRefusesTheFile: settings.has_value() fails: "seeds '10.0.0.2:65536' has a port that is not a number from 0 to 65535". After: tst_settings OK (8), tst_jobnode OK (28). A trial of pistachio-jobcontrol with three odd seeds and no other starts, logs the three, stays through a SIGHUP and ends on SIGTERM with 0.

--- a/src/libs/jobnode/instanceid.cpp
+++ b/src/libs/jobnode/instanceid.cpp
@@ -51,6 +51,12 @@
     return std::string_view(id.value()).substr(0, id.value().find(separator));
 }
 
+bool canFoundGroup(std::size_t usable, std::size_t named)
+{
+    const auto majority = [](std::size_t members) { return members / 2 + 1; };
+    return usable == named || (usable > 0 && majority(usable) + majority(named) > named);
+}
+
 Result<InstanceIdentity> loadIdentity(Storage::FileSystem &files, const std::string &folder, const std::string &ip,
                                       std::vector<std::string> seeds, bool bootstrap)
 {
--- a/src/libs/jobnode/instanceid.h
+++ b/src/libs/jobnode/instanceid.h
@@ -26,6 +26,11 @@
 /// \return the address at which the instance is reached.
 [[nodiscard]] std::string_view ipOf(const InstanceId &id);
 
+/// Instances may leave out different seeds at the first start. Two sets of voters whose majorities don't overlap would
+/// elect a leader each. \param usable number of seeds that become the first members here \param named number of seeds
+/// in the settings \return whether a majority of the usable ones overlaps each majority of the named ones.
+[[nodiscard]] bool canFoundGroup(std::size_t usable, std::size_t named);
+
 /// Reads the identity from the data folder, or makes and stores one.
 /// \param ip the address of this instance
 /// \param seeds the addresses of the first members
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -49,8 +49,8 @@
     std::vector<std::string> seeds;
     for (const auto &seed : settings.seeds)
         seeds.push_back(seed.ip);
-    BOOST_OUTCOME_TRY(const auto identity,
-                      loadIdentity(d_->files, settings.dataFolder, settings.ip, seeds, settings.bootstrap));
+    const bool bootstrap = settings.bootstrap && canFoundGroup(seeds.size(), seeds.size() + settings.warnings.size());
+    BOOST_OUTCOME_TRY(const auto identity, loadIdentity(d_->files, settings.dataFolder, settings.ip, seeds, bootstrap));
     BOOST_OUTCOME_TRY(d_->group, JobGroup::open(d_->files, settings.dataFolder, identity, d_->store, d_->peers, [this] {
                           d_->runtime.loop().post([this] { flush(); });
                       }));
@@ -61,7 +61,7 @@
     d_->runtime.logger().write(LogLevel::Info, "started",
                                {{"id", identity.id.value()},
                                 {"internal_port", port},
-                                {"bootstrap", settings.bootstrap},
+                                {"bootstrap", bootstrap},
                                 {"voters", identity.initialMembers.voters.size()},
                                 {"applied", d_->group->replica().appliedIndex()},
                                 {"term", d_->group->replica().term()}});
--- a/src/libs/jobnode/noderuntime.cpp
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -10,6 +10,7 @@
 NodeRuntime::NodeRuntime(std::string_view program, const Settings::JobSettings &settings)
     : logger_(program, settings.instance, settings.log.level, settings.log.file)
 {
+    logWarnings(settings);
 }
 
 NodeRuntime::~NodeRuntime() = default;
@@ -32,10 +33,18 @@
 void NodeRuntime::checkReload(const std::string &path)
 {
     const auto loaded = Settings::JobSettings::load(path);
-    if (loaded)
+    if (loaded) {
+        logWarnings(loaded.value());
         logger_.write(Logging::LogLevel::Info, "reload", {{"settings", path}, {"applies", "at the next start"}});
-    else
+    } else {
         logger_.write(Logging::LogLevel::Warning, "reload", {{"settings", path}, {"reason", loaded.error().message}});
+    }
+}
+
+void NodeRuntime::logWarnings(const Settings::JobSettings &settings)
+{
+    for (const auto &warning : settings.warnings)
+        logger_.write(Logging::LogLevel::Warning, "settings-left-out", {{"reason", warning}});
 }
 
 std::int64_t NodeRuntime::unixMs()
--- a/src/libs/jobnode/noderuntime.h
+++ b/src/libs/jobnode/noderuntime.h
@@ -40,6 +40,8 @@
     [[nodiscard]] static std::int64_t unixMs();
 
 private:
+    void logWarnings(const Settings::JobSettings &settings);
+
     Logging::Logger logger_;
     Metrics::Registry metrics_;
     Transport::EventLoop loop_;
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -22,7 +22,7 @@
 
 Result<JobSettings> JobSettings::load(const std::string &path)
 {
-    auto opened = TableReader::open(path);
+    auto opened = TableReader::openWithList(path, "seeds");
     if (!opened)
         return opened.assume_error();
     TableReader &reader = opened.assume_value();
@@ -37,13 +37,7 @@
     settings.bootstrap = reader.optionalFlag("bootstrap", false);
     settings.internalPort = static_cast<std::uint16_t>(reader.optionalInteger("internal_port", 0, 0, highestPort));
     settings.metricsPort = static_cast<std::uint16_t>(reader.optionalInteger("metrics_port", 0, 0, highestPort));
-    for (const auto &seed : reader.optionalStrings("seeds")) {
-        auto address = Address::parse(seed);
-        if (address)
-            settings.seeds.push_back(address.assume_value());
-        else
-            reader.addError("seeds", address.assume_error().message);
-    }
+    settings.seeds = reader.usableAddresses("seeds");
     reader.table("listen", [&](TableReader &listen) {
         settings.listenCallers = listen.optionalAddress("callers");
         settings.listenReady = listen.optionalAddress("ready");
@@ -64,6 +58,7 @@
     reader.table("log", [&](TableReader &table) { settings.log = LogSettings::read(table); });
     if (auto finished = reader.finish(); !finished)
         return finished.assume_error();
+    settings.warnings = reader.warnings();
     return settings;
 }
 
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -36,6 +36,7 @@
     Duration drainTimeout = std::chrono::seconds(5); ///< of requests in flight, at a planned stop
     std::size_t maxBodyBytes = std::size_t{4} << 20;
     LogSettings log;
+    std::vector<std::string> warnings; ///< a line for each seed that was left out, with its file, line and key
 
     /// \return where this instance listens.
     [[nodiscard]] const std::string &localIp() const { return bindIp.empty() ? ip : bindIp; }
--- a/src/libs/settings/tablereader.cpp
+++ b/src/libs/settings/tablereader.cpp
@@ -1,13 +1,31 @@
 #include "settings/tablereader.h"
 
+#include "settings/listscreen.h"
+
 #include <toml++/toml.h>
 
-#include <limits>
+#include <fstream>
 #include <set>
+#include <sstream>
 
 namespace Pistachio::Settings
 {
 
+namespace
+{
+
+Result<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file)
+        return failure(ErrorCode::InvalidArgument, path + ": the file can't be read");
+    return text.str();
+}
+
+} // namespace
+
 class TableReader::Private
 {
 public:
@@ -16,6 +34,7 @@
     std::shared_ptr<toml::table> root; // keeps `table` alive
     const toml::table *table = nullptr;
     std::shared_ptr<std::vector<std::string>> errors;
+    std::shared_ptr<std::vector<std::string>> warnings;
     std::set<std::string, std::less<>> readKeys;
 
     const toml::node *node(std::string_view key)
@@ -32,6 +51,7 @@
         result->root = root;
         result->table = childTable;
         result->errors = errors;
+        result->warnings = warnings;
         return result;
     }
 };
@@ -47,7 +67,19 @@
 
 Result<TableReader> TableReader::open(const std::string &path)
 {
-    auto parsed = toml::parse_file(path);
+    BOOST_OUTCOME_TRY(const auto text, readFile(path));
+    return fromText(path, text);
+}
+
+Result<TableReader> TableReader::openWithList(const std::string &path, std::string_view list)
+{
+    BOOST_OUTCOME_TRY(const auto text, readFile(path));
+    return fromText(path, screenStringList(text, list));
+}
+
+Result<TableReader> TableReader::fromText(const std::string &path, std::string_view text)
+{
+    auto parsed = toml::parse(text, path);
     if (!parsed) {
         return failure(ErrorCode::InvalidArgument,
                        path + ':' + std::to_string(parsed.error().source().begin.line) + ": "
@@ -58,6 +90,7 @@
     state->root = std::make_shared<toml::table>(std::move(parsed).table());
     state->table = state->root.get();
     state->errors = std::make_shared<std::vector<std::string>>();
+    state->warnings = std::make_shared<std::vector<std::string>>();
     return TableReader(std::move(state));
 }
 
@@ -163,6 +196,29 @@
     return values;
 }
 
+std::vector<Address> TableReader::usableAddresses(std::string_view key)
+{
+    std::vector<Address> addresses;
+    const toml::node *node = d_->node(key);
+    const toml::array *array = node ? node->as_array() : nullptr;
+    if (node && !array)
+        addError(key, "must be an array of addresses");
+    for (std::size_t index = 0; array && index < array->size(); ++index) {
+        const auto text = (*array)[index].value_exact<std::string>();
+        const auto address = Address::parse(text.value_or(""));
+        const bool isUsable = address && address.assume_value().port != 0;
+        if (isUsable)
+            addresses.push_back(address.assume_value());
+        else
+            addWarning(key,
+                       "leaves out item " + std::to_string(index) + ": "
+                           + (address    ? std::string("nothing can be called at port 0")
+                                  : text ? address.assume_error().message
+                                         : std::string("it is not a string")));
+    }
+    return addresses;
+}
+
 void TableReader::table(std::string_view key, const std::function<void(TableReader &)> &read)
 {
     static const toml::table emptyTable;
@@ -199,12 +255,26 @@
     }
 }
 
-void TableReader::addError(std::string_view key, std::string_view reason)
+std::string TableReader::located(std::string_view key, std::string_view reason) const
 {
     const toml::node *node = d_->table->get(key);
     const auto line = node ? node->source().begin.line : d_->table->source().begin.line;
-    d_->errors->push_back(d_->file + ':' + std::to_string(line) + ": " + d_->prefix + std::string(key) + ' '
-                          + std::string(reason));
+    return d_->file + ':' + std::to_string(line) + ": " + d_->prefix + std::string(key) + ' ' + std::string(reason);
+}
+
+void TableReader::addError(std::string_view key, std::string_view reason)
+{
+    d_->errors->push_back(located(key, reason));
+}
+
+void TableReader::addWarning(std::string_view key, std::string_view reason)
+{
+    d_->warnings->push_back(located(key, reason));
+}
+
+const std::vector<std::string> &TableReader::warnings() const
+{
+    return *d_->warnings;
 }
 
 void TableReader::checkUnknownKeys()
--- a/src/libs/settings/tablereader.h
+++ b/src/libs/settings/tablereader.h
@@ -22,6 +22,11 @@
     /// \param path the file to read
     /// \return a reader of the file's root table, or the syntax error with its line.
     static Result<TableReader> open(const std::string &path);
+    /// Reads a file in which a list may hold what TOML can't; usableAddresses() leaves such items out.
+    /// \param path the file to read
+    /// \param list the key of the list, in the root table
+    /// \return a reader of the file's root table, or the syntax error with its line.
+    static Result<TableReader> openWithList(const std::string &path, std::string_view list);
 
     TableReader(TableReader &&) noexcept;
     TableReader &operator=(TableReader &&) noexcept;
@@ -62,6 +67,9 @@
     /// \param key the key
     /// \return the strings of an array, empty when the key is absent.
     std::vector<std::string> optionalStrings(std::string_view key);
+    /// \param key the key of an array of addresses
+    /// \return those that can be called; each other one gives a warning.
+    std::vector<Address> usableAddresses(std::string_view key);
     /// \param key the key of a sub-table
     /// \param read called with a reader of the sub-table, or of an empty one when the key is absent
     void table(std::string_view key, const std::function<void(TableReader &)> &read);
@@ -73,6 +81,13 @@
     /// \param reason what is wrong with it
     void addError(std::string_view key, std::string_view reason);
 
+    /// For a value that is left out while the others count.
+    /// \param key the key of this table
+    /// \param reason why the value is left out
+    void addWarning(std::string_view key, std::string_view reason);
+    /// \return what was left out of the whole file, each with its file, line and key.
+    [[nodiscard]] const std::vector<std::string> &warnings() const;
+
     /// Reports the keys that were not read.
     /// \return success, or all errors, one a line.
     Result<void> finish();
@@ -80,7 +95,9 @@
 private:
     class Private;
     explicit TableReader(std::unique_ptr<Private> state);
+    static Result<TableReader> fromText(const std::string &path, std::string_view text);
     void checkUnknownKeys();
+    [[nodiscard]] std::string located(std::string_view key, std::string_view reason) const;
 
     std::unique_ptr<Private> d_;
 };
--- a/tests/auto/jobnode/tst_identity.cpp
+++ b/tests/auto/jobnode/tst_identity.cpp
@@ -18,6 +18,7 @@
 {
     CPPUNIT_TEST_SUITE(IdentityTest);
     CPPUNIT_TEST(firstStartAgreesOnTheMembers);
+    CPPUNIT_TEST(oddSeedsSplitTheFirstGroup);
     CPPUNIT_TEST(identityOutlivesOtherSeeds);
     CPPUNIT_TEST(emptyDiskGetsANewId);
     CPPUNIT_TEST_SUITE_END();
@@ -34,6 +35,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), one.id.value());
     }
 
+    // An instance that left out two of three seeds would lead alone.
+    void oddSeedsSplitTheFirstGroup()
+    {
+        for (std::size_t named = 0; named <= 7; ++named) {
+            CPPUNIT_ASSERT(canFoundGroup(named, named));
+            for (std::size_t usable = 0; usable < named; ++usable) {
+                const auto apart = usable / 2 + 1 + named / 2 + 1 <= named;
+                CPPUNIT_ASSERT_EQUAL(usable > 0 && !apart, canFoundGroup(usable, named));
+            }
+        }
+        CPPUNIT_ASSERT(canFoundGroup(2, 3));
+        CPPUNIT_ASSERT(!canFoundGroup(1, 3));
+        CPPUNIT_ASSERT(!canFoundGroup(0, 1));
+    }
+
     void identityOutlivesOtherSeeds()
     {
         Storage::MemoryFileSystem files;
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -67,6 +67,8 @@
     CPPUNIT_TEST(syntaxErrorNamesTheLine);
     CPPUNIT_TEST(localAddressIsTheAdvertisedOneUnlessSet);
     CPPUNIT_TEST(catchUpTimeMayHaveAFraction);
+    CPPUNIT_TEST(oddSeedRefusesTheFile);
+    CPPUNIT_TEST(listThatDoesNotEndIsAnError);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,7 +160,50 @@
         CPPUNIT_ASSERT(contains(message, "limits.catch_up_s must be a number of seconds"));
     }
 
+    // A process whose file is refused ends at each start; the other seeds are enough, and none is for a lone instance.
+    void oddSeedRefusesTheFile()
+    {
+        const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+        for (const std::string &odd :
+             {std::string("\"10.0.0.2:65536\""), std::string("\"10.0.0.2:99999999999999999999\""),
+              std::string("\"10.0.0.2:-1\""), std::string("\"10.0.0.2:0\""), std::string("\"10.0.0.2\""),
+              std::string("\"no.name:80\""), std::string("\"\""), std::string("99999999999999999999"),
+              std::string("1e999"), std::string("7"), std::string("null"), nested, std::string("[\"10.0.0.2:1\"]"),
+              std::string("{\"a\": 1}")}) {
+            const std::string good1 = "\"10.0.0.1:7101\"";
+            const std::string good2 = "\"[::1]:7102\"";
+            checkSeeds(odd, 0);
+            checkSeeds(odd + ", " + good1 + ", " + good2, 2);
+            checkSeeds(good1 + ", " + odd + "," + good2, 2);
+            checkSeeds(good1 + ", " + good2 + ", " + odd, 2);
+        }
+    }
+
+    void listThatDoesNotEndIsAnError()
+    {
+        for (const std::string &list : {std::string("\"10.0.0.1:7101\""), std::string("[[[["), std::string("\"open")}) {
+            std::string text = jobText;
+            replace(text, "\"10.0.0.1:7101\"]", list);
+            CPPUNIT_ASSERT_MESSAGE(list, JobSettings::load(write(text)).has_error());
+        }
+    }
+
 private:
+    void checkSeeds(const std::string &seeds, std::size_t usable)
+    {
+        std::string text = jobText;
+        replace(text, "\"10.0.0.1:7101\"", seeds);
+        const auto name = seeds.substr(0, 80);
+        const auto settings = JobSettings::load(write(text + "[log]\nlevel = \"info\"\n"));
+        CPPUNIT_ASSERT_MESSAGE(name + ": " + (settings ? "" : settings.error().message.substr(0, 200)),
+                               settings.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, usable, settings.value().seeds.size());
+        if (usable == 2)
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t{7102}, settings.value().seeds.back().port);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1}, settings.value().warnings.size());
+        CPPUNIT_ASSERT(contains(settings.value().warnings.front(), "settings.toml:5: seeds leaves out item"));
+    }
+
     std::string write(const std::string &text)
     {
         const std::filesystem::path path = folder_ / "settings.toml";
