--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -37,8 +37,8 @@
 {
     const auto &settings = d_->settings;
     const auto seeds = settings.seedIps();
-    BOOST_OUTCOME_TRY(const auto identity,
-                      loadIdentity(d_->files, settings.dataFolder, settings.ip, seeds, settings.bootstrap));
+    const bool bootstrap = settings.bootstrap && canFoundGroup(seeds.size(), seeds.size() + settings.warnings.size());
+    BOOST_OUTCOME_TRY(const auto identity, loadIdentity(d_->files, settings.dataFolder, settings.ip, seeds, bootstrap));
     BOOST_OUTCOME_TRY(d_->group, JobGroup::open(d_->files, settings.dataFolder, identity, d_->store, d_->peers, [this] {
                           d_->runtime.loop().post([this] { flush(); });
                       }));
@@ -52,7 +52,7 @@
     d_->runtime.logger().write(LogLevel::Info, "started",
                                {{"id", identity.id.value()},
                                 {"internal_port", port},
-                                {"bootstrap", settings.bootstrap},
+                                {"bootstrap", bootstrap},
                                 {"voters", identity.initialMembers.voters.size()},
                                 {"applied", d_->group->replica().appliedIndex()},
                                 {"term", d_->group->replica().term()}});
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -39,6 +39,7 @@
     Duration stopGrace = std::chrono::seconds(6); ///< a process that is told to stop is killed after it
     Duration drainTimeout = std::chrono::seconds(5); ///< of requests in flight, at a planned stop; see drainLimit()
     LogSettings log;
+    std::vector<std::string> warnings; ///< a line for each seed that was left out, with its file, line and key
 
     /// \return the addresses of the seeds without their ports.
     [[nodiscard]] std::vector<std::string> seedIps() const;
