Play a second loss after a replacement in virtual time

The test of the incident plays one second loss only. SecondLoss plays each kind that the platform allows after an unplanned and a planned replacement: lost disks, replacements, power losses, freezes, cuts, restarts, splits, and losses of the successor or the leader while a membership change is not yet committed. MembershipCell gets callers, an operator's list for the seeds, planned ends, and cuts that also hold for later instances.

--- a/tests/auto/jobnode/membershipcell.cpp
+++ b/tests/auto/jobnode/membershipcell.cpp
@@ -13,17 +13,21 @@
 namespace
 {
 
-constexpr std::size_t voters = 3;
 constexpr Duration tick = 20ms;
 constexpr Duration linkDelay = 8ms; ///< between regions
 constexpr Duration diskSync = 4ms;
 constexpr Duration catchUpTime = 4s;
-constexpr Duration answerLimit = 900ms; ///< then an announcement has failed
+constexpr Duration announceLimit = 900ms; ///< then an announcement has failed
+constexpr Duration answerLimit = 600ms; ///< ten heartbeats
+constexpr Duration sendInterval = 100ms; ///< of the caller
+constexpr Duration seedLag = 3s; ///< the platform's seedLagS
+constexpr std::size_t seedCount = 3;
 
 } // namespace
 
-MembershipCell::MembershipCell(std::uint64_t seed)
+MembershipCell::MembershipCell(std::uint64_t seed, std::size_t voters)
     : cluster(seed, voters)
+    , voters_(voters)
     , nextInstance_(voters)
 {
     cluster.timing = Replication::Timing::shortTimeouts();
@@ -32,7 +36,7 @@
     cluster.network.delay = linkDelay;
     cluster.restartAll();
     for (const auto &node : cluster.nodes)
-        seeds_.push_back(node->id.value());
+        list_.push_back({node.get(), TimePoint(), {}});
 }
 
 void MembershipCell::run(Duration duration)
@@ -51,21 +55,79 @@
     return true;
 }
 
+void MembershipCell::after(Duration delay, std::function<void()> action)
+{
+    delayed_.push_back({cluster.now + delay, std::move(action)});
+}
+
 void MembershipCell::lose(Node &node)
 {
     cluster.crash(node);
     node.isGone = true;
+    takeOffList(node);
+}
+
+void MembershipCell::stop(Node &node)
+{
+    cluster.notifiesOfStops = true;
+    cluster.crash(node);
+    cluster.notifiesOfStops = false;
+}
+
+void MembershipCell::retire(Node &node)
+{
+    stop(node);
+    node.isGone = true;
+    takeOffList(node);
 }
 
 MembershipCell::Node &MembershipCell::addSpare()
 {
-    return cluster.addEmpty(InstanceId("control-" + std::to_string(++nextInstance_)));
+    auto &node = cluster.addEmpty(InstanceId("control-" + std::to_string(++nextInstance_)));
+    list_.push_back({&node, cluster.now, {}});
+    isolateAgain();
+    return node;
+}
+
+MembershipCell::Node &MembershipCell::restartEmpty(Node &node)
+{
+    node.isGone = true;
+    auto &next = cluster.addEmpty(InstanceId(std::string(ipOf(node.id)) + '~' + std::to_string(++nextInstance_)));
+    // The list holds addresses, and this one stays.
+    for (auto &item : list_) {
+        if (item.node == &node)
+            item.node = &next;
+    }
+    isolateAgain();
+    return next;
+}
+
+void MembershipCell::isolateAgain()
+{
+    for (const auto *node : cutOff_)
+        cluster.isolate(*node);
+}
+
+void MembershipCell::takeOffList(const Node &node)
+{
+    for (auto &item : list_) {
+        if (item.node == &node && !item.until)
+            item.until = cluster.now;
+    }
+}
+
+void MembershipCell::cutOff(Node &node)
+{
+    cutOff_.insert(&node);
+    cluster.isolate(node);
 }
 
-MembershipCell::Node &MembershipCell::wipe(Node &node)
+void MembershipCell::rejoin(Node &node)
 {
-    lose(node);
-    return cluster.addEmpty(InstanceId(std::string(ipOf(node.id)) + '~' + std::to_string(++nextInstance_)));
+    cutOff_.erase(&node);
+    std::erase_if(cluster.network.blockedLinks,
+                  [&node](const auto &link) { return link.first == node.id || link.second == node.id; });
+    isolateAgain();
 }
 
 bool MembershipCell::accepts(Duration limit)
@@ -79,9 +141,66 @@
         limit);
 }
 
+void MembershipCell::startTraffic()
+{
+    hasTraffic_ = true;
+    lastServed_ = cluster.now;
+}
+
+Duration MembershipCell::longestOutage() const
+{
+    return std::max(longestOutage_, cluster.now - lastServed_);
+}
+
+bool MembershipCell::isWhole()
+{
+    const auto *leader = cluster.leader();
+    if (!leader || !leader->group->isLeaderWithState() || leader->group->membership().voters.size() != voters_)
+        return false;
+    const auto status = leader->group->memberStatus(cluster.localTime(*leader));
+    return std::all_of(status.begin(), status.end(), [](const auto &member) {
+        return !member.isVoter || (member.timeSinceAnswer && *member.timeSinceAnswer <= answerLimit);
+    });
+}
+
+std::optional<Replication::MembershipChange> MembershipCell::openChange()
+{
+    const auto *leader = cluster.leader();
+    if (!leader || !processOf(*leader).openChange)
+        return std::nullopt;
+    return processOf(*leader).change;
+}
+
+std::string MembershipCell::description()
+{
+    const auto *leader = cluster.leader();
+    if (!leader)
+        return "no leader";
+    std::string text = "leader " + leader->id.value() + ", others";
+    for (const auto &member : leader->group->memberStatus(cluster.localTime(*leader))) {
+        const auto silence = member.timeSinceAnswer ? std::to_string(*member.timeSinceAnswer / 1ms) : "never";
+        text += std::string(member.isVoter ? " voter " : " learner ") + member.instance.value() + " (" + silence + ')';
+    }
+    return text;
+}
+
 void MembershipCell::step()
 {
     cluster.run(tick);
+    runDelayed();
+    for (const auto &node : cluster.nodes) {
+        if (!node->group || node->isPaused)
+            continue;
+        auto &process = processOf(*node);
+        changeMembers(*node, process);
+        announce(*node, process);
+    }
+    if (hasTraffic_)
+        sendTraffic();
+}
+
+void MembershipCell::runDelayed()
+{
     // Actions may add others.
     const auto due = std::stable_partition(delayed_.begin(), delayed_.end(),
                                            [this](const Delayed &item) { return item.at > cluster.now; });
@@ -89,13 +208,30 @@
     delayed_.erase(due, delayed_.end());
     for (const auto &item : ready)
         item.action();
-    for (const auto &node : cluster.nodes) {
-        if (!node->group || node->isPaused)
-            continue;
-        auto &process = processOf(*node);
-        changeMembers(*node, process);
-        announce(*node, process);
+}
+
+void MembershipCell::sendTraffic()
+{
+    if (cluster.acceptedCommands.size() > served_) {
+        served_ = cluster.acceptedCommands.size();
+        longestOutage_ = longestOutage();
+        lastServed_ = cluster.now;
+    }
+    if (cluster.now < nextSend_)
+        return;
+    nextSend_ = cluster.now + sendInterval;
+    cluster.propose("traffic-" + std::to_string(++nextCommand_));
+}
+
+std::vector<std::string> MembershipCell::seeds() const
+{
+    std::vector<std::string> addresses;
+    const auto listed = cluster.now - seedLag;
+    for (const auto &item : list_) {
+        if (item.since <= listed && (!item.until || *item.until > listed) && addresses.size() < seedCount)
+            addresses.emplace_back(ipOf(item.node->id));
     }
+    return addresses;
 }
 
 MembershipCell::Process &MembershipCell::processOf(const Node &node)
@@ -103,7 +239,7 @@
     const auto found = processes_.find(&node);
     if (found != processes_.end() && found->second.incarnation == node.incarnation)
         return found->second;
-    Process process{GroupMembership(node.id, seeds_, voters, catchUpTime), node.incarnation};
+    Process process{GroupMembership(node.id, seeds(), voters_, catchUpTime), node.incarnation};
     return processes_.insert_or_assign(&node, std::move(process)).first->second;
 }
 
@@ -125,10 +261,12 @@
     if (!change)
         return;
     const auto index = group.proposeMembership(now, *change);
-    if (index)
+    if (index) {
         process.openChange = index.value();
-    else
+        process.change = *change;
+    } else {
         process.membership.changeEnded(false);
+    }
     cluster.afterEvent(node);
 }
 
@@ -151,7 +289,7 @@
     };
     Node *to = runningAt(ip);
     if (!to || to->isPaused || isBlocked(from, *to) || isBlocked(*to, from)) {
-        respond(answerLimit, [ip](GroupMembership &membership) { membership.announcementFailed(ip); });
+        respond(announceLimit, [ip](GroupMembership &membership) { membership.announcementFailed(ip); });
         return;
     }
     const auto now = cluster.localTime(*to);
--- a/tests/auto/jobnode/membershipcell.h
+++ b/tests/auto/jobnode/membershipcell.h
@@ -8,37 +8,66 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace Pistachio::Jobnode
 {
 
-/// A job group of three control instances in virtual time, with the announcements and the membership changes that the
-/// control program makes.
+/// A job group of control instances in virtual time, with the announcements and the membership changes that the control
+/// program makes, and a caller that sends commands without pause.
 class MembershipCell
 {
 public:
     using Node = Replication::Cluster::Node;
 
-    explicit MembershipCell(std::uint64_t seed);
+    explicit MembershipCell(std::uint64_t seed, std::size_t voters = 3);
 
     void run(Duration duration);
     /// \return whether the condition came true in time.
     bool runUntil(const std::function<bool()> &condition, Duration limit);
 
-    /// The instance is gone for good.
+    /// Does something later, between two ticks.
+    void after(Duration delay, std::function<void()> action);
+
+    /// The instance is gone for good, without a trace.
     void lose(Node &node);
 
+    /// The process of the instance ends; the others see their connections refused.
+    void stop(Node &node);
+
+    /// The process ends, and the instance is taken away.
+    void retire(Node &node);
+
     /// An empty instance starts at another address.
     Node &addSpare();
 
-    /// The instance loses its disk and starts again at its address.
-    Node &wipe(Node &node);
+    /// The instance has lost its disk and starts again at its address.
+    /// \param node is not running
+    Node &restartEmpty(Node &node);
+
+    /// Cuts the instance off from all others, also from later ones.
+    void cutOff(Node &node);
+    void rejoin(Node &node);
 
     /// \return whether the group accepts a new command within \p limit.
     bool accepts(Duration limit);
 
+    /// A caller sends commands from now on.
+    void startTraffic();
+    /// \return the longest time without an accepted command since startTraffic().
+    [[nodiscard]] Duration longestOutage() const;
+
+    /// \return whether the leader has as many voters as are wanted and all answer.
+    [[nodiscard]] bool isWhole();
+
+    /// \return the membership change that a leader has proposed and not yet committed, if any.
+    [[nodiscard]] std::optional<Replication::MembershipChange> openChange();
+
+    /// \return the leader's id, its voters with the time since their last answer, and its learners.
+    [[nodiscard]] std::string description();
+
     Replication::Cluster cluster;
 
 private:
@@ -49,6 +78,13 @@
         Replication::Term ledTerm = 0;
         TimePoint ledSince{};
         std::optional<Replication::LogIndex> openChange = {};
+        Replication::MembershipChange change = {};
+    };
+    /// A line of the operator's list of control instances.
+    struct Listed {
+        const Node *node;
+        TimePoint since;
+        std::optional<TimePoint> until;
     };
     struct Delayed {
         TimePoint at;
@@ -56,6 +92,11 @@
     };
 
     void step();
+    void runDelayed();
+    void sendTraffic();
+    void isolateAgain();
+    void takeOffList(const Node &node);
+    [[nodiscard]] std::vector<std::string> seeds() const;
     Process &processOf(const Node &node);
     void changeMembers(Node &node, Process &process);
     void announce(Node &node, Process &process);
@@ -63,11 +104,18 @@
     Node *runningAt(const std::string &ip);
     [[nodiscard]] bool isBlocked(const Node &from, const Node &to) const;
 
-    std::vector<std::string> seeds_;
+    std::size_t voters_;
+    std::vector<Listed> list_;
+    std::set<Node *> cutOff_;
     std::map<const Node *, Process> processes_;
     std::vector<Delayed> delayed_;
     std::uint64_t nextInstance_ = 0;
     std::uint64_t nextCommand_ = 0;
+    bool hasTraffic_ = false;
+    TimePoint nextSend_{};
+    TimePoint lastServed_{};
+    std::size_t served_ = 0;
+    Duration longestOutage_{};
 };
 
 } // namespace Pistachio::Jobnode
--- a/tests/auto/jobnode/tst_replacement.cpp
+++ b/tests/auto/jobnode/tst_replacement.cpp
@@ -1,8 +1,10 @@
 #include "membershipcell.h"
+#include "secondloss.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <vector>
 
 using namespace Pistachio;
 using namespace Pistachio::Jobnode;
@@ -11,9 +13,34 @@
 {
 
 constexpr std::uint64_t seeds = 20;
+constexpr std::uint64_t seedsPerLoss = 1; ///< more for a search by hand
+constexpr std::uint64_t firstSeed = 1;
+constexpr Duration lossStep = 5s; ///< 1 s for a search by hand
+constexpr Duration lastLoss = 30s;
 constexpr Duration replacementDelay = 1s; ///< until the platform starts the successor of a lost instance
 constexpr Duration catchUpLimit = 4s; ///< the platform's catchUpS: from then on another instance may be lost
 constexpr Duration recoveryLimit = 12s; ///< the platform's recoveryS
+constexpr int chainLength = 3;
+
+/// Plays every kind of loss at every time, and prints how many and which failed.
+void checkLosses(bool isPlanned)
+{
+    std::uint64_t count = 0;
+    std::uint64_t seed = firstSeed;
+    std::string problems;
+    for (const auto kind : SecondLoss::allKinds()) {
+        for (Duration at{}; at <= lastLoss; at += lossStep) {
+            if (!SecondLoss::isAllowed(kind, at, isPlanned))
+                continue;
+            for (std::uint64_t i = 0; i < seedsPerLoss; ++i, ++count) {
+                if (const auto problem = SecondLoss(kind, at, isPlanned, seed++).play(); !problem.empty())
+                    problems += problem + '\n';
+            }
+        }
+    }
+    CPPUNIT_ASSERT_MESSAGE("no losses played", count > 0);
+    CPPUNIT_ASSERT_EQUAL(std::string(), problems);
+}
 
 } // namespace
 
@@ -21,6 +48,8 @@
 {
     CPPUNIT_TEST_SUITE(ReplacementTest);
     CPPUNIT_TEST(secondLossAfterAReplacementLeavesALeader);
+    CPPUNIT_TEST(lossAfterAnUnplannedReplacement);
+    CPPUNIT_TEST(lossAfterAPlannedReplacement);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +73,12 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::string(), cell.cluster.checker.summary());
         }
     }
+
+    // A second loss that the platform allows leaves no leader, loses what was accepted or leaves too few voters.
+    void lossAfterAnUnplannedReplacement() { checkLosses(false); }
+
+    // The same, where the old instance ends beside its successor.
+    void lossAfterAPlannedReplacement() { checkLosses(true); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplacementTest);
