Hand the vote of an instance that ends as planned to its successor

A voter that was told to end took its vote along. For the second until it counted as silent the group had one voter less, so that the loss of another one left no majority, although the successor had been there for longer than the catch-up time.

An instance that is told to end now asks the leader first, which may be itself. While a learner answers, the leader makes the learner a voter and then removes the one that leaves; the old voter answers until then, so the group bears a loss all the time. Removing first would need the answer of every other voter. Without a learner the instance ends at once, as before, and after 1 s it ends in any case.

--- a/src/libs/jobnode/groupmembership.cpp
+++ b/src/libs/jobnode/groupmembership.cpp
@@ -30,6 +30,8 @@
 
 std::vector<std::string> GroupMembership::announcements(TimePoint now, const Storage::ReplicatedGroup &group)
 {
+    if (isLeaving_)
+        return {};
     const auto leader = leaderIp(group);
     const bool isNewLeader = !leader.empty() && leader != lastLeader_;
     if (now < nextAnnouncement_ && !isNewLeader)
@@ -91,6 +93,20 @@
     changes_.seen(now, instance);
 }
 
+void GroupMembership::leave()
+{
+    isLeaving_ = true;
+}
+
+bool GroupMembership::mayLeave(TimePoint now, TimePoint ledSince, const Storage::ReplicatedGroup &group,
+                               const InstanceId &instance)
+{
+    changes_.leaves(instance);
+    const auto status = group.memberStatus(now);
+    const MemberChanges::View view{self_, ledSince, group.commitIndex(), group.membership(), status};
+    return !isChangeOpen_ && !MemberChanges::canHandOver(instance, view);
+}
+
 std::optional<Replication::MembershipChange> GroupMembership::nextChange(TimePoint now, TimePoint ledSince,
                                                                          const Storage::ReplicatedGroup &group)
 {
--- a/src/libs/jobnode/groupmembership.h
+++ b/src/libs/jobnode/groupmembership.h
@@ -46,6 +46,14 @@
     /// Handles the announcement of another instance to this leader.
     void seen(TimePoint now, const InstanceId &instance);
 
+    /// This instance is about to end: it announces itself no more.
+    void leave();
+
+    /// Handles that an instance, this one or another, is about to end; this one leads.
+    /// \param ledSince when it became the leader
+    /// \return whether its vote is handed over, or nobody could take it, so that it may end now.
+    bool mayLeave(TimePoint now, TimePoint ledSince, const Storage::ReplicatedGroup &group, const InstanceId &instance);
+
     /// \param now the time; this instance leads and no other leader can exist
     /// \param ledSince when it became the leader
     /// \param group the group after the events up to \p now
@@ -72,6 +80,7 @@
     TimePoint nextAnnouncement_{};
     TimePoint nextChange_{};
     bool isChangeOpen_ = false;
+    bool isLeaving_ = false;
 };
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -26,7 +26,6 @@
 constexpr Duration forwardLimit = 900ms; ///< callers turn elsewhere after a second
 constexpr Duration entrySeenLimit = 3s;
 constexpr std::size_t relaysEach = 3; ///< entries named to another one, in case it loses the way to the leader
-constexpr Duration stopLimit = 500ms;
 
 Transport::Response bytes(std::string body)
 {
@@ -69,17 +68,6 @@
     return success();
 }
 
-void JobControl::stop(std::function<void()> finished)
-{
-    d_->tickTimer.cancel();
-    d_->flushTimer.cancel();
-    d_->scheduler.loseLeadership();
-    // They outlive this, and their answers must not.
-    d_->minions.close();
-    d_->advice.close();
-    d_->server.stop(stopLimit, std::move(finished));
-}
-
 void JobControl::scheduleTick()
 {
     d_->tickTimer = d_->runtime.loop().callAfter(d_->scheduler.isLeading() ? leaderTick : followerTick, [this] {
@@ -281,6 +269,10 @@
         return;
     }
     const InstanceId instance(join.instance());
+    if (join.leaves()) {
+        handleLeave(instance, responder);
+        return;
+    }
     const std::string ip(ipOf(instance));
     d_->advisers.peerSeen(now, ip);
     Wire::JobReply reply;
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/identifier.h"
 #include "core/result.h"
 #include "jobnode/controlservice.h"
 #include "jobnode/peerobserver.h"
@@ -38,7 +39,8 @@
     /// Reads the data folder and listens on the internal port.
     Result<void> open();
 
-    /// Stops taking work and calls \p finished when nothing is in flight.
+    /// Gives the vote of this instance to a learner if there is one, stops taking work and calls \p finished when
+    /// nothing is in flight.
     void stop(std::function<void()> finished);
 
     // ControlService
@@ -70,6 +72,7 @@
     void handleInternal(const Transport::Request &request, const Transport::Responder &responder);
     void handleCall(const Transport::Request &request, const Transport::Responder &responder);
     void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
+    void handleLeave(const InstanceId &instance, const Transport::Responder &responder);
     void handleForwarded(const Transport::Request &request, const Transport::Responder &responder);
     [[nodiscard]] std::string leaderIp() const;
     void logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took);
@@ -82,6 +85,10 @@
     void changeMembers();
     void announce();
     void announceTo(const std::string &ip);
+    void leaveGroup();
+    void leaveLater();
+    void askToLeave(const std::string &leader);
+    void finishStop();
 
     struct Private;
     std::unique_ptr<Private> d_;
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -85,6 +85,9 @@
     std::unique_ptr<JobCalls> calls;
     Transport::Http2Server server;
     Transport::Timer tickTimer;
+    Transport::Timer leaveTimer;
+    TimePoint leaveUntil{};
+    std::function<void()> stopped; ///< set once this instance is told to stop
     bool flushPosted = false;
     TimePoint lastFlush{};
     Transport::Timer flushTimer;
--- a/src/libs/jobnode/memberchanges.cpp
+++ b/src/libs/jobnode/memberchanges.cpp
@@ -29,14 +29,10 @@
     return member.timeSinceAnswer.value_or(now - view.ledSince);
 }
 
-/// \return a learner that holds the log and answers, or null.
-const InstanceId *caughtUpLearner(const MemberChanges::View &view)
+bool isAnsweringLearner(const MemberStatus &member)
 {
-    const auto found = std::find_if(view.status.begin(), view.status.end(), [&view](const MemberStatus &member) {
-        const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer <= answerLimit;
-        return !member.isVoter && answers && !member.hasLostData && member.match + caughtUpLag >= view.commitIndex;
-    });
-    return found == view.status.end() ? nullptr : &found->instance;
+    const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer <= answerLimit;
+    return !member.isVoter && answers && !member.hasLostData;
 }
 
 } // namespace
@@ -50,6 +46,19 @@
 void MemberChanges::seen(TimePoint now, const InstanceId &instance)
 {
     seen_[instance] = now;
+    leaving_.erase(instance);
+}
+
+void MemberChanges::leaves(const InstanceId &instance)
+{
+    leaving_.insert(instance);
+    seen_.erase(instance);
+}
+
+bool MemberChanges::canHandOver(const InstanceId &instance, const View &view)
+{
+    return contains(view.members.voters, instance)
+        && std::any_of(view.status.begin(), view.status.end(), isAnsweringLearner);
 }
 
 std::optional<MembershipChange> MemberChanges::next(TimePoint now, const View &view)
@@ -67,12 +76,17 @@
     if (const auto *superseded = supersededMember(now, view))
         return MembershipChange{Kind::Remove, *superseded};
     const auto *learner = caughtUpLearner(view);
-    if (learner && view.members.voters.size() < wantedVoters_)
+    const auto *leaving = leavingVoter(view);
+    const auto voters = view.members.voters.size();
+    // The voter that leaves still answers, so that with its successor the group bears as many losses as without.
+    if (learner && (voters < wantedVoters_ || (leaving && voters == wantedVoters_)))
         return MembershipChange{Kind::Promote, *learner};
+    if (leaving && voters > wantedVoters_)
+        return MembershipChange{Kind::Remove, *leaving};
     if (const auto *instance = newInstance(now, view))
         return MembershipChange{Kind::AddLearner, *instance};
     // Without a successor the removal would lower the number of losses that the group bears.
-    const bool canSpareVoter = learner || view.members.voters.size() > wantedVoters_;
+    const bool canSpareVoter = learner || voters > wantedVoters_;
     const auto *silent = canSpareVoter ? silentVoter(now, view) : nullptr;
     return silent ? std::optional(MembershipChange{Kind::Remove, *silent}) : std::nullopt;
 }
@@ -119,4 +133,22 @@
     return found == view.status.end() ? nullptr : &found->instance;
 }
 
+const InstanceId *MemberChanges::leavingVoter(const View &view) const
+{
+    const auto &voters = view.members.voters;
+    const auto found
+        = std::find_if(voters.begin(), voters.end(), [this](const auto &voter) { return leaving_.contains(voter); });
+    return found == voters.end() ? nullptr : &*found;
+}
+
+/// \return a learner that holds the log, answers and stays, or null.
+const InstanceId *MemberChanges::caughtUpLearner(const View &view) const
+{
+    const auto found = std::find_if(view.status.begin(), view.status.end(), [&](const MemberStatus &member) {
+        return isAnsweringLearner(member) && !leaving_.contains(member.instance)
+            && member.match + caughtUpLag >= view.commitIndex;
+    });
+    return found == view.status.end() ? nullptr : &found->instance;
+}
+
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/memberchanges.h
+++ b/src/libs/jobnode/memberchanges.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -36,6 +37,12 @@
     /// An instance looks for the group.
     void seen(TimePoint now, const InstanceId &instance);
 
+    /// An instance is about to end; a learner that holds the log takes its vote.
+    void leaves(const InstanceId &instance);
+
+    /// \return whether the instance has a vote that a learner could take now or soon.
+    [[nodiscard]] static bool canHandOver(const InstanceId &instance, const View &view);
+
     /// \return the next change, or nothing.
     [[nodiscard]] std::optional<Replication::MembershipChange> next(TimePoint now, const View &view);
 
@@ -46,10 +53,13 @@
     [[nodiscard]] const InstanceId *supersededMember(TimePoint now, const View &view) const;
     [[nodiscard]] const InstanceId *newInstance(TimePoint now, const View &view) const;
     [[nodiscard]] const InstanceId *silentVoter(TimePoint now, const View &view) const;
+    [[nodiscard]] const InstanceId *leavingVoter(const View &view) const;
+    [[nodiscard]] const InstanceId *caughtUpLearner(const View &view) const;
 
     std::size_t wantedVoters_;
     Duration silenceLimit_;
     std::map<InstanceId, TimePoint> seen_;
+    std::set<InstanceId> leaving_;
 };
 
 } // namespace Pistachio::Jobnode
--- a/tests/auto/jobnode/membershipcell.cpp
+++ b/tests/auto/jobnode/membershipcell.cpp
@@ -8,8 +8,6 @@
 namespace Pistachio::Jobnode
 {
 
-using Replication::Cluster;
-
 namespace
 {
 
@@ -22,6 +20,8 @@
 constexpr Duration sendInterval = 100ms; ///< of the caller
 constexpr Duration seedLag = 3s; ///< the platform's seedLagS
 constexpr std::size_t seedCount = 3;
+constexpr Duration leaveInterval = 40ms; ///< between two questions whether an instance may end
+constexpr Duration leaveLimit = 1s; ///< then it ends with its vote
 
 } // namespace
 
@@ -76,11 +76,39 @@
 
 void MembershipCell::retire(Node &node)
 {
+    if (node.group)
+        processOf(node).membership.leave();
+    leaveGroup(node, cluster.now + leaveLimit);
+}
+
+void MembershipCell::leaveGroup(Node &node, TimePoint limit)
+{
+    if (node.group && cluster.now < limit && !mayLeave(node)) {
+        after(leaveInterval, [this, &node, limit] { leaveGroup(node, limit); });
+        return;
+    }
     stop(node);
     node.isGone = true;
     takeOffList(node);
 }
 
+/// Asks the leader without delay.
+bool MembershipCell::mayLeave(const Node &node)
+{
+    if (node.isPaused)
+        return false;
+    auto *leader = node.group->isLeader() ? &node : runningAt(std::string(ipOf(node.group->leaderHint())));
+    if (!leader)
+        return true;
+    if (leader->isPaused || isBlocked(node, *leader) || isBlocked(*leader, node))
+        return false;
+    const auto now = cluster.localTime(*leader);
+    if (!leader->group->isLeaderWithState() || !leader->group->hasLeaderLease(now))
+        return false;
+    auto &process = processOf(*leader);
+    return process.membership.mayLeave(now, process.ledSince, *leader->group, node.id);
+}
+
 MembershipCell::Node &MembershipCell::addSpare()
 {
     auto &node = cluster.addEmpty(InstanceId("control-" + std::to_string(++nextInstance_)));
--- a/tests/auto/jobnode/membershipcell.h
+++ b/tests/auto/jobnode/membershipcell.h
@@ -37,7 +37,7 @@
     /// The process of the instance ends; the others see their connections refused.
     void stop(Node &node);
 
-    /// The process ends, and the instance is taken away.
+    /// The process is told to end, and the instance is taken away then.
     void retire(Node &node);
 
     /// An empty instance starts at another address.
@@ -95,6 +95,8 @@
     void runDelayed();
     void sendTraffic();
     void isolateAgain();
+    void leaveGroup(Node &node, TimePoint limit);
+    [[nodiscard]] bool mayLeave(const Node &node);
     void takeOffList(const Node &node);
     [[nodiscard]] std::vector<std::string> seeds() const;
     Process &processOf(const Node &node);
--- a/tests/auto/jobnode/secondloss.cpp
+++ b/tests/auto/jobnode/secondloss.cpp
@@ -13,6 +13,7 @@
 constexpr Duration replacementDelay = 1s; ///< until the platform starts the successor of a lost instance
 constexpr Duration catchUpLimit = 4s; ///< the platform's catchUpS
 constexpr Duration recoveryLimit = 12s; ///< the platform's recoveryS
+constexpr Duration electionLimit = 1s;
 constexpr Duration outageLimit = 4s; ///< while one instance at a time is lost
 constexpr Duration shortestLoss = 1s;
 constexpr Duration longestLoss = 6s;
@@ -295,6 +296,10 @@
 
 void SecondLoss::checkSuccessor(Duration age)
 {
+    // A leader that ends as planned leaves an election.
+    if (isPlanned_)
+        cell_.runUntil([this] { return cell_.cluster.leader() && cell_.cluster.leader()->group->isLeaderWithState(); },
+                       electionLimit);
     if (!cell_.isWhole())
         report("not whole " + std::to_string(age / 1ms)
                + " ms after the start of the successor: " + cell_.description());
--- a/tests/auto/jobnode/tst_jobcontrol.cpp
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(emptyInstanceFindsALeaderThatIsNoSeed);
     CPPUNIT_TEST(stopEndsCallsToMinions);
     CPPUNIT_TEST(instanceBehindATranslatedAddressTakesPart);
+    CPPUNIT_TEST(stoppedVoterHandsOver);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,6 +162,45 @@
             runtime.loop().runFor(10ms);
         CPPUNIT_ASSERT(seed.joins > 0);
     }
+
+    // A voter that was told to end took its vote along, although its successor held the log.
+    void stoppedVoterHandsOver()
+    {
+        TemporaryFolder folder;
+        TemporaryFolder otherFolder;
+        auto settings = settingsOf("127.0.0.6", folder.path);
+        settings.seeds = {{"127.0.0.6", 1}};
+        settings.bootstrap = true;
+        settings.toleratedLosses = 0;
+        auto otherSettings = settingsOf("127.0.0.7", otherFolder.path);
+        otherSettings.seeds = settings.seeds;
+        otherSettings.toleratedLosses = 0;
+        NodeRuntime runtime("test", settings);
+        NodeRuntime otherRuntime("test", otherSettings);
+        FakeLeader reserved(runtime.loop(), "127.0.0.2", 0);
+        settings.internalPort = reserved.port;
+        otherSettings.internalPort = reserved.port;
+        NoAdvice advice;
+        NoMinions minions;
+        NoMinions otherMinions;
+        JobControl control(settings, runtime, minions, advice);
+        JobControl successor(otherSettings, otherRuntime, otherMinions, advice);
+        const auto runBoth = [&] {
+            runtime.loop().runFor(10ms);
+            otherRuntime.loop().runFor(10ms);
+        };
+        CPPUNIT_ASSERT(control.open());
+        CPPUNIT_ASSERT(successor.open());
+        for (int round = 0; round < 150; ++round)
+            runBoth();
+        CPPUNIT_ASSERT(control.canAnswer());
+        bool hasStopped = false;
+        control.stop([&hasStopped] { hasStopped = true; });
+        for (int round = 0; round < 200 && !(hasStopped && successor.canAnswer()); ++round)
+            runBoth();
+        CPPUNIT_ASSERT(hasStopped);
+        CPPUNIT_ASSERT(successor.canAnswer());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobControlTest);
--- a/tests/auto/jobnode/tst_memberchanges.cpp
+++ b/tests/auto/jobnode/tst_memberchanges.cpp
@@ -60,6 +60,17 @@
             members.voters.push_back(change.instance);
     }
 
+    /// Makes all changes that follow at one time.
+    std::vector<MembershipChange::Kind> play(TimePoint now)
+    {
+        std::vector<MembershipChange::Kind> kinds;
+        while (const auto change = next(now)) {
+            kinds.push_back(change->kind);
+            apply(*change);
+        }
+        return kinds;
+    }
+
     MemberChanges changes{3, silenceLimit};
     Replication::Membership members{{a, b, c}, {}};
     std::vector<InstanceId> silent; ///< answered last one second after the leader began, as far as it remembers
@@ -82,6 +93,10 @@
     CPPUNIT_TEST(newLeaderWaitsBeforeItRemovesVoters);
     CPPUNIT_TEST(newLeaderMovesNoMoreVotesThanThereAreSuccessors);
     CPPUNIT_TEST(supersededInstanceDoesNotJoinAgain);
+    CPPUNIT_TEST(leavingVoterGivesItsVoteToItsSuccessor);
+    CPPUNIT_TEST(leavingLeaderGivesItsVoteToItsSuccessor);
+    CPPUNIT_TEST(leavingVoterStaysWithoutASuccessor);
+    CPPUNIT_TEST(restartedVoterLeavesNoMore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +243,48 @@
         CPPUNIT_ASSERT(group.members.learners.empty());
     }
 
+    // The loss of one more beside a voter that ended as planned left no majority, although the successor was there.
+    void leavingVoterGivesItsVoteToItsSuccessor()
+    {
+        Group group;
+        group.members = {{a, b, c}, {d}};
+        group.changes.leaves(c);
+        group.changes.seen(start, d);
+        CPPUNIT_ASSERT(
+            (group.play(start) == std::vector{MembershipChange::Kind::Promote, MembershipChange::Kind::Remove}));
+        CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, d}));
+        CPPUNIT_ASSERT(group.members.learners.empty());
+    }
+
+    void leavingLeaderGivesItsVoteToItsSuccessor()
+    {
+        Group group;
+        group.members = {{a, b, c}, {d}};
+        group.changes.leaves(a);
+        group.play(start);
+        CPPUNIT_ASSERT((group.members.voters == std::vector{b, c, d}));
+    }
+
+    // A restart of one process after another would leave no voter.
+    void leavingVoterStaysWithoutASuccessor()
+    {
+        Group group;
+        group.members = {{a, b, c}, {d}};
+        group.silent = {d};
+        group.changes.leaves(c);
+        group.changes.leaves(d);
+        CPPUNIT_ASSERT(group.play(start).empty());
+    }
+
+    void restartedVoterLeavesNoMore()
+    {
+        Group group;
+        group.members = {{a, b, c}, {d}};
+        group.changes.leaves(c);
+        group.changes.seen(start, c);
+        CPPUNIT_ASSERT(group.play(start).empty());
+    }
+
     // Removing it would lower the number of losses that the group bears.
     void silentVoterStaysWithoutASpare()
     {
--- a/tests/auto/jobnode/tst_replacement.cpp
+++ b/tests/auto/jobnode/tst_replacement.cpp
@@ -20,7 +20,6 @@
 constexpr Duration replacementDelay = 1s; ///< until the platform starts the successor of a lost instance
 constexpr Duration catchUpLimit = 4s; ///< the platform's catchUpS: from then on another instance may be lost
 constexpr Duration recoveryLimit = 12s; ///< the platform's recoveryS
-constexpr int chainLength = 3;
 
 /// Plays every kind of loss at every time, and prints how many and which failed.
 void checkLosses(bool isPlanned)
