Hand a vote over also while the leader changes

An instance that was told to end while its leader was being lost ended with its vote: without a leader it did not wait, and a leader elected meanwhile, which no learner had answered yet, let it go. Both votes were then gone, and the group had no leader any more.

A voter now waits for a leader, for 2 s at most, and a leader counts on learners that it has not heard of for the first 600 ms and on instances that announce themselves. An instance without a vote ends at once.

--- a/src/libs/jobnode/groupmembership.cpp
+++ b/src/libs/jobnode/groupmembership.cpp
@@ -98,13 +98,19 @@
     isLeaving_ = true;
 }
 
+bool GroupMembership::hasVote(const Storage::ReplicatedGroup &group) const
+{
+    const auto &voters = group.membership().voters;
+    return std::find(voters.begin(), voters.end(), self_) != voters.end();
+}
+
 bool GroupMembership::mayLeave(TimePoint now, TimePoint ledSince, const Storage::ReplicatedGroup &group,
                                const InstanceId &instance)
 {
     changes_.leaves(instance);
     const auto status = group.memberStatus(now);
     const MemberChanges::View view{self_, ledSince, group.commitIndex(), group.membership(), status};
-    return !isChangeOpen_ && !MemberChanges::canHandOver(instance, view);
+    return !isChangeOpen_ && !changes_.canHandOver(now, instance, view);
 }
 
 std::optional<Replication::MembershipChange> GroupMembership::nextChange(TimePoint now, TimePoint ledSince,
--- a/src/libs/jobnode/groupmembership.h
+++ b/src/libs/jobnode/groupmembership.h
@@ -49,6 +49,9 @@
     /// This instance is about to end: it announces itself no more.
     void leave();
 
+    /// \return whether this instance votes, as far as it knows; it is not told of its removal.
+    [[nodiscard]] bool hasVote(const Storage::ReplicatedGroup &group) const;
+
     /// Handles that an instance, this one or another, is about to end; this one leads.
     /// \param ledSince when it became the leader
     /// \return whether its vote is handed over, or nobody could take it, so that it may end now.
--- a/src/libs/jobnode/jobcontrolstop.cpp
+++ b/src/libs/jobnode/jobcontrolstop.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr Duration stopLimit = 500ms;
-constexpr Duration leaveLimit = 1s; ///< two changes of the members take less; then it ends with its vote
+constexpr Duration leaveLimit = 2s; ///< an election and two changes of the members take less
 constexpr Duration leaveInterval = 50ms;
 constexpr Duration leaveCallLimit = 300ms;
 
@@ -32,13 +32,13 @@
 void JobControl::leaveGroup()
 {
     const auto now = EventLoop::now();
-    const bool leads = d_->group->canAnswer(now);
+    const auto &replica = d_->group->replica();
     const auto leader = leaderIp();
-    const bool isDone
-        = leads ? d_->membership->mayLeave(now, d_->ledSince, d_->group->replica(), d_->group->self()) : leader.empty();
-    if (isDone || now >= d_->leaveUntil)
+    const bool mayLeave
+        = d_->group->canAnswer(now) && d_->membership->mayLeave(now, d_->ledSince, replica, d_->group->self());
+    if (mayLeave || !d_->membership->hasVote(replica) || now >= d_->leaveUntil)
         finishStop();
-    else if (leads)
+    else if (leader.empty())
         leaveLater();
     else
         askToLeave(leader);
--- a/src/libs/jobnode/memberchanges.cpp
+++ b/src/libs/jobnode/memberchanges.cpp
@@ -29,12 +29,6 @@
     return member.timeSinceAnswer.value_or(now - view.ledSince);
 }
 
-bool isAnsweringLearner(const MemberStatus &member)
-{
-    const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer <= answerLimit;
-    return !member.isVoter && answers && !member.hasLostData;
-}
-
 } // namespace
 
 MemberChanges::MemberChanges(std::size_t wantedVoters, Duration silenceLimit)
@@ -55,10 +49,14 @@
     seen_.erase(instance);
 }
 
-bool MemberChanges::canHandOver(const InstanceId &instance, const View &view)
+bool MemberChanges::canHandOver(TimePoint now, const InstanceId &instance, const View &view) const
 {
-    return contains(view.members.voters, instance)
-        && std::any_of(view.status.begin(), view.status.end(), isAnsweringLearner);
+    // A new leader has not heard of a learner yet, and a new learner not of its leader.
+    const bool hasLearner = std::any_of(view.status.begin(), view.status.end(), [&](const MemberStatus &member) {
+        const bool isThere = silenceOf(now, view, member) <= answerLimit || isPresent(now, member.instance);
+        return !member.isVoter && isThere && !member.hasLostData;
+    });
+    return contains(view.members.voters, instance) && (hasLearner || newInstance(now, view));
 }
 
 std::optional<MembershipChange> MemberChanges::next(TimePoint now, const View &view)
@@ -145,8 +143,9 @@
 const InstanceId *MemberChanges::caughtUpLearner(const View &view) const
 {
     const auto found = std::find_if(view.status.begin(), view.status.end(), [&](const MemberStatus &member) {
-        return isAnsweringLearner(member) && !leaving_.contains(member.instance)
-            && member.match + caughtUpLag >= view.commitIndex;
+        const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer <= answerLimit;
+        const bool stays = !member.hasLostData && !leaving_.contains(member.instance);
+        return !member.isVoter && answers && stays && member.match + caughtUpLag >= view.commitIndex;
     });
     return found == view.status.end() ? nullptr : &found->instance;
 }
--- a/src/libs/jobnode/memberchanges.h
+++ b/src/libs/jobnode/memberchanges.h
@@ -41,7 +41,7 @@
     void leaves(const InstanceId &instance);
 
     /// \return whether the instance has a vote that a learner could take now or soon.
-    [[nodiscard]] static bool canHandOver(const InstanceId &instance, const View &view);
+    [[nodiscard]] bool canHandOver(TimePoint now, const InstanceId &instance, const View &view) const;
 
     /// \return the next change, or nothing.
     [[nodiscard]] std::optional<Replication::MembershipChange> next(TimePoint now, const View &view);
