Test replacements in a row, larger groups and lost ways to the leader

Cases around a replacement that had no test: two losses at a time in a group of five voters, three replacements in a row (in a group of five two at a time), the loss of a leader before its learner is committed, a member whose seeds are all gone when it returns without its vote, and an announcement that arrives after one of a newer instance at its address.

--- a/tests/auto/jobnode/tst_memberchanges.cpp
+++ b/tests/auto/jobnode/tst_memberchanges.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(newLeaderWaitsBeforeItRemovesVoters);
     CPPUNIT_TEST(newLeaderMovesNoMoreVotesThanThereAreSuccessors);
     CPPUNIT_TEST(supersededInstanceDoesNotJoinAgain);
+    CPPUNIT_TEST(lateAnnouncementOfALostDisk);
     CPPUNIT_TEST(leavingVoterGivesItsVoteToItsSuccessor);
     CPPUNIT_TEST(leavingLeaderGivesItsVoteToItsSuccessor);
     CPPUNIT_TEST(leavingVoterStaysWithoutASuccessor);
@@ -243,6 +244,26 @@
         CPPUNIT_ASSERT(group.members.learners.empty());
     }
 
+    // An announcement from before the loss of the disk, which arrives late, kept the new instance outside.
+    void lateAnnouncementOfALostDisk()
+    {
+        for (Duration late{}; late < 3s; late += 100ms) {
+            Group group;
+            group.silent = {c};
+            for (Duration passed{}; passed < catchUpLimit; passed += 100ms) {
+                const auto now = start + passed;
+                if (passed % 1s == Duration::zero())
+                    group.changes.seen(now, newC);
+                if (passed == late)
+                    group.changes.seen(now, c);
+                if (const auto change = group.next(now))
+                    group.apply(*change);
+            }
+            CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, newC}));
+            CPPUNIT_ASSERT(group.members.learners.empty());
+        }
+    }
+
     // The loss of one more beside a voter that ended as planned left no majority, although the successor was there.
     void leavingVoterGivesItsVoteToItsSuccessor()
     {
--- a/tests/auto/jobnode/tst_replacement.cpp
+++ b/tests/auto/jobnode/tst_replacement.cpp
@@ -16,13 +16,16 @@
 constexpr std::uint64_t seedsPerLoss = 1; ///< more for a search by hand
 constexpr std::uint64_t firstSeed = 1;
 constexpr Duration leaveStep = 40ms; ///< twenty of them cover an election
+constexpr std::uint64_t chainSeeds = 10;
 constexpr Duration lossStep = 5s; ///< 1 s for a search by hand
 constexpr Duration lastLoss = 30s;
 constexpr Duration replacementDelay = 1s; ///< until the platform starts the successor of a lost instance
 constexpr Duration catchUpLimit = 4s; ///< the platform's catchUpS: from then on another instance may be lost
 constexpr Duration recoveryLimit = 12s; ///< the platform's recoveryS
 constexpr Duration outageLimit = 4s; ///< while no more are lost than tolerated
+constexpr int chainLength = 3;
 constexpr std::size_t fewVoters = 3;
+constexpr std::size_t manyVoters = 5; ///< with two tolerated losses
 
 /// Plays every kind of loss at every time, and prints how many and which failed.
 void checkLosses(bool isPlanned, std::size_t voters)
@@ -51,6 +54,27 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::string(), cell.cluster.checker.summary());
 }
 
+/// Replaces as many instances at a time as the group bears, again and again.
+void checkChain(std::uint64_t seed, std::size_t voters)
+{
+    MembershipCell cell(seed, voters);
+    const auto message = "seed " + std::to_string(seed);
+    CPPUNIT_ASSERT_MESSAGE(message, cell.accepts(recoveryLimit));
+    cell.startTraffic();
+    for (int round = 0; round < chainLength; ++round) {
+        for (std::size_t i = 0; i < voters / 2; ++i)
+            cell.lose(cell.randomNode());
+        cell.run(replacementDelay);
+        for (std::size_t i = 0; i < voters / 2; ++i)
+            cell.addSpare();
+        cell.run(catchUpLimit);
+        const auto where = message + ", round " + std::to_string(round) + ": " + cell.description();
+        CPPUNIT_ASSERT_MESSAGE(where, cell.isWhole());
+        CPPUNIT_ASSERT_MESSAGE(where, cell.longestOutage() <= outageLimit);
+    }
+    checkAccepted(message, cell);
+}
+
 } // namespace
 
 class ReplacementTest : public CppUnit::TestFixture
@@ -60,6 +84,10 @@
     CPPUNIT_TEST(lossAfterAnUnplannedReplacement);
     CPPUNIT_TEST(lossAfterAPlannedReplacement);
     CPPUNIT_TEST(leaderIsLostWhileAVoterLeaves);
+    CPPUNIT_TEST(lossInALargerGroup);
+    CPPUNIT_TEST(replacementsInARow);
+    CPPUNIT_TEST(leaderIsLostBeforeItsLearnerIsCommitted);
+    CPPUNIT_TEST(memberFindsTheGroupWithoutSeeds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +115,22 @@
     // The same, where the old instance ends beside its successor.
     void lossAfterAPlannedReplacement() { checkLosses(true, fewVoters); }
 
+    // Two losses at a time, which a group of five voters bears.
+    void lossInALargerGroup()
+    {
+        checkLosses(false, manyVoters);
+        checkLosses(true, manyVoters);
+    }
+
+    // Votes stayed with instances that were gone, so that the third replacement left no majority.
+    void replacementsInARow()
+    {
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + chainSeeds; ++seed) {
+            checkChain(seed, fewVoters);
+            checkChain(seed, manyVoters);
+        }
+    }
+
     // The new leader let the voter end with its vote, so that two of three were gone.
     void leaderIsLostWhileAVoterLeaves()
     {
@@ -109,6 +153,48 @@
             checkAccepted(message, cell);
         }
     }
+
+    // The new leader doesn't know of the learner, which must announce itself again.
+    void leaderIsLostBeforeItsLearnerIsCommitted()
+    {
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + chainSeeds; ++seed) {
+            MembershipCell cell(seed);
+            const auto message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(message, cell.accepts(recoveryLimit));
+            cell.startTraffic();
+            cell.addSpare();
+            CPPUNIT_ASSERT_MESSAGE(message, cell.runUntil([&] { return cell.openChange().has_value(); }, catchUpLimit));
+            cell.lose(*cell.cluster.leader());
+            cell.run(catchUpLimit);
+            CPPUNIT_ASSERT_MESSAGE(message + ": " + cell.description(), cell.isWhole());
+            CPPUNIT_ASSERT_MESSAGE(message, cell.longestOutage() <= outageLimit);
+            checkAccepted(message, cell);
+        }
+    }
+
+    // A member whose seeds are all gone stayed outside the group after its restart.
+    void memberFindsTheGroupWithoutSeeds()
+    {
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + chainSeeds; ++seed) {
+            MembershipCell cell(seed);
+            const auto message = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(message, cell.accepts(recoveryLimit));
+            for (std::size_t i = 0; i < fewVoters; ++i) {
+                cell.lose(cell.cluster.node(i));
+                cell.addSpare();
+                cell.run(catchUpLimit);
+            }
+            auto &member = cell.cluster.node(fewVoters);
+            cell.cluster.crash(member);
+            cell.addSpare();
+            cell.run(catchUpLimit);
+            cell.hasOldSeeds = true;
+            cell.cluster.start(member);
+            cell.run(catchUpLimit);
+            CPPUNIT_ASSERT_MESSAGE(message + ": " + cell.description(), cell.isLearner(member));
+            checkAccepted(message, cell);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplacementTest);
