--- a/src/libs/jobnode/internalcalls.cpp
+++ b/src/libs/jobnode/internalcalls.cpp
@@ -105,6 +105,10 @@
         return;
     }
     const InstanceId instance(join.instance());
+    if (join.leaves()) {
+        handleLeave(instance, responder);
+        return;
+    }
     const std::string ip(ipOf(instance));
     instance_.advisers.peerSeen(now, ip);
     Wire::JobReply reply;
@@ -128,6 +132,15 @@
     responder.respond(bytes(reply.SerializeAsString()));
 }
 
+void InternalCalls::handleLeave(const InstanceId &instance, const Transport::Responder &responder)
+{
+    const bool mayLeave
+        = instance_.membership.mayLeave(EventLoop::now(), instance_.ledSince, instance_.group.replica(), instance);
+    Wire::JobReply reply;
+    reply.set_verdict(mayLeave ? Wire::JOB_VERDICT_ACCEPTED : Wire::JOB_VERDICT_UNAVAILABLE);
+    responder.respond(bytes(reply.SerializeAsString()));
+}
+
 void InternalCalls::handleForwarded(const Transport::Request &request, const Transport::Responder &responder)
 {
     Wire::JobForward message;
--- a/src/libs/jobnode/internalcalls.h
+++ b/src/libs/jobnode/internalcalls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/identifier.h"
 #include "core/time.h"
 #include "transport/message.h"
 
@@ -42,6 +43,7 @@
         JobCalls &calls;
         GroupMembership &membership;
         AdviserPool &advisers;
+        const TimePoint &ledSince; ///< when the instance became the leader
         const Transport::RequestHandler &forwarded; ///< handles what another instance forwards; may be empty
         std::function<void()> changed; ///< called after what may have changed the state of the group
     };
@@ -54,6 +56,7 @@
 private:
     void handleCall(const Transport::Request &request, const Transport::Responder &responder);
     void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
+    void handleLeave(const InstanceId &instance, const Transport::Responder &responder);
     void handleForwarded(const Transport::Request &request, const Transport::Responder &responder);
     void logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took);
 
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -21,7 +21,6 @@
 constexpr Duration flushInterval = 5ms; ///< about one sync of the disk; bounds the messages to the other members
 constexpr Duration announceLimit = 900ms;
 constexpr Duration forwardLimit = 900ms; ///< callers turn elsewhere after a second
-constexpr Duration stopLimit = 500ms;
 
 } // namespace
 
@@ -47,7 +46,7 @@
     d_->calls = std::make_unique<JobCalls>(d_->store, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
     d_->internalCalls = std::make_unique<InternalCalls>(
         InternalCalls::Instance{d_->runtime, d_->advice, d_->store, *d_->group, *d_->calls, *d_->membership,
-                                d_->advisers, d_->forwarded, [this] { changed(); }});
+                                d_->advisers, d_->ledSince, d_->forwarded, [this] { changed(); }});
     BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.localIp(), settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started",
                                {{"id", identity.id.value()},
@@ -70,17 +69,6 @@
     return !d_->group->replica().leaderHint().isEmpty();
 }
 
-void JobControl::stop(std::function<void()> finished)
-{
-    d_->tickTimer.cancel();
-    d_->flushTimer.cancel();
-    d_->scheduler.loseLeadership();
-    // They outlive this, and their answers must not.
-    d_->minions.close();
-    d_->advice.close();
-    d_->server.stop(stopLimit, std::move(finished));
-}
-
 void JobControl::scheduleTick()
 {
     d_->tickTimer = d_->runtime.loop().callAfter(d_->scheduler.isLeading() ? leaderTick : followerTick, [this] {
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/identifier.h"
 #include "core/result.h"
 #include "jobnode/controlservice.h"
 #include "jobnode/peerobserver.h"
@@ -40,7 +41,8 @@
     /// \return whether this instance leads or has heard of a leader.
     [[nodiscard]] bool hasLeader() const;
 
-    /// Stops taking work and calls \p finished when nothing is in flight.
+    /// Gives the vote of this instance to a learner if there is one, stops taking work and calls \p finished when
+    /// nothing is in flight.
     void stop(std::function<void()> finished);
 
     // ControlService
@@ -79,6 +81,10 @@
     void changeMembers();
     void announce();
     void announceTo(const std::string &ip);
+    void leaveGroup();
+    void leaveLater();
+    void askToLeave(const std::string &leader);
+    void finishStop();
 
     struct Private;
     std::unique_ptr<Private> d_;
