Refuse an odd replication message alone

Cause: one message of an unknown kind, or with a membership entry that can't be read, dropped its whole batch, the heartbeats with it, and again each time it was repeated. A replica adopts a higher term at once, so a term near the end of the 64-bit range left no term for an election.

Change: the decoder returns the messages that it can read and why it refused the others; each is logged. A message that is refused counts like a lost one, which replicas bear. Within a message nothing is left out, since the entries of a log follow each other.

--- a/src/libs/controlnode/decisions.cpp
+++ b/src/libs/controlnode/decisions.cpp
@@ -196,7 +196,9 @@
                       {{"reason", messages.error().message}});
         return;
     }
-    for (const auto &message : messages.value()) {
+    for (const auto &refused : messages.value().refused)
+        logger_.write(Logging::LogLevel::Warning, "replication-message-refused", {{"reason", refused.message}});
+    for (const auto &message : messages.value().messages) {
         if (auto *group = findGroup(message.group))
             group->receive(EventLoop::now(), message);
     }
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -218,8 +218,9 @@
 void JobControl::handleInternal(const Transport::Request &request, const Transport::Responder &responder)
 {
     if (request.target == "/jobs/replication") {
-        if (!d_->group->receive(EventLoop::now(), request.body))
-            d_->runtime.logger().write(LogLevel::Warning, "replication-unreadable", {{"bytes", request.body.size()}});
+        for (const auto &refused : d_->group->receive(EventLoop::now(), request.body))
+            d_->runtime.logger().write(LogLevel::Warning, "replication-unreadable",
+                                       {{"bytes", request.body.size()}, {"reason", refused.message}});
         responder.respond({204, {}, {}});
         changed();
     } else if (request.target == "/jobs/call") {
--- a/src/libs/jobnode/jobgroup.cpp
+++ b/src/libs/jobnode/jobgroup.cpp
@@ -53,16 +53,16 @@
     host_->proposeMembership(now, change, std::move(done));
 }
 
-bool JobGroup::receive(TimePoint now, std::string_view batch)
+std::vector<Error> JobGroup::receive(TimePoint now, std::string_view batch)
 {
-    const auto messages = Replication::decode(batch);
-    if (!messages)
-        return false;
-    for (const auto &message : messages.value()) {
+    auto decoded = Replication::decode(batch);
+    if (!decoded)
+        return {decoded.error()};
+    for (const auto &message : decoded.value().messages) {
         if (message.to == self_)
             host_->receive(now, message);
     }
-    return true;
+    return std::move(decoded.value().refused);
 }
 
 void JobGroup::memberStopped(TimePoint now, std::string_view ip)
--- a/src/libs/jobnode/jobgroup.h
+++ b/src/libs/jobnode/jobgroup.h
@@ -47,8 +47,8 @@
     void proposeMembership(TimePoint now, const Replication::MembershipChange &change, Done done);
 
     /// \param batch encoded messages of another member
-    /// \return whether they could be read.
-    bool receive(TimePoint now, std::string_view batch);
+    /// \return why messages were left out; the others count.
+    std::vector<Error> receive(TimePoint now, std::string_view batch);
     void tick(TimePoint now) { host_->tick(now); }
 
     /// \param ip the address of members whose processes have ended
--- a/src/libs/replication/message.cpp
+++ b/src/libs/replication/message.cpp
@@ -2,6 +2,7 @@
 
 #include "replication.pb.h"
 
+#include <cstdint>
 #include <utility>
 
 namespace Pistachio::Replication
@@ -55,6 +56,20 @@
         write(message.membership, *out.mutable_membership());
 }
 
+/// A replica adopts a higher term at once, so that one near the end of its range would leave none for an election.
+constexpr std::uint64_t highestNumber = std::uint64_t{1} << 53;
+
+Result<void> checkNumbers(const Wire::ReplicationMessage &in)
+{
+    for (const auto number : {in.term(), in.log_index(), in.log_term(), in.commit(), in.hint_index(), in.hint_term()}) {
+        if (number > highestNumber)
+            return failure(ErrorCode::InvalidArgument,
+                           "replication message from " + in.from()
+                               + ": number out of range: " + std::to_string(number));
+    }
+    return success();
+}
+
 Result<std::vector<Entry>> readEntries(const Wire::ReplicationMessage &in)
 {
     std::vector<Entry> entries;
@@ -75,6 +90,7 @@
 {
     if (in.kind() == Wire::REPLICATION_KIND_UNSPECIFIED || !Wire::ReplicationKind_IsValid(in.kind()))
         return failure(ErrorCode::InvalidArgument, "replication message: unknown kind");
+    BOOST_OUTCOME_TRYV(checkNumbers(in));
     Message message;
     message.kind = static_cast<MessageKind>(in.kind());
     message.group = GroupId(in.group());
@@ -106,18 +122,21 @@
     return batch.SerializeAsString();
 }
 
-Result<std::vector<Message>> decode(std::string_view bytes)
+Result<DecodedBatch> decode(std::string_view bytes)
 {
     Wire::ReplicationBatch batch;
     if (!batch.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return failure(ErrorCode::InvalidArgument, "replication batch: not a protobuf message");
-    std::vector<Message> messages;
-    messages.reserve(static_cast<std::size_t>(batch.messages_size()));
+    DecodedBatch decoded;
+    decoded.messages.reserve(static_cast<std::size_t>(batch.messages_size()));
     for (const Wire::ReplicationMessage &in : batch.messages()) {
-        BOOST_OUTCOME_TRY(auto message, read(in));
-        messages.push_back(std::move(message));
+        auto message = read(in);
+        if (message)
+            decoded.messages.push_back(std::move(message.value()));
+        else
+            decoded.refused.push_back(message.error());
     }
-    return messages;
+    return decoded;
 }
 
 std::size_t encodedSize(const Message &message)
--- a/src/libs/replication/message.h
+++ b/src/libs/replication/message.h
@@ -51,10 +51,17 @@
 /// \return the serialised `Wire::ReplicationBatch`, the body of `POST /replication`.
 std::string encode(std::span<const Message> messages);
 
+/// What could be read of a batch. A refused message counts like a lost one, which replicas bear; within a message
+/// nothing is left out, since the entries of a log follow each other.
+struct DecodedBatch {
+    std::vector<Message> messages;
+    std::vector<Error>
+        refused; ///< InvalidArgument: an unknown kind or a number out of range; Corrupt: a Membership entry
+};
+
 /// \param bytes a serialised `Wire::ReplicationBatch`
-/// \return its messages; InvalidArgument when the bytes are no batch or a kind of message or entry is unknown;
-/// Corrupt when a Membership entry can't be decoded.
-Result<std::vector<Message>> decode(std::string_view bytes);
+/// \return its messages; InvalidArgument when the bytes are no batch.
+Result<DecodedBatch> decode(std::string_view bytes);
 
 /// \param message the message to measure
 /// \return its size in a batch, in bytes.
