Refuse announcements and relays of instances that can't be reached

Cause: an announcement with an empty, misspelt or huge instance id made its sender a member of the job group, an adviser and a relay. The empty one replaced the leader's own entry among the advisers, which then counted as absent after 2.5 s. Entries took over each address that a leader named, and spent 50 ms of a call on each that can't be called.

Change: an id has to begin with an IP address and be at most 100 bytes long. Another announcement is answered with 400 and logged; odd relays are left out with a log line, the others stay; an odd address of a leader counts as none.

--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -138,10 +138,11 @@
 {
     if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER) {
         attempt->reason = ip + (isRelay ? " can't reach the leader either" : " does not lead");
-        const bool isNews = !isRelay && !reply.leader().empty() && target_ == ip;
+        const InstanceId leader(reply.leader());
+        const bool isNews = !isRelay && isReachable(leader) && target_ == ip;
         if (isNews)
-            target_ = ipOf(InstanceId(reply.leader()));
-        else if (!isRelay && reply.leader().empty())
+            target_ = ipOf(leader);
+        else if (!isRelay && !isReachable(leader))
             targetFailed(ip);
         retry(attempt, isNews ? Duration::zero() : retryDelay);
         return;
--- a/src/libs/jobnode/groupmembership.cpp
+++ b/src/libs/jobnode/groupmembership.cpp
@@ -59,7 +59,7 @@
 
 void GroupMembership::leaderNamed(const InstanceId &leader)
 {
-    if (leader.isEmpty() || ipOf(leader) == namedLeader_)
+    if (!isReachable(leader) || ipOf(leader) == namedLeader_)
         return;
     namedLeader_ = ipOf(leader);
     nextAnnouncement_ = {};
--- a/src/libs/jobnode/instanceid.cpp
+++ b/src/libs/jobnode/instanceid.cpp
@@ -3,6 +3,8 @@
 #include "storage/durablefile.h"
 #include "storage/filesystem.h"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <algorithm>
 #include <random>
 #include <sstream>
@@ -51,6 +53,16 @@
     return std::string_view(id.value()).substr(0, id.value().find(separator));
 }
 
+bool isReachable(const InstanceId &id)
+{
+    constexpr std::size_t longestId = 100;
+    if (id.value().size() > longestId)
+        return false;
+    boost::system::error_code error;
+    boost::asio::ip::make_address(ipOf(id), error);
+    return !error;
+}
+
 bool canFoundGroup(std::size_t usable, std::size_t named)
 {
     const auto majority = [](std::size_t members) { return members / 2 + 1; };
--- a/src/libs/jobnode/instanceid.h
+++ b/src/libs/jobnode/instanceid.h
@@ -31,6 +31,9 @@
 /// in the settings \return whether a majority of the usable ones overlaps each majority of the named ones.
 [[nodiscard]] bool canFoundGroup(std::size_t usable, std::size_t named);
 
+/// \return whether others can reach the instance: its id begins with an IP address and isn't overly long.
+[[nodiscard]] bool isReachable(const InstanceId &id);
+
 /// Reads the identity from the data folder, or makes and stores one.
 /// \param ip the address of this instance
 /// \param seeds the addresses of the first members
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -27,6 +27,7 @@
 constexpr Duration entrySeenLimit = 3s;
 constexpr std::size_t relaysEach = 3; ///< entries named to another one, in case it loses the way to the leader
 constexpr Duration stopLimit = 500ms;
+constexpr std::size_t loggedIdBytes = 100;
 
 Transport::Response bytes(std::string body)
 {
@@ -282,6 +283,14 @@
         return;
     }
     const InstanceId instance(join.instance());
+    if (!isReachable(instance)) {
+        d_->runtime.logger().write(LogLevel::Warning, "announcement-refused",
+                                   {{"instance", std::string_view(join.instance()).substr(0, loggedIdBytes)},
+                                    {"bytes", join.instance().size()},
+                                    {"reason", "its id doesn't begin with an IP address, or is too long"}});
+        responder.respond({400, {}, "not an instance id"});
+        return;
+    }
     const std::string ip(ipOf(instance));
     d_->advisers.peerSeen(now, ip);
     Wire::JobReply reply;
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -125,8 +125,8 @@
                 d_->leaderSeen = EventLoop::now();
             if (isLeader) {
                 d_->calls.leaderConfirmed(ip);
-                d_->calls.setRelays({reply.entries().begin(), reply.entries().end()});
-            } else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty()) {
+                setRelays(ip, {reply.entries().begin(), reply.entries().end()});
+            } else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && isReachable(InstanceId(reply.leader()))) {
                 d_->calls.learnLeader(std::string(ipOf(InstanceId(reply.leader()))));
             } else {
                 d_->calls.targetFailed(ip);
@@ -137,6 +137,16 @@
         });
 }
 
+/// Takes over the relays that can be called.
+void JobEntry::setRelays(std::string_view leader, std::vector<std::string> relays)
+{
+    const auto removed = std::erase_if(relays, [](const std::string &ip) { return !isReachable(InstanceId(ip)); });
+    if (removed > 0)
+        d_->runtime.logger().write(LogLevel::Warning, "relays-unusable",
+                                   {{"leader", leader}, {"entries", removed}, {"reason", "not an IP address"}});
+    d_->calls.setRelays(std::move(relays));
+}
+
 void JobEntry::call(const Wire::JobCall &call, Duration deadline, std::function<void(const Wire::JobReply &)> answered)
 {
     const auto begun = EventLoop::now();
--- a/src/libs/jobnode/jobentry.h
+++ b/src/libs/jobnode/jobentry.h
@@ -7,6 +7,9 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace Pistachio::Wire
 {
@@ -49,6 +52,7 @@
     void handleInternal(const Transport::Request &request, const Transport::Responder &responder);
     void relay(const Transport::Request &request, const Transport::Responder &responder);
     void announce();
+    void setRelays(std::string_view leader, std::vector<std::string> relays);
     void setReady(bool ready, std::string_view reason);
 
     struct Private;
--- a/tests/auto/jobnode/fakeleader.h
+++ b/tests/auto/jobnode/fakeleader.h
@@ -22,7 +22,7 @@
                 if (request.target == "/jobs/join") {
                     ++joins;
                     reply.set_leader(otherLeader);
-                    if (!relay.empty())
+                    for (const auto &relay : relays)
                         reply.add_entries(relay);
                 } else {
                     ++calls;
@@ -37,7 +37,7 @@
     }
 
     Pistachio::Wire::JobVerdict verdict = Pistachio::Wire::JOB_VERDICT_ACCEPTED;
-    std::string relay;
+    std::vector<std::string> relays;
     std::string otherLeader;
     bool isSilent = false;
     int joins = 0;
--- a/tests/auto/jobnode/tst_jobcontrol.cpp
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -3,6 +3,7 @@
 #include "jobnode/jobcontrol.h"
 #include "jobnode/minionclient.h"
 #include "jobnode/noderuntime.h"
+#include "jobnode/peers.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -75,6 +76,7 @@
     CPPUNIT_TEST(emptyInstanceFindsALeaderThatIsNoSeed);
     CPPUNIT_TEST(stopEndsCallsToMinions);
     CPPUNIT_TEST(instanceBehindATranslatedAddressTakesPart);
+    CPPUNIT_TEST(oddAnnouncementsTakePart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,6 +163,51 @@
             runtime.loop().runFor(10ms);
         CPPUNIT_ASSERT(seed.joins > 0);
     }
+
+    // One without an id replaced the leader's own adviser; the others became members and relays that no one can reach.
+    void oddAnnouncementsTakePart()
+    {
+        TemporaryFolder folder;
+        auto settings = settingsOf("127.0.0.1", folder.path);
+        settings.seeds = {{"127.0.0.1", 1}};
+        settings.bootstrap = true;
+        NodeRuntime runtime("test", settings);
+        const FakeLeader portHolder(runtime.loop(), "127.0.0.6", 0);
+        settings.internalPort = portHolder.port;
+        NoAdvice advice;
+        NoMinions minions;
+        JobControl control(settings, runtime, minions, advice);
+        CPPUNIT_ASSERT(control.open());
+        while (!control.canAnswer())
+            runtime.loop().runFor(10ms);
+        Peers peers(runtime.loop(), settings.internalPort, "", nullptr);
+        for (const auto &odd :
+             {std::string(), std::string("~1"), std::string("10.0.0.999"), std::string("10.0.0.1:99999~1"),
+              std::string("name"), std::string(1'000'000, '9'), "10.0.0.1~" + std::string(1'000'000, '9')}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd.substr(0, 80), 400, join(runtime, peers, odd, false).status);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(odd.substr(0, 80), 400, join(runtime, peers, odd, true).status);
+        }
+        CPPUNIT_ASSERT_EQUAL(200, join(runtime, peers, "10.0.0.1", true).status);
+        Wire::JobReply reply;
+        CPPUNIT_ASSERT(reply.ParseFromString(join(runtime, peers, "10.0.0.2", true).body));
+        CPPUNIT_ASSERT_EQUAL(1, reply.entries_size());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), reply.entries(0));
+    }
+
+private:
+    static Transport::Response join(NodeRuntime &runtime, Peers &peers, const std::string &instance, bool isEntry)
+    {
+        Wire::JobJoin join;
+        join.set_instance(instance);
+        join.set_is_entry(isEntry);
+        std::optional<Transport::Response> response;
+        peers.call("127.0.0.1", "/jobs/join", join.SerializeAsString(), 3s, [&](const Transport::CallResult &result) {
+            response = result ? result.value() : Transport::Response{0, {}, result.error().error.message};
+        });
+        while (!response)
+            runtime.loop().runFor(5ms);
+        return *response;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobControlTest);
--- a/tests/auto/jobnode/tst_jobentry.cpp
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(silentLeaderGetsNoJob);
     CPPUNIT_TEST(jobInDoubtIsNotRefused);
     CPPUNIT_TEST(otherEntryRelays);
+    CPPUNIT_TEST(oddRelaysTakeTheTimeOfACall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,7 +134,7 @@
     {
         Fixture fixture;
         FakeLeader other(fixture.runtime.loop(), "127.0.0.3", fixture.leader.port);
-        fixture.leader.relay = "127.0.0.3";
+        fixture.leader.relays = {"127.0.0.3"};
         CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
         fixture.leader.isSilent = true;
         fixture.runtime.loop().runFor(1200ms);
@@ -141,6 +142,22 @@
         CPPUNIT_ASSERT_EQUAL(1, other.calls);
         CPPUNIT_ASSERT(fixture.entry->isReady());
     }
+
+    // Each relay that can't be called costs a retry, so that many of them leave no time for the one that can.
+    void oddRelaysTakeTheTimeOfACall()
+    {
+        Fixture fixture;
+        FakeLeader other(fixture.runtime.loop(), "127.0.0.3", fixture.leader.port);
+        for (const auto &odd :
+             {std::string(), std::string("10.0.0.999"), std::string("127.0.0.3:99999"), std::string(1'000'000, '9')})
+            fixture.leader.relays.insert(fixture.leader.relays.end(), 5, odd);
+        fixture.leader.relays.emplace_back("127.0.0.3");
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        fixture.runtime.loop().runFor(1200ms);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit(600ms)});
+        CPPUNIT_ASSERT_EQUAL(1, other.calls);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobEntryTest);
