Ignore the end of a task that its job doesn't have

Cause: a row among a minion's ends that names a known job with a step, occurrence or task number too large was proposed and committed. The leader then read the step and the task without a check and ended with a segmentation fault. The next leader got the same row, and each instance that leads while it applies the entry ended as well.

Change: such an end is not proposed, and one that is already in the log changes nothing. The run of an absent task is dropped from its minion, and its progress is not measured.

--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -181,7 +181,7 @@
                             {"minion", minion.report.incarnation.id},
                             {"how", static_cast<int>(ended.end)}});
     }
-    if (!job) {
+    if (!job || !job->task(ended.task)) {
         if (isKnown)
             minion.remove(ended.task);
         return;
@@ -223,7 +223,8 @@
         const auto run = minion.runs.at(task).run;
         ports_.logDecision(LogLevel::Info, "run-not-listed",
                            {{"task", task.toString()}, {"run", run}, {"minion", minion.report.incarnation.id}});
-        if (store_.job(task.step.job))
+        const auto *job = store_.job(task.step.job);
+        if (job && job->task(task))
             proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED);
         else
             minion.remove(task);
--- a/src/libs/jobs/slowminions.cpp
+++ b/src/libs/jobs/slowminions.cpp
@@ -34,7 +34,8 @@
 bool JobScheduler::isSpeedMeaningful(const Minion &minion, const TaskName &task, const Run &run) const
 {
     const auto *job = store_.job(task.step.job);
-    if (!job || run.phase != RunPhase::Running || run.expected <= Duration::zero() || run.throttlePercent < 100)
+    if (!job || !job->task(task) || run.phase != RunPhase::Running || run.expected <= Duration::zero()
+        || run.throttlePercent < 100)
         return false;
     const auto &step = job->spec(task.step.step);
     // Serving tasks have no progress; tasks on spare cores or far from their data are slow on any minion.
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -119,11 +119,18 @@
     if (!leading_)
         return;
     const auto name = toTaskName(end.task());
+    const auto *task = job.task(name);
+    if (!task) {
+        auto *minion = fleet_.find(MinionIncarnation{end.minion(), end.minion_born_unix_ms()});
+        if (minion)
+            minion->remove(name);
+        return;
+    }
     const auto &step = job.spec(name.step.step);
     planNeeded_ = true;
     // The end may come from the minion of an earlier run, not from the one that the task is assigned to now.
     for (const auto &incarnation : {MinionIncarnation{end.minion(), end.minion_born_unix_ms()},
-                                    MinionIncarnation{job.task(name)->minion, job.task(name)->minionBornUnixMs}}) {
+                                    MinionIncarnation{task->minion, task->minionBornUnixMs}}) {
         auto *minion = fleet_.find(incarnation);
         const auto found = minion ? minion->runs.find(name) : std::map<TaskName, Run>::iterator();
         if (!minion || found == minion->runs.end())
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <string>
 
 using namespace Pistachio;
@@ -34,6 +35,7 @@
     CPPUNIT_TEST(unreadableRowEndsRunningTask);
     CPPUNIT_TEST(unreadableRowKeepsLostStartsForever);
     CPPUNIT_TEST(unreadableProgressMovesTask);
+    CPPUNIT_TEST(endOfAbsentTaskCrashesTheLeader);
     CPPUNIT_TEST(stalledTaskIsMovedOnce);
     CPPUNIT_TEST(tasksMoveOffSlowMinion);
     CPPUNIT_TEST(tasksSlowEverywhereAreNotMoved);
@@ -232,6 +234,26 @@
         assertNoViolations(cell);
     }
 
+    // A row that names a step or a task that its job doesn't have ended each leader in turn.
+    void endOfAbsentTaskCrashesTheLeader()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 9s);
+        cell.submit(first, 2, 1000, estimate(9s));
+        cell.run(1s);
+        constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+        minion.strayEnds = {{1, {{first, 0, 99}, 0}, 1, RunEnd::Done, ""},
+                            {2, {{first, largest, 0}, 0}, 1, RunEnd::Done, ""},
+                            {3, {{first, 0, 0}, largest}, 1, RunEnd::Done, ""},
+                            {4, {{first, 0, largest}, largest}, 1, RunEnd::Failed, ""}};
+        cell.run(2s);
+        cell.changeLeader();
+        cell.run(2s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Active);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.starts);
+        assertNoViolations(cell);
+    }
+
     // A minion whose tasks make no progress still renews its lease, so nothing else would move the task.
     void stalledTaskIsMovedOnce()
     {
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -97,6 +97,7 @@
     if (hidesRuns)
         answer.active.clear();
     answer.ended = ended_;
+    answer.ended.insert(answer.ended.end(), strayEnds.begin(), strayEnds.end());
     return answer;
 }
 
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -49,6 +49,7 @@
     bool failsEverything = false;
     bool hidesRuns = false; ///< its active runs are listed in rows that can't be read
     bool hasOddRow = false; ///< its list of active runs has one row more, which can't be read
+    std::vector<Pistachio::Jobs::EndedRun> strayEnds; ///< listed beside its own
     bool hidesProgress = false; ///< the progress in its rows can't be read
     bool standsStill = false; ///< what starts there makes no progress
     std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
