Let no stored job or minion end the processes that replay it

Amounts and times near the 64-bit range overflow sums. Jobs are checked before they are stored, but an earlier version may have checked less.

Change: a job that can't be held is left out when it is applied (the reply says so) or restored, and the others stay. Numbers out of range of stored jobs and minions are limited to what can be added up.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job.h"
 
+#include "jobs/jobvalidation.h"
+
 #include <jobs.pb.h>
 
 #include <algorithm>
@@ -10,6 +12,7 @@
 Job::Job(const Wire::JobSubmission &submission)
     : submission_(std::make_unique<Wire::JobSubmission>(submission))
 {
+    limitNumbers(*submission_->mutable_spec());
     for (std::uint32_t occurrence = 0; occurrence < occurrences(); ++occurrence) {
         for (const auto &step : submission_->spec().steps()) {
             steps_.emplace_back();
@@ -205,11 +208,13 @@
     job.hasBegun_ = image.has_begun();
     for (std::size_t number = 0; number < job.steps_.size(); ++number) {
         auto &record = job.steps_[number];
-        const auto &step = image.steps(static_cast<int>(number));
+        const auto &step = static_cast<int>(number) < image.steps_size() ? image.steps(static_cast<int>(number))
+                                                                         : Wire::JobStepImage::default_instance();
         record.gangFailures = step.gang_failures();
         record.lastFailedRun = step.last_failed_run();
         for (std::size_t index = 0; index < record.tasks.size(); ++index) {
-            const auto &item = step.tasks(static_cast<int>(index));
+            const auto &item = static_cast<int>(index) < step.tasks_size() ? step.tasks(static_cast<int>(index))
+                                                                           : Wire::JobTaskImage::default_instance();
             auto &task = record.tasks[index];
             task.run = item.run();
             task.failures = item.failures();
--- a/src/libs/jobs/jobstore.cpp
+++ b/src/libs/jobs/jobstore.cpp
@@ -1,6 +1,7 @@
 #include "jobs/jobstore.h"
 
 #include "jobs/jobstoreobserver.h"
+#include "jobs/jobvalidation.h"
 
 #include <jobs.pb.h>
 
@@ -41,8 +42,10 @@
     for (const auto &end : command.ends())
         applyEnd(end);
     assign(command);
-    if (command.has_submission())
-        submit(command);
+    if (command.has_submission() && !submit(command)) {
+        reply.set_verdict(Wire::JOB_VERDICT_INVALID);
+        reply.set_reason("the job has too many tasks, or steps that depend on later ones");
+    }
     if (!command.cancelled_job().empty()) {
         const auto found = jobs_.find(command.cancelled_job());
         if (found == jobs_.end()) {
@@ -103,14 +106,15 @@
     }
 }
 
-void JobStore::submit(const Wire::JobCommand &command)
+bool JobStore::submit(const Wire::JobCommand &command)
 {
     const auto &submission = command.submission();
+    if (!canBeHeld(submission.spec()))
+        return false;
     const auto [entry, isNew] = jobs_.try_emplace(submission.id(), submission);
-    if (!isNew)
-        return;
-    if (observer_)
+    if (isNew && observer_)
         observer_->jobAccepted(entry->second);
+    return true;
 }
 
 std::uint32_t JobStore::maxAttempts(const Job &job) const
--- a/src/libs/jobs/jobstore.h
+++ b/src/libs/jobs/jobstore.h
@@ -63,7 +63,8 @@
     void configure(const Wire::JobConfiguration &configuration);
     void applyEnd(const Wire::JobEnd &end);
     void assign(const Wire::JobCommand &command);
-    void submit(const Wire::JobCommand &command);
+    /// \return whether the job can be held.
+    bool submit(const Wire::JobCommand &command);
     [[nodiscard]] std::uint32_t maxAttempts(const Job &job) const;
 
     std::unique_ptr<Wire::JobConfiguration> configuration_;
--- a/src/libs/jobs/jobstoresnapshot.cpp
+++ b/src/libs/jobs/jobstoresnapshot.cpp
@@ -1,5 +1,6 @@
 #include "jobs/jobstore.h"
 #include "jobs/jobstoreobserver.h"
+#include "jobs/jobvalidation.h"
 
 #include <jobs.pb.h>
 
@@ -32,8 +33,10 @@
         queues_[queueKey(queue)] = queue;
     for (const auto &minion : image.minions())
         minions_[minion.id()] = minion;
-    for (const auto &item : image.jobs())
-        jobs_.try_emplace(item.submission().id(), Job::fromImage(item));
+    for (const auto &item : image.jobs()) {
+        if (canBeHeld(item.submission().spec()))
+            jobs_.try_emplace(item.submission().id(), Job::fromImage(item));
+    }
     if (observer_)
         observer_->restored();
     return success();
--- a/src/libs/jobs/jobvalidation.cpp
+++ b/src/libs/jobs/jobvalidation.cpp
@@ -97,6 +97,37 @@
     return success();
 }
 
+bool canBeHeld(const Wire::JobSpec &spec)
+{
+    std::uint64_t tasks = 0;
+    for (int number = 0; number < spec.steps_size(); ++number) {
+        const auto &needed = spec.steps(number).depends_on();
+        if (std::any_of(needed.begin(), needed.end(),
+                        [number](std::uint32_t other) { return other >= static_cast<std::uint32_t>(number); }))
+            return false;
+        tasks += std::max(1U, spec.steps(number).tasks());
+    }
+    return tasks * std::max(1U, spec.repeat_count()) <= maxTasks;
+}
+
+std::int64_t limitedAmount(std::int64_t amount)
+{
+    return std::clamp<std::int64_t>(amount, 0, maxAmount);
+}
+
+void limitNumbers(Wire::JobSpec &spec)
+{
+    spec.set_start_at_unix_ms(std::clamp<std::int64_t>(spec.start_at_unix_ms(), 0, maxUnixMs));
+    spec.set_interval_ms(std::clamp<std::int64_t>(spec.interval_ms(), 0, maxDurationMs));
+    for (auto &step : *spec.mutable_steps()) {
+        step.set_milli_cores(limitedAmount(step.milli_cores()));
+        step.set_memory_mb(limitedAmount(step.memory_mb()));
+        step.set_accelerators(limitedAmount(step.accelerators()));
+        step.set_estimate_ms(std::clamp<std::int64_t>(step.estimate_ms(), 0, maxDurationMs));
+        step.set_target_ms(std::clamp<std::int64_t>(step.target_ms(), 0, maxDurationMs));
+    }
+}
+
 Result<void> checkConfiguration(const Wire::JobConfiguration &configuration)
 {
     std::set<std::string> services;
--- a/src/libs/jobs/minionrecord.cpp
+++ b/src/libs/jobs/minionrecord.cpp
@@ -1,5 +1,6 @@
 #include "jobs/minionrecord.h"
 
+#include "jobs/jobvalidation.h"
 #include "jobs/orders.h"
 
 #include <jobs.pb.h>
@@ -14,9 +15,9 @@
     report.address = minion.address();
     report.service = minion.service();
     report.zone = minion.zone();
-    report.milliCores = minion.milli_cores();
-    report.memoryMb = minion.memory_mb();
-    report.accelerators = minion.accelerators();
+    report.milliCores = limitedAmount(minion.milli_cores());
+    report.memoryMb = limitedAmount(minion.memory_mb());
+    report.accelerators = limitedAmount(minion.accelerators());
     report.labels.assign(minion.labels().begin(), minion.labels().end());
     report.draining = minion.draining();
     return report;
--- a/tests/auto/jobs/tst_jobstore.cpp
+++ b/tests/auto/jobs/tst_jobstore.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
 #include <string>
 
 using namespace Pistachio;
@@ -112,9 +113,50 @@
     CPPUNIT_TEST(snapshotRestoresAllState);
     CPPUNIT_TEST(invalidJobsAreRejected);
     CPPUNIT_TEST(invalidConfigurationsAreRejected);
+    CPPUNIT_TEST(oddEntryEndsTheReplay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // What an earlier version stored is applied again at each start.
+    void oddEntryEndsTheReplay()
+    {
+        Fixture fixture;
+        Wire::JobSpec unknownStep;
+        unknownStep.add_steps()->set_tasks(1);
+        unknownStep.mutable_steps(0)->add_depends_on(7);
+        Wire::JobSpec tooMany;
+        tooMany.add_steps()->set_tasks(4'000'000'000U);
+        Wire::JobSpec tooLarge;
+        tooLarge.set_repeat_count(2);
+        tooLarge.set_start_at_unix_ms(INT64_MAX);
+        tooLarge.set_interval_ms(INT64_MAX);
+        tooLarge.add_steps()->set_tasks(1);
+        tooLarge.mutable_steps(0)->set_milli_cores(INT64_MAX);
+        tooLarge.mutable_steps(0)->set_estimate_ms(INT64_MIN);
+        for (const auto &spec : {unknownStep, tooMany}) {
+            fixture.submit(spec);
+            CPPUNIT_ASSERT(!fixture.store.job(jobId));
+        }
+        fixture.submit(tooLarge);
+        const auto &job = *fixture.store.job(jobId);
+        CPPUNIT_ASSERT(job.dueUnixMs(1) > job.dueUnixMs(0));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{INT32_MAX}, job.spec(0).milli_cores());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, job.spec(0).estimate_ms());
+        Wire::JobBookImage image;
+        CPPUNIT_ASSERT(image.ParseFromString(fixture.store.snapshot()));
+        auto &shorter = *image.add_jobs();
+        shorter.mutable_submission()->set_id("b");
+        shorter.mutable_submission()->mutable_spec()->add_steps()->set_tasks(3);
+        auto &odd = *image.add_jobs();
+        odd.mutable_submission()->set_id("c");
+        *odd.mutable_submission()->mutable_spec() = tooMany;
+        JobStore restored;
+        CPPUNIT_ASSERT(restored.restore(image.SerializeAsString()));
+        CPPUNIT_ASSERT(restored.job(jobId));
+        CPPUNIT_ASSERT(restored.job("b"));
+        CPPUNIT_ASSERT(!restored.job("c"));
+    }
+
     // A resent or delayed command must not replace a newer configuration.
     void olderConfigurationIsIgnored()
     {
