--- a/src/libs/jobnode/internalcalls.cpp
+++ b/src/libs/jobnode/internalcalls.cpp
@@ -25,6 +25,7 @@
 
 constexpr Duration entrySeenLimit = 3s;
 constexpr std::size_t relaysEach = 3; ///< entries named to another one, in case it loses the way to the leader
+constexpr std::size_t loggedIdBytes = 100;
 
 Transport::Response bytes(std::string body)
 {
@@ -41,9 +42,9 @@
 void InternalCalls::handle(const Transport::Request &request, const Transport::Responder &responder)
 {
     if (request.target == "/jobs/replication") {
-        if (!instance_.group.receive(EventLoop::now(), request.body))
+        for (const auto &refused : instance_.group.receive(EventLoop::now(), request.body))
             instance_.runtime.logger().write(LogLevel::Warning, "replication-unreadable",
-                                             {{"bytes", request.body.size()}});
+                                             {{"bytes", request.body.size()}, {"reason", refused.message}});
         responder.respond({204, {}, {}});
         instance_.changed();
     } else if (request.target == "/jobs/call") {
@@ -105,6 +106,10 @@
         return;
     }
     const InstanceId instance(join.instance());
+    if (!isReachable(instance)) {
+        refuseAnnouncement(join.instance(), responder);
+        return;
+    }
     if (join.leaves()) {
         handleLeave(instance, responder);
         return;
@@ -132,6 +137,15 @@
     responder.respond(bytes(reply.SerializeAsString()));
 }
 
+void InternalCalls::refuseAnnouncement(std::string_view instance, const Transport::Responder &responder)
+{
+    instance_.runtime.logger().write(LogLevel::Warning, "announcement-refused",
+                                     {{"instance", instance.substr(0, loggedIdBytes)},
+                                      {"bytes", instance.size()},
+                                      {"reason", "its id doesn't begin with an IP address, or is too long"}});
+    responder.respond({400, {}, "not an instance id"});
+}
+
 void InternalCalls::handleLeave(const InstanceId &instance, const Transport::Responder &responder)
 {
     const bool mayLeave
--- a/src/libs/jobnode/internalcalls.h
+++ b/src/libs/jobnode/internalcalls.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace Pistachio::Jobs
 {
@@ -56,6 +57,7 @@
 private:
     void handleCall(const Transport::Request &request, const Transport::Responder &responder);
     void handleJoin(const Transport::Request &request, const Transport::Responder &responder);
+    void refuseAnnouncement(std::string_view instance, const Transport::Responder &responder);
     void handleLeave(const InstanceId &instance, const Transport::Responder &responder);
     void handleForwarded(const Transport::Request &request, const Transport::Responder &responder);
     void logCall(const Wire::JobCall &call, const Wire::JobReply &reply, Duration took);
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -128,9 +128,8 @@
                 d_->leaderSeen = EventLoop::now();
             if (isLeader) {
                 d_->calls.leaderConfirmed(ip);
-                d_->calls.setRelays({reply.entries().begin(), reply.entries().end()});
-                d_->calls.setControls({reply.controls().begin(), reply.controls().end()});
-            } else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && !reply.leader().empty()) {
+                takeAddresses(ip, reply);
+            } else if (reply.verdict() == Wire::JOB_VERDICT_NOT_LEADER && isReachable(InstanceId(reply.leader()))) {
                 d_->calls.learnLeader(std::string(ipOf(InstanceId(reply.leader()))));
             } else {
                 d_->calls.targetFailed(ip);
@@ -141,6 +140,20 @@
         });
 }
 
+/// Takes over the relays and control instances that a leader names, as far as they can be called.
+void JobEntry::takeAddresses(std::string_view leader, const Wire::JobReply &reply)
+{
+    std::vector<std::string> relays(reply.entries().begin(), reply.entries().end());
+    std::vector<std::string> controls(reply.controls().begin(), reply.controls().end());
+    const auto isUnusable = [](const std::string &ip) { return !isReachable(InstanceId(ip)); };
+    const auto removed = std::erase_if(relays, isUnusable) + std::erase_if(controls, isUnusable);
+    if (removed > 0)
+        d_->runtime.logger().write(LogLevel::Warning, "addresses-unusable",
+                                   {{"leader", leader}, {"entries", removed}, {"reason", "not an IP address"}});
+    d_->calls.setRelays(std::move(relays));
+    d_->calls.setControls(std::move(controls));
+}
+
 void JobEntry::call(const Wire::JobCall &call, Duration deadline, std::function<void(const Wire::JobReply &)> answered)
 {
     const auto begun = EventLoop::now();
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -98,6 +98,7 @@
     if (hidesRuns)
         answer.active.clear();
     answer.ended = ended_;
+    answer.ended.insert(answer.ended.end(), strayEnds.begin(), strayEnds.end());
     return answer;
 }
 
