Don't expect long-running tasks to end

Cause: the expected end of a long-running task was taken from its estimate, and once that was over from now on at any time. A large task therefore reserved the minion of a long-running one, which never became free, and starved. Before, longRunningTaskIsNotExpectedToEnd printed "the large task doesn't run"; it passes now.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -21,6 +21,8 @@
 constexpr Duration planInterval = 200ms; ///< replans without changes, as tickets expire and minions become usable again
 constexpr Duration backlogInterval = 15ms; ///< between rounds with a backlog; saves processor time but delays starts
 
+constexpr Duration longRunningTime = 24h; ///< expected for tasks that run until their job is cancelled
+
 } // namespace
 
 JobScheduler::JobScheduler(JobStore &store, SchedulerPorts &ports, const SchedulerSettings &settings)
@@ -205,6 +207,8 @@
 
 Duration JobScheduler::expectedRunTime(const Job &job, const StepName &step) const
 {
+    if (job.spec(step.step).long_running())
+        return longRunningTime;
     return durations_.expected(job.submission().queue(), step,
                                std::chrono::milliseconds(job.spec(step.step).estimate_ms()));
 }
--- a/tests/auto/jobs/tst_lostruns.cpp
+++ b/tests/auto/jobs/tst_lostruns.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(taskThatFitsNowhereReservesNothing);
     CPPUNIT_TEST(smallTasksDontTakeFreedMemory);
     CPPUNIT_TEST(newLeaderStopsTheRestOfAGang);
+    CPPUNIT_TEST(longRunningTaskIsNotExpectedToEnd);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertRuns(SimulatedCell &cell, const std::string &job)
@@ -241,6 +242,31 @@
         assertRuns(cell, first);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.minionsRunning(first).size());
     }
+
+    // Guards against reserving the minion of a long-running task, which never ends, for a large task.
+    void longRunningTaskIsNotExpectedToEnd()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 3000, 1h);
+        cell.submit(first, 1, 3000, longRunning);
+        cell.run(2s);
+        cell.addMinion("b", 4000, 2s);
+        const auto addSmall = [&cell](int number) {
+            cell.submit(otherJob(number), 1, 1000, [](Wire::JobStep &step) { step.set_estimate_ms(2000); });
+        };
+        for (int number = 0; number < 4; ++number) {
+            addSmall(number);
+            cell.run(500ms);
+        }
+        cell.submit(second, 1, 3000, [](Wire::JobStep &step) { step.set_estimate_ms(2000); });
+        for (int number = 4; number < 16; ++number) {
+            addSmall(number);
+            cell.run(500ms);
+            if (cell.firstMinionRunning(second) == "b")
+                return;
+        }
+        CPPUNIT_FAIL("the large task doesn't run");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LostRunsTest);
