Let resumable work of lower priority make way for long-running tasks

Cause: a full service kept a waiting long-running task away until some task ended, even if what filled it was work of a queue of lower priority that checkpoints and has slack. A large task could preempt such work, a long-running one could not. Change: long-running tasks preempt it under the same conditions as large tasks: a wait of more than 1 s, a queue of lower priority, checkpoints, 2 s of slack and at most two preemptions a task.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -204,7 +204,10 @@
     void reserveCapacity(const WaitingEntry &entry, const Job &job);
     [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
                                      const Wire::JobQueue &queue) const;
-    void preemptFor(const WaitingEntry &entry, const StepRequirements &requirements, Minion &minion);
+    /// \return whether the step fits once the tasks that were told to stop have ended.
+    bool preemptFor(const WaitingEntry &entry, const StepRequirements &requirements, Minion &minion);
+    void preemptForLongRunning(const WaitingEntry &entry, const StepRequirements &requirements,
+                               std::span<Minion *const> minions);
 
     JobStore &store_;
     SchedulerPorts &ports_;
