Clear the scheduler's state in one place

The list of what is cleared stood twice, in loseLeadership() and restored(), and each new member had to be added to both. All 55 tests of tst_jobs pass.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -56,17 +56,7 @@
     if (!leading_)
         return;
     leading_ = false;
-    fleet_.clear();
-    queue_.clear();
-    advice_.clear();
-    futureTasks_.clear();
-    finishedJobs_.clear();
-    begunJobs_.clear();
-    movedTasks_.clear();
-    answerLosses_.clear();
-    durations_.clearSteps();
-    preemptions_.clear();
-    lostRuns_.clear();
+    clearState();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
         for (const auto &stored : waiting)
             stored(false);
@@ -74,10 +64,8 @@
     ports_.logDecision(LogLevel::Info, "leadership-lost", {{"fence", fencingToken_}});
 }
 
-void JobScheduler::restored()
+void JobScheduler::clearState()
 {
-    if (!leading_)
-        return;
     fleet_.clear();
     queue_.clear();
     advice_.clear();
@@ -89,6 +77,13 @@
     durations_.clearSteps();
     preemptions_.clear();
     lostRuns_.clear();
+}
+
+void JobScheduler::restored()
+{
+    if (!leading_)
+        return;
+    clearState();
     for (const auto &[id, minion] : store_.minions()) {
         fleet_.add(toReport(minion));
         // An earlier leader may have granted a lease just before this leader took over.
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -129,6 +129,8 @@
     };
 
     // jobscheduler.cpp and storeevents.cpp
+    /// Clears all that is derived from the job store and the minions. What was learnt about speeds and queues stays.
+    void clearState();
     void enqueueJob(const Job &job);
     void enqueue(const Job &job, const TaskName &task);
     void adoptRuns(const Job &job);
