Watch in the soak that long-running tasks run again in time

The incident LOST was two accepted long-running tasks that never ran again. The soak had no such tasks and asked only at the end whether jobs were over, so it couldn't see that.

One job of seven is now long-running, and half of the runs of its tasks end by themselves as failed, lapsed or stopped. The ledger lists their tasks and whether capacity is free twice over. LastingWatch follows them through the whole run, with the bound of the users' rule LOST: from 6 s after its last run, a task that fits must not have nothing running for 3 s on end while the cell is calm. Calm means no fault open and none ended within contactTimeoutMs (3 s), and recoveryS (12 s) after more than half of the control instances were lost; an instance counts as lost until catchUpS (4 s) after it is back. After the faults the run waits until all long-running tasks run or are overdue, then cancels them and checks that they stop within cancel_ms.

An instance that had to be started while it was still stopping stayed away until the end of the faults; it now starts as soon as it is gone, as the platform's do.

Tests: tst_lastingwatch reports a task that is never started again 9 s after its last run, once, and nothing when there is no room, when the cell is disturbed, when the majority is lost, when the task is cancelled or runs again in time.

--- a/tests/soak/cell.cpp
+++ b/tests/soak/cell.cpp
@@ -1,10 +1,13 @@
 #include "cell.h"
 
+#include "calm.h"
 #include "storage/segment.h"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <span>
 #include <utility>
 
 namespace Pistachio::Soak
@@ -74,10 +77,14 @@
 void Cell::start(std::size_t index)
 {
     auto &instance = instances_[index];
-    if (instance.process)
+    if (instance.process) {
+        instance.startsAgain = instance.stoppedAt != TimePoint::min();
         return;
+    }
     writeSettings(instance);
+    instance.wholeFrom = instance.hasStarted ? EventLoop::now() + catchUpTime : TimePoint::min();
     instance.hasStarted = true;
+    instance.startsAgain = false;
     const auto program = besideThis(instance.dataFolder.empty() ? "pistachio-jobentry" : "pistachio-jobcontrol");
     const auto path = folder_ + '/' + instance.name;
     instance.process = std::make_unique<EndToEnd::Process>(
@@ -98,6 +105,7 @@
     auto &instance = instances_[index];
     instance.troubledAt = EventLoop::now();
     instance.process.reset();
+    instance.startsAgain = false;
     setListening(instance, false);
 }
 
@@ -127,6 +135,7 @@
         return;
     instance.troubledAt = EventLoop::now();
     instance.isFrozen = false;
+    instance.wholeFrom = EventLoop::now() + catchUpTime;
     if (instance.process)
         instance.process->signal(SIGCONT);
 }
@@ -171,7 +180,8 @@
 void Cell::watch()
 {
     const auto now = EventLoop::now();
-    for (auto &instance : instances_) {
+    for (std::size_t index = 0; index < instances_.size(); ++index) {
+        auto &instance = instances_[index];
         if (!instance.process)
             continue;
         const bool isStopping = instance.stoppedAt != TimePoint::min();
@@ -188,9 +198,36 @@
         }
         instance.process.reset();
         setListening(instance, false);
+        if (instance.startsAgain)
+            start(index);
     }
 }
 
+bool Cell::isComplete() const
+{
+    return std::all_of(instances_.begin(), instances_.end(), [](const Instance &instance) {
+        return instance.process != nullptr && instance.stoppedAt == TimePoint::min();
+    });
+}
+
+bool Cell::isWhole(const Instance &instance, TimePoint now)
+{
+    return instance.process != nullptr && !instance.isFrozen && instance.stoppedAt == TimePoint::min()
+        && now >= instance.wholeFrom;
+}
+
+bool Cell::hasMajority() const
+{
+    const auto now = EventLoop::now();
+    const auto controls = std::span(instances_).first(size_.controls);
+    return std::any_of(controls.begin(), controls.end(), [&](const Instance &one) {
+        const auto reached = std::count_if(controls.begin(), controls.end(), [&](const Instance &other) {
+            return isWhole(other, now) && proxy_.isOpen(one.name, other.name);
+        });
+        return isWhole(one, now) && static_cast<std::size_t>(reached) * 2 > size_.controls;
+    });
+}
+
 bool Cell::isRunning(std::size_t index) const
 {
     return instances_[index].process != nullptr;
--- a/tests/soak/cell.h
+++ b/tests/soak/cell.h
@@ -34,6 +34,7 @@
     Cell(Transport::EventLoop &loop, const CellSize &size, std::string folder, const std::string &network,
          Report report);
 
+    /// An instance that is still stopping starts once it is gone.
     void start(std::size_t index);
     void kill(std::size_t index);
     /// SIGTERM; the process is to exit with 0 in time.
@@ -52,6 +53,12 @@
 
     [[nodiscard]] bool isRunning(std::size_t index) const;
 
+    /// \return whether every process runs and none is stopping.
+    [[nodiscard]] bool isComplete() const;
+
+    /// \return whether one control instance reaches more than half of all, itself included, that count as whole.
+    [[nodiscard]] bool hasMajority() const;
+
     /// \return whether a planned stop, and nothing else, can have broken a connection opened at \p since.
     [[nodiscard]] bool wasOnlyStopped(std::size_t index, TimePoint since) const;
 
@@ -69,12 +76,15 @@
         std::unique_ptr<EndToEnd::Process> process;
         bool hasStarted = false;
         bool isFrozen = false;
+        bool startsAgain = false; ///< once it has stopped
         TimePoint stoppedAt = TimePoint::min(); ///< by SIGTERM
         TimePoint troubledAt = TimePoint::min(); ///< by anything else
+        TimePoint wholeFrom = TimePoint::min(); ///< not lost any more, if it runs
     };
 
     void writeSettings(const Instance &instance) const;
     void setListening(const Instance &instance, bool isListening);
+    [[nodiscard]] static bool isWhole(const Instance &instance, TimePoint now);
 
     const CellSize size_;
     const std::string folder_;
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -121,6 +121,12 @@
     links_[{from, to}] = link;
 }
 
+bool FaultProxy::isOpen(const std::string &one, const std::string &other) const
+{
+    const auto isFree = [](const Link &link) { return !link.isBlocked && link.delay == Duration::zero(); };
+    return isFree(linkOf(one, other)) && isFree(linkOf(other, one));
+}
+
 void FaultProxy::reset(const std::string &one, const std::string &other)
 {
     for (const auto &item : connections_) {
--- a/tests/soak/faultproxy.h
+++ b/tests/soak/faultproxy.h
@@ -38,6 +38,9 @@
 
     void setLink(const std::string &from, const std::string &to, const Link &link);
 
+    /// \return whether nothing is held back or delayed between two instances.
+    [[nodiscard]] bool isOpen(const std::string &one, const std::string &other) const;
+
     /// Breaks the connections between two instances.
     void reset(const std::string &one, const std::string &other);
 
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,5 +1,7 @@
 #include "ledger.h"
 
+#include <algorithm>
+
 namespace Pistachio::Soak
 {
 
@@ -81,12 +83,59 @@
 {
     std::vector<std::string> ids;
     for (const auto &[id, job] : jobs_) {
-        if (job.isAccepted && !job.isCompleted && !job.isCancelled)
+        if (job.isAccepted && !job.isCompleted && !job.isCancelled && !job.isLasting())
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+std::vector<std::string> Ledger::lastingJobs() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, job] : jobs_) {
+        if (job.isAccepted && !job.isCancelled && job.isLasting())
             ids.push_back(id);
     }
     return ids;
 }
 
+std::vector<LastingTask> Ledger::lastingTasks() const
+{
+    std::vector<LastingTask> tasks;
+    for (const auto &id : lastingJobs()) {
+        const auto &job = jobs_.at(id);
+        if (job.isCancelling)
+            continue;
+        const auto &step = job.steps.front();
+        for (std::uint32_t index = 0; index < step.tasks; ++index) {
+            LastingTask task;
+            task.name = {{id, 0, 0}, index};
+            const auto last = lastRun_.find(task.name);
+            task.run = last == lastRun_.end() ? 0 : last->second;
+            task.isRunning = running_.contains(task.name);
+            task.fits = fitsTwice(step.milliCores);
+            tasks.push_back(std::move(task));
+        }
+    }
+    return tasks;
+}
+
+bool Ledger::fitsTwice(std::int64_t milliCores) const
+{
+    std::int64_t copies = 0;
+    for (const auto &[name, minion] : minions_)
+        copies += (minion.milliCores - minion.used) / milliCores;
+    return copies >= 2;
+}
+
+bool Ledger::isOverdone() const
+{
+    return std::any_of(running_.begin(), running_.end(), [this](const auto &item) {
+        const auto &job = jobs_.at(item.first.step.job);
+        return job.isCompleted || job.isCancelled;
+    });
+}
+
 void Ledger::checkNothingRuns()
 {
     for (const auto &[task, minion] : running_) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "lastingwatch.h"
 #include "platform/runobserver.h"
 
 #include <cstdint>
@@ -26,6 +27,7 @@
         std::int64_t milliCores = 0;
         bool waitsForFirst = false; ///< for all tasks of step 0
         bool isGang = false; ///< the end of one task stands for all
+        bool isLasting = false; ///< long-running: until the job is cancelled
     };
     struct Job {
         std::string payload;
@@ -35,6 +37,9 @@
         bool isCancelling = false; ///< the caller has asked for it
         bool isCancelled = false; ///< confirmed
         bool isCompleted = false; ///< so the caller was told
+
+        [[nodiscard]] bool isLasting() const { return !steps.empty() && steps.front().isLasting; }
+
         std::set<Jobs::TaskName> done; ///< ended done on a minion at least once
         std::set<Jobs::TaskName> noted; ///< whose end has been acknowledged
     };
@@ -58,7 +63,14 @@
     void configurationRead(std::uint64_t version, std::uint64_t acknowledged);
     [[nodiscard]] std::uint64_t newestAcknowledged() const { return acknowledgedVersion_; }
 
-    /// \return accepted jobs that are neither completed nor cancelled.
+    /// \return the tasks of long-running jobs that are accepted and that nobody has asked to cancel.
+    [[nodiscard]] std::vector<LastingTask> lastingTasks() const;
+    /// \return the accepted long-running jobs whose cancelling is not confirmed.
+    [[nodiscard]] std::vector<std::string> lastingJobs() const;
+    /// \return whether a task of a job that is over still runs.
+    [[nodiscard]] bool isOverdone() const;
+
+    /// \return accepted jobs that are neither completed nor cancelled, without long-running ones.
     [[nodiscard]] std::vector<std::string> unfinished() const;
     /// Reports what still runs though all jobs are over.
     void checkNothingRuns();
@@ -82,6 +94,7 @@
     void checkStart(const Job &job, const Jobs::StartOrder &order);
     void release(const Jobs::TaskName &task);
     [[nodiscard]] std::int64_t milliCoresOf(const Jobs::TaskName &task) const;
+    [[nodiscard]] bool fitsTwice(std::int64_t milliCores) const;
 
     const Report report_;
     std::map<std::string, Job> jobs_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -16,6 +16,9 @@
 constexpr Duration recoveryLimit = 15s; ///< the platform's bound on the time until requests are served again
 constexpr Duration finishLimit = 45s; ///< leases, moves and repeated runs of all that was accepted
 constexpr Duration stopLimit = 8s;
+constexpr Duration cancelLimit = 4s; ///< the platform's cancel_ms and stopTimeoutMs, and the answer
+/// After a lost majority the last long-running task is overdue this late.
+constexpr Duration lastingLimit = recoveryTime + longestGap + idleLimit + 1s;
 constexpr Duration pollInterval = 10ms;
 constexpr Duration slowLink = 120ms;
 constexpr std::int64_t minionMilliCores = 8000;
@@ -28,6 +31,7 @@
     , plan_(planFaults(seed, span, size_))
     , startedAt_(EventLoop::now())
     , ledger_([this](const std::string &text) { violated(text); })
+    , lastingWatch_([this](const std::string &text) { violated(text); })
     , cell_(loop_, size_, std::move(folder), network, [this](const std::string &text) { violated(text); })
     , workload_(loop_, cell_, ledger_, seed, [this](const std::string &text) { violated(text); })
     , advice_(loop_, Workload::ticketValidity)
@@ -57,6 +61,7 @@
             std::make_unique<Standin::MinionServer>(loop_, std::move(report), runTime, cell_.controls(), check));
         simulated_.push_back(&minions_.back()->minion());
         simulated_.back()->observer = &ledger_;
+        simulated_.back()->lastingRun = [this](const auto &task, auto run) { return workload_.lastingRun(task, run); };
     }
     isCrashed_.resize(minions_.size());
 }
@@ -74,11 +79,19 @@
             return false;
         loop_.runFor(pollInterval);
         gangs_.tick(EventLoop::now(), simulated_);
-        cell_.watch();
+        watch();
     }
     return true;
 }
 
+void Soak::watch()
+{
+    cell_.watch();
+    const auto now = EventLoop::now();
+    calm_.observe(now, openFaults_ > 0 || !cell_.isComplete(), cell_.hasMajority());
+    lastingWatch_.observe(now, ledger_.lastingTasks(), calm_.isCalm(now));
+}
+
 std::vector<std::string> Soak::run()
 {
     for (std::size_t index = 0; index < size_.controls + size_.entries; ++index)
@@ -114,10 +127,13 @@
     std::stable_sort(events.begin(), events.end(), [](const Event &a, const Event &b) { return a.at < b.at; });
     for (const auto &event : events) {
         waitFor(begin + event.at - EventLoop::now(), [] { return false; });
-        if (event.isEnd)
+        if (event.isEnd) {
             end(*event.fault);
-        else
+            --openFaults_;
+        } else {
+            ++openFaults_;
             inject(*event.fault);
+        }
     }
 }
 
@@ -251,11 +267,25 @@
     const auto healedAt = EventLoop::now();
     if (!waitFor(recoveryLimit, [&] { return workload_.lastAccepted() > healedAt; }))
         violated("no job was accepted after the faults");
+    waitFor(lastingLimit, [this] {
+        const auto tasks = ledger_.lastingTasks();
+        return std::all_of(tasks.begin(), tasks.end(), [](const LastingTask &task) { return task.isRunning; });
+    });
     workload_.finish();
     waitFor(finishLimit, [this] { return workload_.openRequests() == 0 && ledger_.unfinished().empty(); });
     for (const auto &id : ledger_.unfinished())
         violated("job " + id + " was accepted and is not over in time");
     ledger_.checkNothingRuns();
+    cancelLasting();
+}
+
+void Soak::cancelLasting()
+{
+    workload_.cancelLasting();
+    if (!waitFor(recoveryLimit, [this] { return ledger_.lastingJobs().empty(); }))
+        violated("not every long-running job could be cancelled");
+    waitFor(cancelLimit, [this] { return !ledger_.isOverdone(); });
+    ledger_.checkNothingRuns();
 }
 
 void Soak::stopAll()
@@ -279,13 +309,15 @@
         text << "  " << fault.toString() << '\n';
     std::size_t accepted = 0;
     std::size_t cancelled = 0;
+    std::size_t lasting = 0;
     for (const auto &[id, job] : ledger_.jobs()) {
         accepted += job.isAccepted ? 1 : 0;
         cancelled += job.isCancelled ? 1 : 0;
+        lasting += job.isAccepted && job.isLasting() ? 1 : 0;
     }
     text << "jobs " << ledger_.jobs().size() << ", accepted " << accepted << ", cancelled " << cancelled
-         << ", refusals " << workload_.refusals() << ", starts " << ledger_.starts() << ", configuration "
-         << ledger_.newestAcknowledged() << '\n';
+         << ", long-running " << lasting << ", refusals " << workload_.refusals() << ", starts " << ledger_.starts()
+         << ", configuration " << ledger_.newestAcknowledged() << '\n';
     return text.str();
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "calm.h"
 #include "cell.h"
 #include "fault.h"
+#include "lastingwatch.h"
 #include "ledger.h"
 #include "platform/adviceserver.h"
 #include "platform/gangs.h"
@@ -39,8 +41,10 @@
     void end(const Fault &fault);
     void setLinks(const Fault &fault, const FaultProxy::Link &link);
     bool waitFor(Duration limit, const std::function<bool()> &condition);
+    void watch();
     void runFaults();
     void settle();
+    void cancelLasting();
     void stopAll();
     void violated(const std::string &text);
 
@@ -51,6 +55,9 @@
     Transport::EventLoop loop_;
     TimePoint startedAt_;
     Ledger ledger_;
+    Calm calm_;
+    LastingWatch lastingWatch_;
+    std::size_t openFaults_ = 0;
     Cell cell_;
     Workload workload_;
     Standin::AdviceServer advice_;
--- a/tests/soak/workload.cpp
+++ b/tests/soak/workload.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdio>
+#include <functional>
 #include <utility>
 
 namespace Pistachio::Soak
@@ -29,6 +30,13 @@
 constexpr std::uint64_t gangShare = 3; ///< one last step of so many is a gang
 constexpr std::uint64_t lateRepeatShare = 8; ///< one accepted job of so many arrives once more
 constexpr Duration lateRepeat = 2s;
+constexpr std::uint64_t lastingShare = 7; ///< one job of so many is long-running
+constexpr Duration shortestLife = 8s; ///< of a long-running job
+constexpr std::uint64_t lifeSpreadMs = 16'000;
+constexpr std::uint64_t endingShare = 2; ///< one run of so many of a long-running task ends by itself
+constexpr Duration shortestRun = 700ms;
+constexpr std::uint64_t runSpreadMs = 5000;
+constexpr Duration endless = 1h;
 
 std::string newId(RandomSource &random)
 {
@@ -47,6 +55,8 @@
             item["dependsOn"] = {0};
         if (step.isGang)
             item["gang"] = true;
+        if (step.isLasting)
+            item["longRunning"] = true;
         if (isCheckpointing)
             item["checkpointing"] = true;
         steps.push_back(item);
@@ -68,6 +78,20 @@
     return job;
 }
 
+Ledger::Job newLastingJob(RandomSource &random, std::uint64_t number)
+{
+    constexpr std::uint64_t mostTasks = 3;
+    constexpr std::uint64_t largestTask = 1200;
+    Ledger::Job job;
+    job.payload = "payload " + std::to_string(number);
+    Ledger::Step step;
+    step.tasks = static_cast<std::uint32_t>(1 + random.below(mostTasks));
+    step.milliCores = static_cast<std::int64_t>(200 + random.below(largestTask));
+    step.isLasting = true;
+    job.steps = {step};
+    return job;
+}
+
 } // namespace
 
 Workload::Workload(EventLoop &loop, Cell &cell, Ledger &ledger, std::uint64_t seed, Ledger::Report report)
@@ -92,6 +116,38 @@
 void Workload::finish()
 {
     isFinished_ = true;
+    cancelTimers_.clear();
+}
+
+void Workload::cancelLasting()
+{
+    for (const auto &id : ledger_.lastingJobs()) {
+        if (!ledger_.jobs().at(id).isCancelling)
+            cancel(id);
+    }
+}
+
+void Workload::cancelLater(const std::string &id)
+{
+    const auto life = shortestLife + std::chrono::milliseconds(random_.below(lifeSpreadMs));
+    cancelTimers_[id] = loop_.callAfter(life, [this, id] {
+        if (!ledger_.jobs().at(id).isCancelling)
+            cancel(id);
+    });
+}
+
+std::optional<SimulatedMinion::LastingRun> Workload::lastingRun(const Jobs::TaskName &task, std::uint64_t run) const
+{
+    using Jobs::RunEnd;
+    constexpr std::array ends{RunEnd::Failed, RunEnd::LeaseExpired, RunEnd::Stopped};
+    const auto job = ledger_.jobs().find(task.step.job);
+    if (job == ledger_.jobs().end() || !job->second.isLasting())
+        return std::nullopt;
+    RandomSource random(std::hash<std::string>{}(task.toString()) + run);
+    if (random.below(endingShare) != 0)
+        return SimulatedMinion::LastingRun{endless, RunEnd::Failed};
+    const auto length = shortestRun + std::chrono::milliseconds(random.below(runSpreadMs));
+    return SimulatedMinion::LastingRun{length, ends[random.below(ends.size())]};
 }
 
 bool Workload::needsTicket(const std::string &job) const
@@ -120,9 +176,12 @@
     if (isFinished_ || ledger_.newestAcknowledged() == 0)
         return;
     const auto id = newId(random_);
-    auto job = newJob(random_, ++jobs_);
+    ++jobs_;
+    const bool isLasting = random_.below(lastingShare) == 0;
+    auto job = isLasting ? newLastingJob(random_, jobs_) : newJob(random_, jobs_);
     Submission submission;
-    submission.path = queues[random_.below(queues.size())] + id;
+    // Advice may leave a long-running task no minion with room, which the ledger doesn't know.
+    submission.path = queues[isLasting ? 0 : random_.below(queues.size())] + id;
     submission.body = encode(job, random_.below(2) == 0).dump();
     paths_[id] = submission.path;
     ledger_.sent(id, std::move(job));
@@ -156,6 +215,8 @@
         ledger_.accepted(id);
         if (random_.below(cancelShare) == 0)
             cancel(id);
+        else if (ledger_.jobs().at(id).isLasting() && !isFinished_)
+            cancelLater(id);
         if (random_.below(lateRepeatShare) == 0) {
             const auto entry = cell_.entries()[pickEntry()];
             repeatTimers_[id] = loop_.callAfter(lateRepeat, [this, id, entry, submission] {
--- a/tests/soak/workload.h
+++ b/tests/soak/workload.h
@@ -5,10 +5,12 @@
 #include "ledger.h"
 #include "platform/callerclient.h"
 #include "platform/operatorclient.h"
+#include "platform/simulatedminion.h"
 #include "transport/eventloop.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Pistachio::Soak
@@ -31,6 +33,13 @@
     /// Hands in no more jobs and changes nothing any more; open requests go on.
     void finish();
 
+    /// Cancels all long-running jobs, to be called after finish().
+    void cancelLasting();
+
+    /// \return how the run of a long-running task ends by itself; nothing: the task doesn't last.
+    [[nodiscard]] std::optional<SimulatedMinion::LastingRun> lastingRun(const Jobs::TaskName &task,
+                                                                        std::uint64_t run) const;
+
     /// \return the members of the gang of that step; 0: its tasks form no gang.
     [[nodiscard]] std::uint32_t gangSize(const Jobs::StepName &step) const;
 
@@ -59,6 +68,7 @@
     void repeatLater(const std::string &id);
     void read(const std::string &id);
     void cancel(const std::string &id);
+    void cancelLater(const std::string &id);
     void changeConfiguration();
     void sendConfiguration();
     void readConfiguration();
@@ -86,6 +96,7 @@
     Transport::Timer configurationTimer_;
     Transport::Timer configurationReadTimer_;
     std::map<std::string, Transport::Timer> repeatTimers_;
+    std::map<std::string, Transport::Timer> cancelTimers_; ///< of long-running jobs
 };
 
 } // namespace Pistachio::Soak
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -43,7 +43,13 @@
     if (found != runs.end() || order.run <= highestEnded_[order.task])
         return {OrderOutcome::StaleRun, clock(now)};
     const auto how = failsEverything ? RunEnd::Failed : RunEnd::Done;
-    runs[order.task] = {order.run, now + (standsStill ? Duration(1h) : runTime_), how, order.checkpoint + "+"};
+    Work work{order.run, now + (standsStill ? Duration(1h) : runTime_), how, order.checkpoint + "+"};
+    if (const auto lasting = lastingRun ? lastingRun(order.task, order.run) : std::nullopt) {
+        work.endsAt = now + lasting->length;
+        work.how = lasting->how;
+        work.isLasting = true;
+    }
+    runs[order.task] = std::move(work);
     if (observer != nullptr)
         observer->runBegan(report.incarnation.id, order);
     return {OrderOutcome::Done, clock(now)};
@@ -100,6 +106,8 @@
 {
     if (standsStill)
         return 0;
+    if (work.isLasting)
+        return 100;
     const auto left = std::max(Duration::zero(), work.endsAt - now);
     return static_cast<std::uint32_t>(100 - std::min<std::int64_t>(100, 100 * left / runTime_));
 }
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -24,6 +24,12 @@
         TimePoint endsAt{};
         Pistachio::Jobs::RunEnd how = Pistachio::Jobs::RunEnd::Done;
         std::string checkpoint;
+        bool isLasting = false; ///< works until it is stopped
+    };
+    /// How a run of a long-running task ends by itself.
+    struct LastingRun {
+        Duration length{};
+        Pistachio::Jobs::RunEnd how = Pistachio::Jobs::RunEnd::Failed;
     };
     struct WaitingHold {
         TimePoint until{};
@@ -50,6 +56,8 @@
     bool standsStill = false; ///< what starts there makes no progress
     std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
     RunObserver *observer = nullptr; ///< null: nobody
+    /// \return nothing for a task that doesn't last; null: none lasts.
+    std::function<std::optional<LastingRun>(const Pistachio::Jobs::TaskName &task, std::uint64_t run)> lastingRun;
 
 private:
     void end(const Pistachio::Jobs::TaskName &task, Pistachio::Jobs::RunEnd how);
