Replace control instances for good in the soak, at the platform's bounds

Settings of later starts, minions and the operator use a list of live control instances that lags by seedLagS (3 s).

--- a/tests/auto/soakparts/tst_lastingwatch.cpp
+++ b/tests/auto/soakparts/tst_lastingwatch.cpp
@@ -10,7 +10,6 @@
 
 using namespace Pistachio;
 using Pistachio::Soak::Calm;
-using Pistachio::Soak::LastingTask;
 using Pistachio::Soak::LastingWatch;
 using Pistachio::Soak::Ledger;
 
--- a/tests/soak/cell.cpp
+++ b/tests/soak/cell.cpp
@@ -20,6 +20,8 @@
 
 constexpr Duration stopLimit = 6s; ///< the platform kills a process this long after SIGTERM
 constexpr std::size_t garbageBytes = 700;
+constexpr Duration seedLag = 3s; ///< the platform's seedLagS, of the operator's list
+constexpr std::size_t firstSuccessorAddress = 51;
 
 /// \return the path of a program that was built with this one.
 std::string besideThis(std::string_view program)
@@ -32,6 +34,7 @@
 Cell::Cell(EventLoop &loop, const CellSize &size, std::string folder, const std::string &network, Report report)
     : size_(size)
     , folder_(std::move(folder))
+    , network_(network)
     , report_(std::move(report))
     , advice_(network + ".1.1:" + std::to_string(advicePort))
     , proxy_(loop)
@@ -40,16 +43,22 @@
         const bool isControl = index < size.controls;
         Instance instance;
         instance.name = (isControl ? "control-" : "entry-") + std::to_string(isControl ? index : index - size.controls);
-        instance.ip = network + ".2." + std::to_string(index + 1);
-        instance.localIp = network + ".3." + std::to_string(index + 1);
-        std::vector<std::uint16_t> ports{internalPort};
-        if (isControl) {
+        if (isControl)
             instance.dataFolder = folder_ + '/' + instance.name;
-            ports.push_back(controlPort);
-        }
-        proxy_.add(instance.name, instance.ip, instance.localIp, ports);
+        add(instance, index + 1);
         instances_.push_back(std::move(instance));
     }
+    lists_.emplace_back(TimePoint::min(), controlIps());
+}
+
+void Cell::add(Instance &instance, std::size_t address)
+{
+    instance.ip = network_ + ".2." + std::to_string(address);
+    instance.localIp = network_ + ".3." + std::to_string(address);
+    std::vector<std::uint16_t> ports{internalPort};
+    if (!instance.dataFolder.empty())
+        ports.push_back(controlPort);
+    proxy_.add(instance.name, instance.ip, instance.localIp, ports);
 }
 
 void Cell::writeSettings(const Instance &instance) const
@@ -57,8 +66,11 @@
     std::ofstream file(folder_ + '/' + instance.name + ".toml");
     file << "instance = \"" << instance.name << "\"\nip = \"" << instance.ip << "\"\nbind_ip = \"" << instance.localIp
          << "\"\nzone = \"z\"\ninternal_port = " << internalPort << "\nseeds = [";
-    for (std::size_t index = 0; index < size_.controls; ++index)
-        file << (index > 0 ? ", " : "") << '"' << instances_[index].ip << ':' << controlPort << '"';
+    const char *comma = "";
+    for (const auto &seed : controls()) {
+        file << comma << '"' << seed.toString() << '"';
+        comma = ", ";
+    }
     file << "]\n";
     const auto address
         = [&instance](std::uint16_t port) { return '"' + instance.localIp + ':' + std::to_string(port) + "\"\n"; };
@@ -77,6 +89,8 @@
 void Cell::start(std::size_t index)
 {
     auto &instance = instances_[index];
+    if (instance.isLost)
+        return;
     if (instance.process) {
         instance.startsAgain = instance.stoppedAt != TimePoint::min();
         return;
@@ -111,7 +125,11 @@
 
 void Cell::stop(std::size_t index)
 {
-    auto &instance = instances_[index];
+    terminate(instances_[index]);
+}
+
+void Cell::terminate(Instance &instance)
+{
     if (!instance.process || instance.stoppedAt != TimePoint::min())
         return;
     instance.stoppedAt = EventLoop::now();
@@ -152,6 +170,12 @@
     std::filesystem::remove_all(instances_[index].dataFolder);
 }
 
+void Cell::lose(std::size_t index)
+{
+    wipe(index);
+    instances_[index].isLost = true;
+}
+
 void Cell::damageTail(std::size_t index)
 {
     kill(index);
@@ -168,6 +192,30 @@
         std::ofstream(last, std::ios::app | std::ios::binary) << std::string(garbageBytes, '\x5a');
 }
 
+void Cell::startSuccessor(std::size_t index)
+{
+    thaw(index);
+    auto &current = instances_[index];
+    Instance successor;
+    successor.name = "control-" + std::to_string(index) + "-successor-" + std::to_string(successors_);
+    successor.dataFolder = folder_ + '/' + successor.name;
+    successor.hasStarted = true;
+    add(successor, firstSuccessorAddress + successors_++);
+    if (current.process)
+        predecessors_.emplace_back(index, std::move(current));
+    current = std::move(successor);
+    lists_.emplace_back(EventLoop::now(), controlIps());
+    start(index);
+}
+
+void Cell::stopPredecessors(std::size_t index)
+{
+    for (auto &[successor, instance] : predecessors_) {
+        if (successor == index)
+            terminate(instance);
+    }
+}
+
 void Cell::heal()
 {
     proxy_.heal();
@@ -179,35 +227,41 @@
 
 void Cell::watch()
 {
-    const auto now = EventLoop::now();
     for (std::size_t index = 0; index < instances_.size(); ++index) {
-        auto &instance = instances_[index];
-        if (!instance.process)
-            continue;
-        const bool isStopping = instance.stoppedAt != TimePoint::min();
-        if (instance.process->isRunning()) {
-            if (!isStopping || now < std::max(instance.stoppedAt, instance.troubledAt) + stopLimit || instance.isFrozen)
-                continue;
-            report_(instance.name + " did not stop in time after SIGTERM");
-        } else {
-            const auto code = instance.process->wait(std::chrono::milliseconds(0));
-            if (!isStopping)
-                report_(instance.name + " ended by itself, exit code " + std::to_string(code.value_or(-1)));
-            else if (code != 0)
-                report_(instance.name + " stopped with exit code " + std::to_string(code.value_or(-1)));
-        }
-        instance.process.reset();
-        setListening(instance, false);
-        if (instance.startsAgain)
+        if (collect(instances_[index]) && instances_[index].startsAgain)
             start(index);
     }
+    std::erase_if(predecessors_, [this](auto &item) { return collect(item.second); });
+}
+
+/// \return whether the process is gone now.
+bool Cell::collect(Instance &instance)
+{
+    if (!instance.process)
+        return false;
+    const auto now = EventLoop::now();
+    const bool isStopping = instance.stoppedAt != TimePoint::min();
+    if (instance.process->isRunning()) {
+        if (!isStopping || now < std::max(instance.stoppedAt, instance.troubledAt) + stopLimit || instance.isFrozen)
+            return false;
+        report_(instance.name + " did not stop in time after SIGTERM");
+    } else {
+        const auto code = instance.process->wait(std::chrono::milliseconds(0));
+        if (!isStopping)
+            report_(instance.name + " ended by itself, exit code " + std::to_string(code.value_or(-1)));
+        else if (code != 0)
+            report_(instance.name + " stopped with exit code " + std::to_string(code.value_or(-1)));
+    }
+    instance.process.reset();
+    setListening(instance, false);
+    return true;
 }
 
 bool Cell::isComplete() const
 {
-    return std::all_of(instances_.begin(), instances_.end(), [](const Instance &instance) {
-        return instance.process != nullptr && instance.stoppedAt == TimePoint::min();
-    });
+    return predecessors_.empty() && std::all_of(instances_.begin(), instances_.end(), [](const Instance &instance) {
+               return instance.process != nullptr && instance.stoppedAt == TimePoint::min();
+           });
 }
 
 bool Cell::isWhole(const Instance &instance, TimePoint now)
@@ -241,12 +295,23 @@
 
 std::vector<Transport::Endpoint> Cell::controls() const
 {
+    const auto newest = EventLoop::now() - seedLag;
+    const auto list
+        = std::find_if(lists_.rbegin(), lists_.rend(), [&](const auto &item) { return item.first <= newest; });
     std::vector<Transport::Endpoint> endpoints;
-    for (std::size_t index = 0; index < size_.controls; ++index)
-        endpoints.push_back({instances_[index].ip, controlPort});
+    for (const auto &ip : list->second)
+        endpoints.push_back({ip, controlPort});
     return endpoints;
 }
 
+std::vector<std::string> Cell::controlIps() const
+{
+    std::vector<std::string> ips;
+    for (const auto &instance : std::span(instances_).first(size_.controls))
+        ips.push_back(instance.ip);
+    return ips;
+}
+
 std::vector<Transport::Endpoint> Cell::entries() const
 {
     std::vector<Transport::Endpoint> endpoints;
--- a/tests/soak/cell.h
+++ b/tests/soak/cell.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Pistachio::Soak
@@ -45,6 +46,15 @@
     void wipe(std::size_t index);
     void damageTail(std::size_t index);
 
+    /// Kills a control instance for good and removes its data folder; a successor takes its place later.
+    void lose(std::size_t index);
+
+    /// Replaces a control instance for good: an empty one starts at another address. The old one, if it runs, goes on
+    /// until stopPredecessors().
+    void startSuccessor(std::size_t index);
+    /// SIGTERM to the instances that \p index has replaced.
+    void stopPredecessors(std::size_t index);
+
     /// Thaws and starts all, and opens all links.
     void heal();
 
@@ -63,6 +73,7 @@
     [[nodiscard]] bool wasOnlyStopped(std::size_t index, TimePoint since) const;
 
     [[nodiscard]] const std::string &name(std::size_t index) const { return instances_[index].name; }
+    /// \return the operator's list, which lags.
     [[nodiscard]] std::vector<Transport::Endpoint> controls() const;
     [[nodiscard]] std::vector<Transport::Endpoint> entries() const;
     [[nodiscard]] FaultProxy &proxy() { return proxy_; }
@@ -77,21 +88,31 @@
         bool hasStarted = false;
         bool isFrozen = false;
         bool startsAgain = false; ///< once it has stopped
+        bool isLost = false; ///< for good
         TimePoint stoppedAt = TimePoint::min(); ///< by SIGTERM
         TimePoint troubledAt = TimePoint::min(); ///< by anything else
         TimePoint wholeFrom = TimePoint::min(); ///< not lost any more, if it runs
     };
 
     void writeSettings(const Instance &instance) const;
+    void add(Instance &instance, std::size_t address);
+    void terminate(Instance &instance);
+    bool collect(Instance &instance);
+    [[nodiscard]] std::vector<std::string> controlIps() const;
     void setListening(const Instance &instance, bool isListening);
     [[nodiscard]] static bool isWhole(const Instance &instance, TimePoint now);
 
     const CellSize size_;
     const std::string folder_;
+    const std::string network_;
     const Report report_;
     const std::string advice_;
     FaultProxy proxy_;
     std::vector<Instance> instances_;
+    std::vector<std::pair<std::size_t, Instance>> predecessors_; ///< that still run, by the index of the successor
+    std::size_t successors_ = 0;
+    /// The addresses of the control instances from each time on.
+    std::vector<std::pair<TimePoint, std::vector<std::string>>> lists_;
 };
 
 } // namespace Pistachio::Soak
--- a/tests/soak/fault.h
+++ b/tests/soak/fault.h
@@ -29,15 +29,18 @@
     SilenceMinion,
     DrainMinion,
     NoAdvice,
+    ReplaceControl, ///< killed for good, its data folder removed; an empty one starts at another address
+    ReplacePlanned, ///< an empty one starts at another address first, then SIGTERM for good
 };
 
-constexpr std::size_t faultKinds = 19;
+constexpr std::size_t faultKinds = 21;
 
 constexpr std::array<const char *, faultKinds> faultNames{
-    "kill-control", "kill-all-controls", "stop-control", "freeze-control", "reload-control",
-    "wipe-control", "damage-tail",       "kill-entry",   "stop-entry",     "freeze-entry",
-    "reload-entry", "cut-link",          "cut-one-way",  "slow-link",      "reset-link",
-    "crash-minion", "silence-minion",    "drain-minion", "no-advice"};
+    "kill-control",           "kill-all-controls", "stop-control", "freeze-control", "reload-control",
+    "wipe-control",           "damage-tail",       "kill-entry",   "stop-entry",     "freeze-entry",
+    "reload-entry",           "cut-link",          "cut-one-way",  "slow-link",      "reset-link",
+    "crash-minion",           "silence-minion",    "drain-minion", "no-advice",      "replace-control",
+    "replace-control-planned"};
 
 /// One fault of a run.
 struct Fault {
--- a/tests/soak/faultplan.h
+++ b/tests/soak/faultplan.h
@@ -16,7 +16,11 @@
 
 /// \param seed the same one gives the same plan
 /// \param span in which faults begin
-/// \return faults in the order of their begin; they overlap, but no two data folders are lost close to each other.
+/// \return faults in the order of their begin. They overlap, but a data folder is lost only when the instances that
+/// lost theirs before count as whole, or on the same instance.
 std::vector<Fault> planFaults(std::uint64_t seed, Duration span, const CellSize &size);
 
+/// \return whether a fault of that kind takes the data folder of a control instance.
+bool losesDisk(FaultKind kind);
+
 } // namespace Pistachio::Soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -57,8 +57,8 @@
         report.memoryMb = 1 << 14;
         ledger_.addMinion(report.incarnation.id, minionMilliCores);
         const Duration runTime = 200ms + index * 120ms;
-        minions_.push_back(
-            std::make_unique<Standin::MinionServer>(loop_, std::move(report), runTime, cell_.controls(), check));
+        minions_.push_back(std::make_unique<Standin::MinionServer>(
+            loop_, std::move(report), runTime, [this] { return cell_.controls(); }, check));
         simulated_.push_back(&minions_.back()->minion());
         simulated_.back()->observer = &ledger_;
         simulated_.back()->lastingRun = [this](const auto &task, auto run) { return workload_.lastingRun(task, run); };
@@ -163,6 +163,12 @@
     case FaultKind::WipeControl:
         cell_.wipe(fault.target);
         break;
+    case FaultKind::ReplaceControl:
+        cell_.lose(fault.target);
+        break;
+    case FaultKind::ReplacePlanned:
+        cell_.startSuccessor(fault.target);
+        break;
     case FaultKind::DamageTail:
         cell_.damageTail(fault.target);
         break;
@@ -208,6 +214,12 @@
         for (std::size_t index = 0; index < size_.controls; ++index)
             cell_.start(index);
         break;
+    case FaultKind::ReplaceControl:
+        cell_.startSuccessor(fault.target);
+        break;
+    case FaultKind::ReplacePlanned:
+        cell_.stopPredecessors(fault.target);
+        break;
     case FaultKind::FreezeControl:
     case FaultKind::FreezeEntry:
         cell_.thaw(fault.target);
--- a/tests/standins/platform/minionserver.cpp
+++ b/tests/standins/platform/minionserver.cpp
@@ -85,8 +85,7 @@
 
 } // namespace
 
-MinionServer::MinionServer(EventLoop &loop, MinionReport report, Duration runTime,
-                           std::vector<Transport::Endpoint> controls, TicketCheck check)
+MinionServer::MinionServer(EventLoop &loop, MinionReport report, Duration runTime, Controls controls, TicketCheck check)
     : loop_(loop)
     , minion_(std::move(report), runTime, 1)
     , controls_(std::move(controls))
@@ -238,10 +237,12 @@
     request.target = "/pistachioworks/instances/" + report.incarnation.id + "/heartbeat";
     request.headers = {{"Content-Type", "application/json"}};
     request.body = body.dump();
-    client_.call(controls_[control_], std::move(request), reportTimeout, [this](const Transport::CallResult &result) {
-        if (!result || result.value().status != 200)
-            control_ = (control_ + 1) % controls_.size();
-    });
+    const auto controls = controls_();
+    client_.call(controls[control_ % controls.size()], std::move(request), reportTimeout,
+                 [this](const Transport::CallResult &result) {
+                     if (!result || result.value().status != 200)
+                         ++control_;
+                 });
 }
 
 } // namespace Pistachio::Standin
--- a/tests/standins/platform/minionserver.h
+++ b/tests/standins/platform/minionserver.h
@@ -24,13 +24,16 @@
     using TicketCheck
         = std::function<bool(const Jobs::StepName &step, const std::string &minion, const std::string &ticket)>;
 
+    /// \return the control instances that a minion knows, at least one.
+    using Controls = std::function<std::vector<Transport::Endpoint>()>;
+
     /// \param loop outlives the server
     /// \param report its address is where the server listens
     /// \param runTime of each task
     /// \param controls where it reports itself, one after the other
     /// \param check of each start
-    MinionServer(Transport::EventLoop &loop, Jobs::MinionReport report, Duration runTime,
-                 std::vector<Transport::Endpoint> controls, TicketCheck check);
+    MinionServer(Transport::EventLoop &loop, Jobs::MinionReport report, Duration runTime, Controls controls,
+                 TicketCheck check);
 
     /// Begins to listen and to report.
     Result<void> open();
@@ -57,7 +60,7 @@
 
     Transport::EventLoop &loop_;
     SimulatedMinion minion_;
-    const std::vector<Transport::Endpoint> controls_;
+    const Controls controls_;
     const TicketCheck check_;
     Transport::HttpClient client_;
     std::unique_ptr<Transport::HttpServer> server_;
