Keep the vote of a cut-off instance until a spare one votes

Removing a silent voter before its successor votes is right if it is gone for good, since four votes would then depend on both the dead and the new one. If it is only cut off, and a spare instance was there before, one more lost disk in between left two votes of which one was lost, and the group had no leader although the first instance came back with its disk. The platform allows this: no more disks are lost than it tolerates.

A learner that joined after the silence began stands in for an instance that is gone: the old voter leaves first. A learner that was there before votes first. A silent voter leaves an even number of voters only: without tolerated losses, one of three was removed without any successor. A promotion is tried only if the learner's last answer is as young as the replica asks.

The ids of MembershipCell are addresses, as those of control instances have to be.

--- a/src/libs/jobnode/memberchanges.cpp
+++ b/src/libs/jobnode/memberchanges.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration presenceLimit = 3s; ///< three announcements
 constexpr Duration answerLimit = 600ms; ///< ten heartbeats to a voter, two to a learner
+constexpr Duration promotionLimit = 350ms; ///< a promotion is refused if the learner's last answer is older
 constexpr Replication::LogIndex caughtUpLag = 100; ///< entries; they follow in a few round trips
 
 bool contains(const std::vector<InstanceId> &list, const InstanceId &id)
@@ -65,6 +66,8 @@
     // What announced itself before its removal must do so again to come back.
     if (change && change->kind == MembershipChange::Kind::Remove)
         seen_.erase(change->instance);
+    if (change && change->kind == MembershipChange::Kind::AddLearner)
+        joined_[change->instance] = now;
     return change;
 }
 
@@ -75,18 +78,23 @@
         return MembershipChange{Kind::Remove, *superseded};
     const auto *learner = caughtUpLearner(view);
     const auto *leaving = leavingVoter(view);
+    const auto *silent = silentVoter(now, view);
     const auto voters = view.members.voters.size();
-    // The voter that leaves still answers, so that with its successor the group bears as many losses as without.
-    if (learner && (voters < wantedVoters_ || (leaving && voters == wantedVoters_)))
+    const bool isOdd = voters % 2 == 1;
+    // The old voter is gone for good, and its successor may still be lost again: four votes must not depend on both.
+    if (learner && silent && voters == wantedVoters_ && isSuccessor(now, view, *learner, *silent))
+        return MembershipChange{Kind::Remove, silent->instance};
+    // One that leaves still answers and one that is silent may come back with its disk, so another one votes first.
+    if (learner && (voters < wantedVoters_ || (leaving && voters == wantedVoters_) || (silent && isOdd)))
         return MembershipChange{Kind::Promote, *learner};
     if (leaving && voters > wantedVoters_)
         return MembershipChange{Kind::Remove, *leaving};
+    // An even number of voters bears no more losses than one voter less.
+    if (silent && !isOdd)
+        return MembershipChange{Kind::Remove, silent->instance};
     if (const auto *instance = newInstance(now, view))
         return MembershipChange{Kind::AddLearner, *instance};
-    // Without a successor the removal would lower the number of losses that the group bears.
-    const bool canSpareVoter = learner || voters > wantedVoters_;
-    const auto *silent = canSpareVoter ? silentVoter(now, view) : nullptr;
-    return silent ? std::optional(MembershipChange{Kind::Remove, *silent}) : std::nullopt;
+    return std::nullopt;
 }
 
 bool MemberChanges::isPresent(TimePoint now, const InstanceId &instance) const
@@ -123,12 +131,20 @@
     return found == seen_.end() ? nullptr : &found->first;
 }
 
-const InstanceId *MemberChanges::silentVoter(TimePoint now, const View &view) const
+const MemberStatus *MemberChanges::silentVoter(TimePoint now, const View &view) const
 {
     const auto found = std::find_if(view.status.begin(), view.status.end(), [&](const MemberStatus &member) {
         return member.isVoter && silenceOf(now, view, member) > silenceLimit_;
     });
-    return found == view.status.end() ? nullptr : &found->instance;
+    return found == view.status.end() ? nullptr : &*found;
+}
+
+/// An empty instance that joins after a voter fell silent stands in for it; one that was there before does not.
+bool MemberChanges::isSuccessor(TimePoint now, const View &view, const InstanceId &learner,
+                                const MemberStatus &voter) const
+{
+    const auto joined = joined_.find(learner);
+    return joined != joined_.end() && joined->second >= now - silenceOf(now, view, voter);
 }
 
 const InstanceId *MemberChanges::leavingVoter(const View &view) const
@@ -143,7 +159,7 @@
 const InstanceId *MemberChanges::caughtUpLearner(const View &view) const
 {
     const auto found = std::find_if(view.status.begin(), view.status.end(), [&](const MemberStatus &member) {
-        const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer <= answerLimit;
+        const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer <= promotionLimit;
         const bool stays = !member.hasLostData && !leaving_.contains(member.instance);
         return !member.isVoter && answers && stays && member.match + caughtUpLag >= view.commitIndex;
     });
--- a/src/libs/jobnode/memberchanges.h
+++ b/src/libs/jobnode/memberchanges.h
@@ -13,11 +13,13 @@
 {
 
 /// Decides how the members of the job group change: an instance that lost its disk or was replaced leaves, its
-/// successor joins as a learner, and a learner that holds the log takes the vote of a voter that doesn't answer.
+/// successor joins as a learner, and a learner that holds the log takes the vote of a voter that doesn't answer or
+/// leaves.
 ///
-/// A silent voter may be gone for good or cut off with its disk; both look alike. It leaves only when a successor can
-/// vote at once. If it comes back, it joins as a learner like any other, so there is never a second group: each change
-/// is one entry that a majority of the voters commits.
+/// A silent voter may be gone for good or cut off with its disk. It leaves only if a learner can vote in its place:
+/// before that one votes if it joined after the silence began, as the successor of an instance that is gone, and after
+/// it otherwise. If the old voter comes back, it joins as a learner like any other, so there is never a second group:
+/// each change is one entry that a majority of the voters commits.
 class MemberChanges
 {
 public:
@@ -52,13 +54,16 @@
     [[nodiscard]] bool isSuperseded(TimePoint now, const InstanceId &instance) const;
     [[nodiscard]] const InstanceId *supersededMember(TimePoint now, const View &view) const;
     [[nodiscard]] const InstanceId *newInstance(TimePoint now, const View &view) const;
-    [[nodiscard]] const InstanceId *silentVoter(TimePoint now, const View &view) const;
+    [[nodiscard]] const Replication::MemberStatus *silentVoter(TimePoint now, const View &view) const;
+    [[nodiscard]] bool isSuccessor(TimePoint now, const View &view, const InstanceId &learner,
+                                   const Replication::MemberStatus &voter) const;
     [[nodiscard]] const InstanceId *leavingVoter(const View &view) const;
     [[nodiscard]] const InstanceId *caughtUpLearner(const View &view) const;
 
     std::size_t wantedVoters_;
     Duration silenceLimit_;
     std::map<InstanceId, TimePoint> seen_;
+    std::map<InstanceId, TimePoint> joined_; ///< when this leader made them learners
     std::set<InstanceId> leaving_;
 };
 
--- a/tests/auto/jobnode/membershipcell.cpp
+++ b/tests/auto/jobnode/membershipcell.cpp
@@ -20,13 +20,14 @@
 constexpr Duration sendInterval = 100ms; ///< of the caller
 constexpr Duration seedLag = 3s; ///< the platform's seedLagS
 constexpr std::size_t seedCount = 3;
+constexpr const char *addressPrefix = "10.0.0.";
 constexpr Duration leaveInterval = 40ms; ///< between two questions whether an instance may end
 constexpr Duration leaveLimit = 2s; ///< then it ends with its vote
 
 } // namespace
 
 MembershipCell::MembershipCell(std::uint64_t seed, std::size_t voters)
-    : cluster(seed, voters)
+    : cluster(seed, voters, 0, 0, addressPrefix)
     , voters_(voters)
     , nextInstance_(voters)
 {
@@ -113,7 +114,7 @@
 
 MembershipCell::Node &MembershipCell::addSpare()
 {
-    auto &node = cluster.addEmpty(InstanceId("control-" + std::to_string(++nextInstance_)));
+    auto &node = cluster.addEmpty(InstanceId(addressPrefix + std::to_string(++nextInstance_)));
     list_.push_back({&node, cluster.now, {}});
     isolateAgain();
     return node;
--- a/tests/auto/jobnode/tst_memberchanges.cpp
+++ b/tests/auto/jobnode/tst_memberchanges.cpp
@@ -87,11 +87,13 @@
     CPPUNIT_TEST(lostDiskComesBackUnderANewId);
     CPPUNIT_TEST(secondLossOfTheSameDisk);
     CPPUNIT_TEST(spareTakesTheVoteOfOneThatIsGone);
+    CPPUNIT_TEST(spareThatWasThereVotesBeforeTheSilentVoterLeaves);
     CPPUNIT_TEST(removedVoterStaysAwayUntilItComesBack);
     CPPUNIT_TEST(spareThatLagsTakesNoVote);
     CPPUNIT_TEST(silentVoterStaysWithoutASpare);
     CPPUNIT_TEST(newLeaderWaitsBeforeItRemovesVoters);
     CPPUNIT_TEST(newLeaderMovesNoMoreVotesThanThereAreSuccessors);
+    CPPUNIT_TEST(silentVoterStaysInALargerGroupThanWanted);
     CPPUNIT_TEST(supersededInstanceDoesNotJoinAgain);
     CPPUNIT_TEST(lateAnnouncementOfALostDisk);
     CPPUNIT_TEST(leavingVoterGivesItsVoteToItsSuccessor);
@@ -164,6 +166,22 @@
         CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, d}));
     }
 
+    // A voter that was only cut off lost its vote before the spare had one, and the next lost disk left no majority.
+    void spareThatWasThereVotesBeforeTheSilentVoterLeaves()
+    {
+        Group group;
+        group.members = {{a, b, c}, {d}};
+        group.silent = {c};
+        for (auto now = start; now < start + catchUpLimit; now += changeInterval) {
+            group.changes.seen(now, b);
+            group.changes.seen(now, d);
+            if (const auto change = group.next(now))
+                group.apply(*change);
+            CPPUNIT_ASSERT(group.members.voters.size() >= 3);
+        }
+        CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, d}));
+    }
+
     // The last announcement of a voter that was gone made it a learner again, which never answered.
     void removedVoterStaysAwayUntilItComesBack()
     {
@@ -224,11 +242,21 @@
             group.changes.seen(now, f);
             if (const auto change = group.next(now))
                 group.apply(*change);
-            CPPUNIT_ASSERT(group.members.voters.size() >= 4);
+            CPPUNIT_ASSERT(group.members.voters.size() >= 5);
         }
         CPPUNIT_ASSERT((group.members.voters == std::vector{a, b, c, e, f}));
     }
 
+    // Without tolerated losses, a voter of three that was silent for a second was removed without a successor.
+    void silentVoterStaysInALargerGroupThanWanted()
+    {
+        Group group;
+        group.changes = MemberChanges(1, silenceLimit);
+        group.silent = {c};
+        for (auto now = start; now < start + 20s; now += changeInterval)
+            CPPUNIT_ASSERT(!group.next(now));
+    }
+
     // The last announcement of the process that lost its disk made it a member again.
     void supersededInstanceDoesNotJoinAgain()
     {
--- a/tests/auto/jobnode/tst_replacement.cpp
+++ b/tests/auto/jobnode/tst_replacement.cpp
@@ -75,12 +75,41 @@
     checkAccepted(message, cell);
 }
 
+/// With a spare instance in the group, cuts off as many voters as it bears, and takes the disks of as many others at
+/// about the time at which the first ones lose their votes; the cut ones come back.
+void checkCutOffVoterAndLostDisk(std::uint64_t seed, std::size_t voters)
+{
+    constexpr Duration firstWipe = 900ms;
+    constexpr Duration wipeStep = 20ms;
+    constexpr std::uint64_t wipeSteps = 20;
+    constexpr Duration cutLength = 5s;
+    MembershipCell cell(seed, voters);
+    const auto message = "seed " + std::to_string(seed) + ", voters " + std::to_string(voters);
+    CPPUNIT_ASSERT_MESSAGE(message, cell.accepts(recoveryLimit));
+    cell.addSpare();
+    cell.run(catchUpLimit);
+    const auto losses = voters / 2;
+    for (std::size_t i = 0; i < losses; ++i)
+        cell.cutOff(*cell.cluster.nodes[(seed + i) % voters]);
+    cell.run(firstWipe + static_cast<int>(seed % wipeSteps) * wipeStep);
+    for (std::size_t i = losses; i < 2 * losses; ++i) {
+        auto &wiped = *cell.cluster.nodes[(seed + i) % voters];
+        cell.lose(wiped);
+        cell.restartEmpty(wiped);
+    }
+    cell.run(cutLength);
+    for (std::size_t i = 0; i < losses; ++i)
+        cell.rejoin(*cell.cluster.nodes[(seed + i) % voters]);
+    checkAccepted(message, cell);
+}
+
 } // namespace
 
 class ReplacementTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ReplacementTest);
     CPPUNIT_TEST(secondLossAfterAReplacementLeavesALeader);
+    CPPUNIT_TEST(cutOffVoterAndALostDiskLeaveALeader);
     CPPUNIT_TEST(lossAfterAnUnplannedReplacement);
     CPPUNIT_TEST(lossAfterAPlannedReplacement);
     CPPUNIT_TEST(leaderIsLostWhileAVoterLeaves);
@@ -109,6 +138,16 @@
         }
     }
 
+    // A vote was taken from an instance that was only cut off before its successor had one, and the next lost disk left
+    // no majority although the first instance came back.
+    void cutOffVoterAndALostDiskLeaveALeader()
+    {
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+            for (const std::size_t voters : {fewVoters, manyVoters})
+                checkCutOffVoterAndLostDisk(seed, voters);
+        }
+    }
+
     // A second loss that the platform allows leaves no leader, loses what was accepted or leaves too few voters.
     void lossAfterAnUnplannedReplacement() { checkLosses(false, fewVoters); }
 
--- a/tests/auto/replication/cluster.cpp
+++ b/tests/auto/replication/cluster.cpp
@@ -79,12 +79,13 @@
     return success();
 }
 
-Cluster::Cluster(std::uint64_t seed, std::size_t voters, std::size_t learners, std::size_t nonMembers)
+Cluster::Cluster(std::uint64_t seed, std::size_t voters, std::size_t learners, std::size_t nonMembers,
+                 const std::string &namePrefix)
     : random(seed)
 {
     for (std::size_t i = 0; i < voters + learners + nonMembers; ++i) {
         nodes.push_back(std::make_unique<Node>());
-        nodes.back()->id = InstanceId("control-" + std::to_string(i + 1));
+        nodes.back()->id = InstanceId(namePrefix + std::to_string(i + 1));
         nodes.back()->clockOffset = Duration(static_cast<Duration::rep>(random.below(1'000'000'000)));
         // The rates of two clocks may differ by 2%, as Timing allows.
         nodes.back()->clockRate = 0.99 + 0.02 * random.fraction();
--- a/tests/auto/replication/cluster.h
+++ b/tests/auto/replication/cluster.h
@@ -98,7 +98,9 @@
     /// \param voters the number of initial voters
     /// \param learners the number of initial learners
     /// \param nonMembers the number of instances that know the group but are no members
-    Cluster(std::uint64_t seed, std::size_t voters, std::size_t learners = 0, std::size_t nonMembers = 0);
+    /// \param namePrefix the ids are this and a number
+    Cluster(std::uint64_t seed, std::size_t voters, std::size_t learners = 0, std::size_t nonMembers = 0,
+            const std::string &namePrefix = "control-");
 
     void run(Duration duration);
     /// \return whether the condition came true in time.
