--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <string>
+#include <vector>
 
 #include <unistd.h>
 
@@ -172,10 +174,10 @@
               std::string("{\"a\": 1}")}) {
             const std::string good1 = "\"10.0.0.1:7101\"";
             const std::string good2 = "\"[::1]:7102\"";
-            checkSeeds(odd, 0);
-            checkSeeds(odd + ", " + good1 + ", " + good2, 2);
-            checkSeeds(good1 + ", " + odd + "," + good2, 2);
-            checkSeeds(good1 + ", " + good2 + ", " + odd, 2);
+            checkSeeds({odd}, 0);
+            checkSeeds({odd, good1, good2}, 2);
+            checkSeeds({good1, odd, good2}, 2);
+            checkSeeds({good1, good2, odd}, 2);
         }
     }
 
@@ -189,8 +191,11 @@
     }
 
 private:
-    void checkSeeds(const std::string &seeds, std::size_t usable)
+    void checkSeeds(const std::vector<std::string> &items, std::size_t usable)
     {
+        std::string seeds;
+        for (const auto &item : items)
+            seeds.append(seeds.empty() ? "" : ", ").append(item);
         std::string text = jobText;
         replace(text, "\"10.0.0.1:7101\"", seeds);
         const auto name = seeds.substr(0, 80);
