Cancel long-running jobs in the soak before the rest has to be over

After the watch over long-running tasks the soak now cancels them first, as late ones when they are accepted, and then waits for the other jobs with the same limit as before. What was cancelled must still have stopped at the end. The end of cancelling may take cancel_ms and stopTimeoutMs from a calm cell on. A minion that has said that it drains counts as no room until it starts anew, since the system gives it nothing more.

--- a/tests/auto/soakparts/tst_lastingwatch.cpp
+++ b/tests/auto/soakparts/tst_lastingwatch.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(cancelledTaskIsNotReported);
     CPPUNIT_TEST(shortRunBetweenTwoLooksCounts);
     CPPUNIT_TEST(fullMinionsAreNoRoom);
+    CPPUNIT_TEST(drainingMinionIsNoRoom);
+    CPPUNIT_TEST(taskThatOutlivesItsCancelledJobIsSeen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +156,29 @@
         CPPUNIT_ASSERT(!ledger_->lastingTasks().front().fits);
     }
 
+    // A minion that drains takes nothing more, also when its next report says that it is ready.
+    void drainingMinionIsNoRoom()
+    {
+        ledger_->minionDrains("m1");
+        CPPUNIT_ASSERT(ledger_->lastingTasks().front().fits);
+        fill("m2", "b", 2500);
+        CPPUNIT_ASSERT(!ledger_->lastingTasks().front().fits);
+        ledger_->minionCrashed("m1");
+        CPPUNIT_ASSERT(ledger_->lastingTasks().front().fits);
+    }
+
+    void taskThatOutlivesItsCancelledJobIsSeen()
+    {
+        begin("m1", "a", 1);
+        CPPUNIT_ASSERT(!ledger_->isLastingAfterCancel());
+        ledger_->cancelling("a");
+        ledger_->cancelled("a");
+        CPPUNIT_ASSERT(ledger_->isLastingAfterCancel());
+        CPPUNIT_ASSERT(ledger_->lastingJobs().empty());
+        end("m1", "a", 1);
+        CPPUNIT_ASSERT(!ledger_->isLastingAfterCancel());
+    }
+
 private:
     static Ledger::Job lastingJob(std::int64_t milliCores = 1500)
     {
--- a/tests/soak/workload.h
+++ b/tests/soak/workload.h
@@ -68,6 +68,7 @@
     void repeatLater(const std::string &id);
     void read(const std::string &id);
     void cancel(const std::string &id);
+    void planCancel(const std::string &id);
     void cancelLater(const std::string &id);
     void changeConfiguration();
     void sendConfiguration();
