Don't preempt for long-running tasks

A task that lasts must run again if there is capacity for it; the platform doesn't ask that others' work is stopped for it, and the effect on the price of stopped work was not measured.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -208,10 +208,7 @@
     void reserveCapacity(const WaitingEntry &entry, const Job &job);
     [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
                                      const Wire::JobQueue &queue) const;
-    /// \return whether the step fits once the tasks that were told to stop have ended.
-    bool preemptFor(const WaitingEntry &entry, const StepRequirements &requirements, Minion &minion);
-    void preemptForLongRunning(const WaitingEntry &entry, const StepRequirements &requirements,
-                               std::span<Minion *const> minions);
+    void preemptFor(const WaitingEntry &entry, const StepRequirements &requirements, Minion &minion);
 
     JobStore &store_;
     SchedulerPorts &ports_;
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -67,7 +67,7 @@
 }
 
 /// Preempts checkpointing tasks of lower-priority queues, so that a large task fits.
-bool JobScheduler::preemptFor(const WaitingEntry &entry, const StepRequirements &requirements, Minion &minion)
+void JobScheduler::preemptFor(const WaitingEntry &entry, const StepRequirements &requirements, Minion &minion)
 {
     const auto &demand = requirements.demand;
     auto available = minion.freeCapacity();
@@ -87,7 +87,7 @@
     while (!demand.fitsIn(available) && needed < victims.size())
         available += victims[needed++].second->reserved;
     if (!demand.fitsIn(available))
-        return false;
+        return;
     for (std::size_t number = 0; number < needed; ++number) {
         const auto &[task, run] = victims[number];
         ++preemptions_[task];
@@ -100,22 +100,6 @@
                             {"slack_ms", (entry.second.deadlines.latestStart - now_.time) / 1ms}});
         sendStop(minion, task, *run);
     }
-    return true;
-}
-
-/// Makes room for each waiting task of a long-running step that would have to wait.
-void JobScheduler::preemptForLongRunning(const WaitingEntry &entry, const StepRequirements &requirements,
-                                         std::span<Minion *const> minions)
-{
-    std::size_t covered = 0;
-    for (auto *minion : minions) {
-        if (covered >= entry.second.tasks.size())
-            return;
-        const auto fit = CapacityReservations::expectedFit(*minion, requirements.demand, now_.time);
-        const bool fitsSoon = fit && fit->time <= now_.time + preemptionThreshold;
-        if (fitsSoon || preemptFor(entry, requirements, *minion))
-            ++covered;
-    }
 }
 
 bool JobScheduler::canBecomeFree(const Minion &minion, const StepName &name, const StepRequirements &requirements) const
@@ -149,8 +133,6 @@
         return freeCapacityOf(*left) > freeCapacityOf(*right);
     });
     const auto &step = requirements->step;
-    if (step.long_running() && !step.gang())
-        preemptForLongRunning(entry, *requirements, candidates);
     std::uint32_t covered = 0;
     for (const auto *minion : candidates) {
         if (covered >= entry.second.tasks.size())
