--- a/src/libs/jobnode/jobcontrolports.cpp
+++ b/src/libs/jobnode/jobcontrolports.cpp
@@ -54,7 +54,7 @@
 
 void JobControl::renewLease(const Jobs::LeaseOrder &order)
 {
-    d_->runtime.metrics().add("lease_orders_total");
+    d_->runtime.metrics().add("hold_orders_total");
     d_->minions.renewLease(order, [this, order](const Jobs::LeaseAnswer &answer) {
         d_->scheduler.leaseAnswered(momentNow(), order, answer);
         changed();
@@ -63,7 +63,7 @@
 
 void JobControl::throttle(const Jobs::ThrottleOrder &order)
 {
-    d_->runtime.metrics().add("throttle_orders_total");
+    d_->runtime.metrics().add("pace_orders_total");
     d_->minions.throttle(order, [this, order](const Jobs::OrderAnswer &answer) {
         d_->scheduler.throttleAnswered(momentNow(), order, answer);
     });
--- a/src/libs/settings/jobsettings.cpp
+++ b/src/libs/settings/jobsettings.cpp
@@ -70,7 +70,10 @@
         settings.listenReady = listen.optionalAddress("ready");
         settings.listenControl = listen.optionalAddress("control");
     });
-    reader.table("services", [&](TableReader &services) { settings.advice = services.optionalAddress("advice"); });
+    reader.table("services", [&](TableReader &services) {
+        settings.advice = services.optionalAddress("advice");
+        settings.machines = services.optionalAddress("machines");
+    });
     reader.table("limits", [&](TableReader &limits) {
         settings.toleratedLosses = static_cast<std::size_t>(limits.optionalInteger("tolerated_losses", 1, 0, 3));
         settings.catchUpTime
