--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -166,7 +166,7 @@
         }
     } else if (ended.end == RunEnd::Done) {
         minion.consecutiveFailures = 0;
-        // The run time of a task that lasts, is far from its data, or was resumed is not representative.
+        // The run time of a task that is long-running, far from its data, or was resumed is not representative.
         if (isKnown && job && !job->spec(ended.task.step.step).long_running() && found->second.startedAt != TimePoint{}
             && job->task(ended.task)->checkpoint.empty()
             && minion.hasLabel(job->spec(ended.task.step.step).data_rack())) {
--- a/tests/auto/soakparts/tst_lastingwatch.cpp
+++ b/tests/auto/soakparts/tst_longrunningwatch.cpp
@@ -1,6 +1,6 @@
 #include "soak/calm.h"
-#include "soak/lastingwatch.h"
 #include "soak/ledger.h"
+#include "soak/longrunningwatch.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -10,13 +10,13 @@
 
 using namespace Pistachio;
 using Pistachio::Soak::Calm;
-using Pistachio::Soak::LastingWatch;
 using Pistachio::Soak::Ledger;
+using Pistachio::Soak::LongRunningWatch;
 
-/// The incident LOST: tasks that last didn't run again, and the soak had none and looked at the end only.
-class LastingWatchTest : public CppUnit::TestFixture
+/// The incident LOST: long-running tasks didn't run again, and the soak had none and looked at the end only.
+class LongRunningWatchTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(LastingWatchTest);
+    CPPUNIT_TEST_SUITE(LongRunningWatchTest);
     CPPUNIT_TEST(taskThatIsNeverStartedAgainIsReportedOnce);
     CPPUNIT_TEST(taskThatNeverRanIsReported);
     CPPUNIT_TEST(taskThatRunsAgainInTimeIsNotReported);
@@ -38,11 +38,11 @@
         const auto report = [this](const std::string &text) { violations_.push_back(text); };
         now_ = TimePoint() + 1h;
         calm_ = Calm();
-        watch_ = std::make_unique<LastingWatch>(report);
+        watch_ = std::make_unique<LongRunningWatch>(report);
         ledger_ = std::make_unique<Ledger>(report);
         ledger_->addMinion("m1", 4000);
         ledger_->addMinion("m2", 4000);
-        ledger_->sent("a", lastingJob());
+        ledger_->sent("a", longRunningJob());
         ledger_->accepted("a");
     }
 
@@ -149,45 +149,45 @@
     // Room for one copy is none: the rule asks for twice the capacity.
     void fullMinionsAreNoRoom()
     {
-        CPPUNIT_ASSERT(ledger_->lastingTasks().front().fits);
+        CPPUNIT_ASSERT(ledger_->longRunningTasks().front().fits);
         fill("m1", "b", 3500);
-        CPPUNIT_ASSERT(ledger_->lastingTasks().front().fits);
+        CPPUNIT_ASSERT(ledger_->longRunningTasks().front().fits);
         fill("m2", "c", 2500);
-        CPPUNIT_ASSERT(!ledger_->lastingTasks().front().fits);
+        CPPUNIT_ASSERT(!ledger_->longRunningTasks().front().fits);
     }
 
     // A minion that drains takes nothing more, also when its next report says that it is ready.
     void drainingMinionIsNoRoom()
     {
         ledger_->minionDrains("m1");
-        CPPUNIT_ASSERT(ledger_->lastingTasks().front().fits);
+        CPPUNIT_ASSERT(ledger_->longRunningTasks().front().fits);
         fill("m2", "b", 2500);
-        CPPUNIT_ASSERT(!ledger_->lastingTasks().front().fits);
+        CPPUNIT_ASSERT(!ledger_->longRunningTasks().front().fits);
         ledger_->minionCrashed("m1");
-        CPPUNIT_ASSERT(ledger_->lastingTasks().front().fits);
+        CPPUNIT_ASSERT(ledger_->longRunningTasks().front().fits);
     }
 
     void taskThatOutlivesItsCancelledJobIsSeen()
     {
         begin("m1", "a", 1);
-        CPPUNIT_ASSERT(!ledger_->isLastingAfterCancel());
+        CPPUNIT_ASSERT(!ledger_->isLongRunningAfterCancel());
         ledger_->cancelling("a");
         ledger_->cancelled("a");
-        CPPUNIT_ASSERT(ledger_->isLastingAfterCancel());
-        CPPUNIT_ASSERT(ledger_->lastingJobs().empty());
+        CPPUNIT_ASSERT(ledger_->isLongRunningAfterCancel());
+        CPPUNIT_ASSERT(ledger_->longRunningJobs().empty());
         end("m1", "a", 1);
-        CPPUNIT_ASSERT(!ledger_->isLastingAfterCancel());
+        CPPUNIT_ASSERT(!ledger_->isLongRunningAfterCancel());
     }
 
 private:
-    static Ledger::Job lastingJob(std::int64_t milliCores = 1500)
+    static Ledger::Job longRunningJob(std::int64_t milliCores = 1500)
     {
         Ledger::Job job;
         job.payload = "p";
         Ledger::Step step;
         step.tasks = 1;
         step.milliCores = milliCores;
-        step.isLasting = true;
+        step.isLongRunning = true;
         job.steps = {step};
         return job;
     }
@@ -205,7 +205,7 @@
     }
     void fill(const std::string &minion, const std::string &job, std::int64_t milliCores)
     {
-        ledger_->sent(job, lastingJob(milliCores));
+        ledger_->sent(job, longRunningJob(milliCores));
         ledger_->accepted(job);
         begin(minion, job, 1);
     }
@@ -214,7 +214,7 @@
         constexpr Duration look = 10ms;
         for (const auto until = now_ + span; now_ < until; now_ += look) {
             calm_.observe(now_, isDisturbed, hasMajority);
-            watch_->observe(now_, ledger_->lastingTasks(), calm_.isCalm(now_));
+            watch_->observe(now_, ledger_->longRunningTasks(), calm_.isCalm(now_));
         }
     }
     void expect(std::size_t violations) const { CPPUNIT_ASSERT_EQUAL(violations, violations_.size()); }
@@ -223,7 +223,7 @@
     Calm calm_;
     std::vector<std::string> violations_;
     std::unique_ptr<Ledger> ledger_;
-    std::unique_ptr<LastingWatch> watch_;
+    std::unique_ptr<LongRunningWatch> watch_;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(LastingWatchTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningWatchTest);
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -88,32 +88,32 @@
 {
     std::vector<std::string> ids;
     for (const auto &[id, job] : jobs_) {
-        if (job.isAccepted && !job.isCompleted && !job.isCancelled && !job.isLasting())
+        if (job.isAccepted && !job.isCompleted && !job.isCancelled && !job.isLongRunning())
             ids.push_back(id);
     }
     return ids;
 }
 
-std::vector<std::string> Ledger::lastingJobs() const
+std::vector<std::string> Ledger::longRunningJobs() const
 {
     std::vector<std::string> ids;
     for (const auto &[id, job] : jobs_) {
-        if (job.isAccepted && !job.isCancelled && job.isLasting())
+        if (job.isAccepted && !job.isCancelled && job.isLongRunning())
             ids.push_back(id);
     }
     return ids;
 }
 
-std::vector<LastingTask> Ledger::lastingTasks() const
+std::vector<LongRunningTask> Ledger::longRunningTasks() const
 {
-    std::vector<LastingTask> tasks;
-    for (const auto &id : lastingJobs()) {
+    std::vector<LongRunningTask> tasks;
+    for (const auto &id : longRunningJobs()) {
         const auto &job = jobs_.at(id);
         if (job.isCancelling)
             continue;
         const auto &step = job.steps.front();
         for (std::uint32_t index = 0; index < step.tasks; ++index) {
-            LastingTask task;
+            LongRunningTask task;
             task.name = {{id, 0, 0}, index};
             const auto last = lastRun_.find(task.name);
             task.run = last == lastRun_.end() ? 0 : last->second;
@@ -133,11 +133,11 @@
     return copies >= 2;
 }
 
-bool Ledger::isLastingAfterCancel() const
+bool Ledger::isLongRunningAfterCancel() const
 {
     return std::any_of(running_.begin(), running_.end(), [this](const auto &item) {
         const auto &job = jobs_.at(item.first.step.job);
-        return job.isLasting() && job.isCancelled;
+        return job.isLongRunning() && job.isCancelled;
     });
 }
 
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time.h"
-#include "lastingwatch.h"
+#include "longrunningwatch.h"
 #include "platform/runobserver.h"
 
 #include <cstdint>
@@ -27,7 +27,7 @@
         std::int64_t milliCores = 0;
         bool waitsForFirst = false; ///< for all tasks of step 0
         bool isGang = false; ///< the end of one task stands for all
-        bool isLasting = false; ///< long-running: until the job is cancelled
+        bool isLongRunning = false; ///< long-running: until the job is cancelled
     };
     struct Job {
         std::string payload;
@@ -38,7 +38,7 @@
         bool isCancelled = false; ///< confirmed
         bool isCompleted = false; ///< so the caller was told
 
-        [[nodiscard]] bool isLasting() const { return !steps.empty() && steps.front().isLasting; }
+        [[nodiscard]] bool isLongRunning() const { return !steps.empty() && steps.front().isLongRunning; }
 
         std::set<Jobs::TaskName> done; ///< ended done on a minion at least once
         std::set<Jobs::TaskName> noted; ///< whose end has been acknowledged
@@ -66,11 +66,11 @@
     [[nodiscard]] std::uint64_t newestAcknowledged() const { return acknowledgedVersion_; }
 
     /// \return the tasks of long-running jobs that are accepted and that nobody has asked to cancel.
-    [[nodiscard]] std::vector<LastingTask> lastingTasks() const;
+    [[nodiscard]] std::vector<LongRunningTask> longRunningTasks() const;
     /// \return the accepted long-running jobs whose cancelling is not confirmed.
-    [[nodiscard]] std::vector<std::string> lastingJobs() const;
+    [[nodiscard]] std::vector<std::string> longRunningJobs() const;
     /// \return whether a task of a cancelled long-running job still runs.
-    [[nodiscard]] bool isLastingAfterCancel() const;
+    [[nodiscard]] bool isLongRunningAfterCancel() const;
 
     /// \return accepted jobs that are neither completed nor cancelled, without long-running ones.
     [[nodiscard]] std::vector<std::string> unfinished() const;
--- a/tests/soak/lastingwatch.cpp
+++ b/tests/soak/longrunningwatch.cpp
@@ -1,16 +1,16 @@
-#include "lastingwatch.h"
+#include "longrunningwatch.h"
 
 #include <utility>
 
 namespace Pistachio::Soak
 {
 
-LastingWatch::LastingWatch(Report report)
+LongRunningWatch::LongRunningWatch(Report report)
     : report_(std::move(report))
 {
 }
 
-void LastingWatch::observe(TimePoint now, std::span<const LastingTask> tasks, bool isCalm)
+void LongRunningWatch::observe(TimePoint now, std::span<const LongRunningTask> tasks, bool isCalm)
 {
     std::map<Jobs::TaskName, State> known;
     known.swap(states_);
@@ -22,7 +22,7 @@
     }
 }
 
-void LastingWatch::observe(TimePoint now, const LastingTask &task, State &state, bool isCalm)
+void LongRunningWatch::observe(TimePoint now, const LongRunningTask &task, State &state, bool isCalm)
 {
     if (task.isRunning || task.run != state.run) {
         state = {task.run, now, now, false};
--- a/tests/soak/lastingwatch.h
+++ b/tests/soak/longrunningwatch.h
@@ -13,29 +13,29 @@
 {
 
 /// A task of an accepted long-running job that nobody has cancelled, as it is at one moment.
-struct LastingTask {
+struct LongRunningTask {
     Jobs::TaskName name;
     std::uint64_t run = 0; ///< the last one; 0: it has never run
     bool isRunning = false;
     bool fits = false; ///< capacity is free for it twice over
 };
 
-/// The rule LOST of the platform's pages for tasks that last: from this long after the last run of a task on ...
+/// The rule LOST of the platform's pages for long-running tasks: from this long after the last run of a task on ...
 constexpr Duration longestGap = 6s;
 /// ... it must not have nothing running for this long on end while it fits and the cell is calm.
 constexpr Duration idleLimit = 3s;
 
 /// Reports long-running tasks that don't run again in time.
-class LastingWatch
+class LongRunningWatch
 {
 public:
     using Report = std::function<void(const std::string &violation)>;
 
-    explicit LastingWatch(Report report);
+    explicit LongRunningWatch(Report report);
 
     /// To be called every few milliseconds.
     /// \param tasks all of them; one that is not among them any more is forgotten
-    void observe(TimePoint now, std::span<const LastingTask> tasks, bool isCalm);
+    void observe(TimePoint now, std::span<const LongRunningTask> tasks, bool isCalm);
 
 private:
     struct State {
@@ -45,7 +45,7 @@
         bool isReported = false;
     };
 
-    void observe(TimePoint now, const LastingTask &task, State &state, bool isCalm);
+    void observe(TimePoint now, const LongRunningTask &task, State &state, bool isCalm);
 
     const Report report_;
     std::map<Jobs::TaskName, State> states_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -19,7 +19,7 @@
 /// The platform's cancel_ms and stopTimeoutMs, which hold once the cell is calm.
 constexpr Duration cancelLimit = contactTime + 4s;
 /// After a lost majority the last long-running task is overdue this late.
-constexpr Duration lastingLimit = recoveryTime + longestGap + idleLimit + 1s;
+constexpr Duration longRunningLimit = recoveryTime + longestGap + idleLimit + 1s;
 constexpr Duration pollInterval = 10ms;
 constexpr Duration slowLink = 120ms;
 constexpr std::int64_t minionMilliCores = 8000;
@@ -32,7 +32,7 @@
     , plan_(planFaults(seed, span, size_))
     , startedAt_(EventLoop::now())
     , ledger_([this](const std::string &text) { violated(text); })
-    , lastingWatch_([this](const std::string &text) { violated(text); })
+    , longRunningWatch_([this](const std::string &text) { violated(text); })
     , cell_(loop_, size_, std::move(folder), network, [this](const std::string &text) { violated(text); })
     , workload_(loop_, cell_, ledger_, seed, [this](const std::string &text) { violated(text); })
     , advice_(loop_, Workload::ticketValidity)
@@ -62,7 +62,8 @@
             loop_, std::move(report), runTime, [this] { return cell_.controls(); }, check));
         simulated_.push_back(&minions_.back()->minion());
         simulated_.back()->observer = &ledger_;
-        simulated_.back()->lastingRun = [this](const auto &task, auto run) { return workload_.lastingRun(task, run); };
+        simulated_.back()->longRunningRun
+            = [this](const auto &task, auto run) { return workload_.longRunningRun(task, run); };
     }
     isCrashed_.resize(minions_.size());
 }
@@ -90,7 +91,7 @@
     cell_.watch();
     const auto now = EventLoop::now();
     calm_.observe(now, openFaults_ > 0 || !cell_.isComplete(), cell_.hasMajority());
-    lastingWatch_.observe(now, ledger_.lastingTasks(), calm_.isCalm(now));
+    longRunningWatch_.observe(now, ledger_.longRunningTasks(), calm_.isCalm(now));
 }
 
 std::vector<std::string> Soak::run()
@@ -281,12 +282,12 @@
     const auto healedAt = EventLoop::now();
     if (!waitFor(recoveryLimit, [&] { return workload_.lastAccepted() > healedAt; }))
         violated("no job was accepted after the faults");
-    waitFor(lastingLimit, [this] {
-        const auto tasks = ledger_.lastingTasks();
-        return std::all_of(tasks.begin(), tasks.end(), [](const LastingTask &task) { return task.isRunning; });
+    waitFor(longRunningLimit, [this] {
+        const auto tasks = ledger_.longRunningTasks();
+        return std::all_of(tasks.begin(), tasks.end(), [](const LongRunningTask &task) { return task.isRunning; });
     });
     workload_.finish();
-    cancelLasting();
+    cancelLongRunning();
     waitFor(finishLimit, [this] { return workload_.openRequests() == 0 && ledger_.unfinished().empty(); });
     for (const auto &id : ledger_.unfinished())
         violated("job " + id + " was accepted and is not over in time");
@@ -294,12 +295,12 @@
 }
 
 // While they run, a gang may find no room on the minions that the advice service allows.
-void Soak::cancelLasting()
+void Soak::cancelLongRunning()
 {
-    workload_.cancelLasting();
-    if (!waitFor(recoveryLimit, [this] { return ledger_.lastingJobs().empty(); }))
+    workload_.cancelLongRunning();
+    if (!waitFor(recoveryLimit, [this] { return ledger_.longRunningJobs().empty(); }))
         violated("not every long-running job could be cancelled");
-    if (!waitFor(cancelLimit, [this] { return !ledger_.isLastingAfterCancel(); }))
+    if (!waitFor(cancelLimit, [this] { return !ledger_.isLongRunningAfterCancel(); }))
         violated("a cancelled long-running job still runs");
 }
 
@@ -324,14 +325,14 @@
         text << "  " << fault.toString() << '\n';
     std::size_t accepted = 0;
     std::size_t cancelled = 0;
-    std::size_t lasting = 0;
+    std::size_t longRunning = 0;
     for (const auto &[id, job] : ledger_.jobs()) {
         accepted += job.isAccepted ? 1 : 0;
         cancelled += job.isCancelled ? 1 : 0;
-        lasting += job.isAccepted && job.isLasting() ? 1 : 0;
+        longRunning += job.isAccepted && job.isLongRunning() ? 1 : 0;
     }
     text << "jobs " << ledger_.jobs().size() << ", accepted " << accepted << ", cancelled " << cancelled
-         << ", long-running " << lasting << ", refusals " << workload_.refusals() << ", starts " << ledger_.starts()
+         << ", long-running " << longRunning << ", refusals " << workload_.refusals() << ", starts " << ledger_.starts()
          << ", configuration " << ledger_.newestAcknowledged() << '\n';
     return text.str();
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,8 +3,8 @@
 #include "calm.h"
 #include "cell.h"
 #include "fault.h"
-#include "lastingwatch.h"
 #include "ledger.h"
+#include "longrunningwatch.h"
 #include "platform/adviceserver.h"
 #include "platform/gangs.h"
 #include "platform/minionserver.h"
@@ -44,7 +44,7 @@
     void watch();
     void runFaults();
     void settle();
-    void cancelLasting();
+    void cancelLongRunning();
     void stopAll();
     void violated(const std::string &text);
 
@@ -56,7 +56,7 @@
     TimePoint startedAt_;
     Ledger ledger_;
     Calm calm_;
-    LastingWatch lastingWatch_;
+    LongRunningWatch longRunningWatch_;
     std::size_t openFaults_ = 0;
     Cell cell_;
     Workload workload_;
--- a/tests/soak/workload.cpp
+++ b/tests/soak/workload.cpp
@@ -30,7 +30,7 @@
 constexpr std::uint64_t gangShare = 3; ///< one last step of so many is a gang
 constexpr std::uint64_t lateRepeatShare = 8; ///< one accepted job of so many arrives once more
 constexpr Duration lateRepeat = 2s;
-constexpr std::uint64_t lastingShare = 7; ///< one job of so many is long-running, the first one too
+constexpr std::uint64_t longRunningShare = 7; ///< one job of so many is long-running, the first one too
 constexpr Duration shortestLife = 8s; ///< of a long-running job
 constexpr std::uint64_t lifeSpreadMs = 40'000;
 constexpr std::uint64_t endingShare = 2; ///< one run of so many of a long-running task ends by itself
@@ -55,7 +55,7 @@
             item["dependsOn"] = {0};
         if (step.isGang)
             item["gang"] = true;
-        if (step.isLasting)
+        if (step.isLongRunning)
             item["longRunning"] = true;
         if (isCheckpointing)
             item["checkpointing"] = true;
@@ -78,7 +78,7 @@
     return job;
 }
 
-Ledger::Job newLastingJob(RandomSource &random, std::uint64_t number)
+Ledger::Job newLongRunningJob(RandomSource &random, std::uint64_t number)
 {
     constexpr std::uint64_t mostTasks = 3;
     constexpr std::uint64_t largestTask = 1200;
@@ -87,7 +87,7 @@
     Ledger::Step step;
     step.tasks = static_cast<std::uint32_t>(1 + random.below(mostTasks));
     step.milliCores = static_cast<std::int64_t>(200 + random.below(largestTask));
-    step.isLasting = true;
+    step.isLongRunning = true;
     job.steps = {step};
     return job;
 }
@@ -119,9 +119,9 @@
     cancelTimers_.clear();
 }
 
-void Workload::cancelLasting()
+void Workload::cancelLongRunning()
 {
-    for (const auto &id : ledger_.lastingJobs()) {
+    for (const auto &id : ledger_.longRunningJobs()) {
         if (!ledger_.jobs().at(id).isCancelling)
             cancel(id);
     }
@@ -129,10 +129,10 @@
 
 void Workload::planCancel(const std::string &id)
 {
-    const bool isLasting = ledger_.jobs().at(id).isLasting();
-    if (random_.below(cancelShare) == 0 || (isLasting && isFinished_))
+    const bool isLongRunning = ledger_.jobs().at(id).isLongRunning();
+    if (random_.below(cancelShare) == 0 || (isLongRunning && isFinished_))
         cancel(id);
-    else if (isLasting)
+    else if (isLongRunning)
         cancelLater(id);
 }
 
@@ -145,18 +145,19 @@
     });
 }
 
-std::optional<SimulatedMinion::LastingRun> Workload::lastingRun(const Jobs::TaskName &task, std::uint64_t run) const
+std::optional<SimulatedMinion::LongRunningRun> Workload::longRunningRun(const Jobs::TaskName &task,
+                                                                        std::uint64_t run) const
 {
     using Jobs::RunEnd;
     constexpr std::array ends{RunEnd::Failed, RunEnd::LeaseExpired, RunEnd::Stopped};
     const auto job = ledger_.jobs().find(task.step.job);
-    if (job == ledger_.jobs().end() || !job->second.isLasting())
+    if (job == ledger_.jobs().end() || !job->second.isLongRunning())
         return std::nullopt;
     RandomSource random(std::hash<std::string>{}(task.toString()) + run);
     if (random.below(endingShare) != 0)
-        return SimulatedMinion::LastingRun{endless, RunEnd::Failed};
+        return SimulatedMinion::LongRunningRun{endless, RunEnd::Failed};
     const auto length = shortestRun + std::chrono::milliseconds(random.below(runSpreadMs));
-    return SimulatedMinion::LastingRun{length, ends[random.below(ends.size())]};
+    return SimulatedMinion::LongRunningRun{length, ends[random.below(ends.size())]};
 }
 
 bool Workload::needsTicket(const std::string &job) const
@@ -185,12 +186,12 @@
     if (isFinished_ || ledger_.newestAcknowledged() == 0)
         return;
     const auto id = newId(random_);
-    const bool isLasting = jobs_ % lastingShare == 0;
+    const bool isLongRunning = jobs_ % longRunningShare == 0;
     ++jobs_;
-    auto job = isLasting ? newLastingJob(random_, jobs_) : newJob(random_, jobs_);
+    auto job = isLongRunning ? newLongRunningJob(random_, jobs_) : newJob(random_, jobs_);
     Submission submission;
     // Advice may leave a long-running task no minion with room, which the ledger doesn't know.
-    submission.path = queues[isLasting ? 0 : random_.below(queues.size())] + id;
+    submission.path = queues[isLongRunning ? 0 : random_.below(queues.size())] + id;
     submission.body = encode(job, random_.below(2) == 0).dump();
     paths_[id] = submission.path;
     ledger_.sent(id, std::move(job));
--- a/tests/soak/workload.h
+++ b/tests/soak/workload.h
@@ -34,11 +34,11 @@
     void finish();
 
     /// Cancels all long-running jobs, to be called after finish().
-    void cancelLasting();
+    void cancelLongRunning();
 
     /// \return how the run of a long-running task ends by itself; nothing: the task doesn't last.
-    [[nodiscard]] std::optional<SimulatedMinion::LastingRun> lastingRun(const Jobs::TaskName &task,
-                                                                        std::uint64_t run) const;
+    [[nodiscard]] std::optional<SimulatedMinion::LongRunningRun> longRunningRun(const Jobs::TaskName &task,
+                                                                                std::uint64_t run) const;
 
     /// \return the members of the gang of that step; 0: its tasks form no gang.
     [[nodiscard]] std::uint32_t gangSize(const Jobs::StepName &step) const;
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -44,10 +44,10 @@
         return {OrderOutcome::StaleRun, clock(now)};
     const auto how = failsEverything ? RunEnd::Failed : RunEnd::Done;
     Work work{order.run, now + (standsStill ? Duration(1h) : runTime_), how, order.checkpoint + "+"};
-    if (const auto lasting = lastingRun ? lastingRun(order.task, order.run) : std::nullopt) {
-        work.endsAt = now + lasting->length;
-        work.how = lasting->how;
-        work.isLasting = true;
+    if (const auto longRunning = longRunningRun ? longRunningRun(order.task, order.run) : std::nullopt) {
+        work.endsAt = now + longRunning->length;
+        work.how = longRunning->how;
+        work.isLongRunning = true;
     }
     runs[order.task] = std::move(work);
     if (observer != nullptr)
@@ -112,7 +112,7 @@
 {
     if (standsStill)
         return 0;
-    if (work.isLasting)
+    if (work.isLongRunning)
         return 100;
     const auto left = std::max(Duration::zero(), work.endsAt - now);
     return static_cast<std::uint32_t>(100 - std::min<std::int64_t>(100, 100 * left / runTime_));
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -24,10 +24,10 @@
         TimePoint endsAt{};
         Pistachio::Jobs::RunEnd how = Pistachio::Jobs::RunEnd::Done;
         std::string checkpoint;
-        bool isLasting = false; ///< works until it is stopped
+        bool isLongRunning = false; ///< works until it is stopped
     };
     /// How a run of a long-running task ends by itself.
-    struct LastingRun {
+    struct LongRunningRun {
         Duration length{};
         Pistachio::Jobs::RunEnd how = Pistachio::Jobs::RunEnd::Failed;
     };
@@ -61,7 +61,8 @@
     std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
     RunObserver *observer = nullptr; ///< null: nobody
     /// \return nothing for a task that doesn't last; null: none lasts.
-    std::function<std::optional<LastingRun>(const Pistachio::Jobs::TaskName &task, std::uint64_t run)> lastingRun;
+    std::function<std::optional<LongRunningRun>(const Pistachio::Jobs::TaskName &task, std::uint64_t run)>
+        longRunningRun;
 
 private:
     void end(const Pistachio::Jobs::TaskName &task, Pistachio::Jobs::RunEnd how);
