--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -4,12 +4,14 @@
 #include "jobnode/adviserpool.h"
 #include "jobnode/groupmembership.h"
 #include "jobnode/groupreport.h"
+#include "jobnode/internalcalls.h"
 #include "jobnode/jobcalls.h"
 #include "jobnode/jobcontrol.h"
 #include "jobnode/jobgroup.h"
 #include "jobnode/minionclient.h"
 #include "jobnode/noderuntime.h"
 #include "jobnode/peers.h"
+#include "jobnode/schedulersettings.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
 #include "storage/posixfilesystem.h"
@@ -18,7 +20,6 @@
 
 #include <jobs.pb.h>
 
-#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -35,15 +36,6 @@
     return {Transport::EventLoop::now(), NodeRuntime::unixMs()};
 }
 
-/// \return what the scheduler takes from the settings.
-inline Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
-{
-    Jobs::SchedulerSettings result;
-    result.lease = std::min(result.lease, settings.longestLease);
-    result.stopTimeout = settings.stopTimeout;
-    return result;
-}
-
 } // namespace Internal
 
 struct JobControl::Private {
@@ -53,12 +45,12 @@
         , runtime(nodeRuntime)
         , minions(minionClient)
         , advice(adviceClient)
-        , scheduler(store, owner, Internal::schedulerSettings(jobSettings))
+        , scheduler(store, owner, schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
         , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
         , server(nodeRuntime.loop(), serverLimits(),
-                 [&owner](const Transport::Request &request, const Transport::Responder &responder) {
-                     owner.handleInternal(request, responder);
+                 [this](const Transport::Request &request, const Transport::Responder &responder) {
+                     internalCalls->handle(request, responder);
                  })
         , peers(nodeRuntime.loop(), jobSettings.internalPort, jobSettings.bindIp, &owner)
     {
@@ -80,11 +72,15 @@
     Jobs::JobScheduler scheduler;
     AdviserPool advisers;
     GroupReport groupReport;
+    std::unique_ptr<InternalCalls> internalCalls; ///< outlives the group, whose proposals end in it
     std::unique_ptr<JobGroup> group;
     std::unique_ptr<GroupMembership> membership;
     std::unique_ptr<JobCalls> calls;
     Transport::Http2Server server;
     Transport::Timer tickTimer;
+    Transport::Timer leaveTimer;
+    TimePoint leaveUntil{};
+    std::function<void()> stopped; ///< set once this instance is told to stop
     bool flushPosted = false;
     TimePoint lastFlush{};
     Transport::Timer flushTimer;
@@ -92,7 +88,6 @@
     TimePoint ledSince{};
     std::string lastLeader;
     Transport::RequestHandler forwarded;
-    std::map<std::string, TimePoint> entries; ///< by address, with their last announcement
     Peers peers; ///< last, since its calls end in the others
 };
 
--- a/src/libs/jobnode/noderuntime.cpp
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -18,6 +18,7 @@
     : logger_(program, settings.instance, settings.log.level, settings.log.file)
     , seeds_(settings.seedIps())
 {
+    logWarnings(settings);
 }
 
 NodeRuntime::~NodeRuntime() = default;
@@ -44,11 +45,14 @@
         logger_.write(Logging::LogLevel::Warning, "reload", {{"settings", path}, {"reason", loaded.error().message}});
         return;
     }
+    logWarnings(loaded.value());
     seeds_ = loaded.value().seedIps();
     logger_.write(
         Logging::LogLevel::Info, "reload",
         {{"settings", path}, {"seeds", seeds_.size()}, {"applies", "seeds at once, all else at the next start"}});
-    changed(seeds_);
+    // Earlier seeds are better than none.
+    if (!seeds_.empty())
+        changed(seeds_);
 }
 
 void NodeRuntime::watchSeeds(const std::string &path, std::function<bool()> hasLost, SeedsChanged changed)
@@ -64,6 +68,12 @@
           });
 }
 
+void NodeRuntime::logWarnings(const Settings::JobSettings &settings)
+{
+    for (const auto &warning : settings.warnings)
+        logger_.write(Logging::LogLevel::Warning, "settings-left-out", {{"reason", warning}});
+}
+
 std::int64_t NodeRuntime::unixMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
--- /dev/null
+++ b/src/libs/jobnode/schedulersettings.cpp
@@ -0,0 +1,26 @@
+#include "jobnode/schedulersettings.h"
+
+#include "settings/jobsettings.h"
+
+#include <algorithm>
+
+namespace Pistachio::Jobnode
+{
+
+namespace
+{
+constexpr Duration readableMargin = 30s; ///< a change of leader does not shorten what callers are promised
+}
+
+Jobs::SchedulerSettings schedulerSettings(const Settings::JobSettings &settings)
+{
+    Jobs::SchedulerSettings result;
+    result.lease = std::min(result.lease, settings.longestLease);
+    result.stopTimeout = settings.stopTimeout;
+    result.finishedRetention = settings.finishedReadable + readableMargin;
+    result.reportInterval = settings.reportInterval;
+    result.startLimit = std::min(settings.minionDrain, settings.gangTimeout);
+    return result;
+}
+
+} // namespace Pistachio::Jobnode
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -21,6 +21,8 @@
 constexpr Duration planInterval = 200ms; ///< replans without changes, as tickets expire and minions become usable again
 constexpr Duration backlogInterval = 15ms; ///< between rounds with a backlog; saves processor time but delays starts
 
+constexpr Duration longRunningTime = 24h; ///< expected for tasks that run until their job is cancelled
+
 } // namespace
 
 JobScheduler::JobScheduler(JobStore &store, SchedulerPorts &ports, const SchedulerSettings &settings)
@@ -49,11 +51,8 @@
                         {"configuration", store_.configuration().version()}});
 }
 
-void JobScheduler::loseLeadership()
+void JobScheduler::clearState()
 {
-    if (!leading_)
-        return;
-    leading_ = false;
     fleet_.clear();
     queue_.clear();
     advice_.clear();
@@ -64,6 +63,15 @@
     answerLosses_.clear();
     durations_.clearSteps();
     preemptions_.clear();
+    lostRuns_.clear();
+}
+
+void JobScheduler::loseLeadership()
+{
+    if (!leading_)
+        return;
+    leading_ = false;
+    clearState();
     for (auto &[id, waiting] : std::exchange(reportsToStore_, {})) {
         for (const auto &stored : waiting)
             stored(false);
@@ -75,16 +83,7 @@
 {
     if (!leading_)
         return;
-    fleet_.clear();
-    queue_.clear();
-    advice_.clear();
-    futureTasks_.clear();
-    finishedJobs_.clear();
-    begunJobs_.clear();
-    movedTasks_.clear();
-    answerLosses_.clear();
-    durations_.clearSteps();
-    preemptions_.clear();
+    clearState();
     for (const auto &[id, minion] : store_.minions()) {
         fleet_.add(toReport(minion));
         // An earlier leader may have granted a lease just before this leader took over.
@@ -116,12 +115,7 @@
                     continue;
                 auto *minion = fleet_.find(MinionIncarnation{task.minion, task.minionBornUnixMs});
                 if (!minion) {
-                    Wire::JobCommand command;
-                    auto &end = *command.add_ends();
-                    fill(*end.mutable_task(), {{job.id(), occurrence, number}, index});
-                    end.set_run(task.run);
-                    end.set_how(Wire::JOB_RUN_END_LOST);
-                    ports_.propose(std::move(command), {});
+                    lostRuns_[{{job.id(), occurrence, number}, index}] = task.run;
                     continue;
                 }
                 Run run;
@@ -132,6 +126,7 @@
                 run.phaseSince = now_.time;
                 minion->add({{job.id(), occurrence, number}, index}, run);
             }
+            stopPartOfGang(job, {job.id(), occurrence, number});
         }
     }
 }
@@ -207,6 +202,8 @@
 
 Duration JobScheduler::expectedRunTime(const Job &job, const StepName &step) const
 {
+    if (job.spec(step.step).long_running())
+        return longRunningTime;
     return durations_.expected(job.submission().queue(), step,
                                std::chrono::milliseconds(job.spec(step.step).estimate_ms()));
 }
@@ -314,13 +311,8 @@
         return;
     ports_.logDecision(LogLevel::Warning, "proposal-failed",
                        {{"assignments", command.assignments_size()}, {"ends", command.ends_size()}});
-    for (const auto &assignment : command.assignments()) {
-        if (auto *minion = fleet_.find(MinionIncarnation{assignment.minion(), assignment.minion_born_unix_ms()}))
-            minion->remove(toTaskName(assignment.task()));
-        const auto *job = store_.job(assignment.task().job());
-        if (job && job->phase() == JobPhase::Active)
-            enqueue(*job, toTaskName(assignment.task()));
-    }
+    for (const auto &assignment : command.assignments())
+        revertAssignment(assignment);
     for (auto &[id, minion] : fleet_.minions()) {
         minion.endsProposed = false;
         for (auto &[task, run] : minion.runs) {
@@ -362,6 +354,7 @@
         return;
     enqueueDueTasks();
     expireLeases();
+    proposeLostRuns();
     sendDueOrders();
     removeFinishedJobs();
     if (planNeeded_ || now.time >= lastPlan_ + planInterval)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/durationmodel.h"
 #include "jobs/fleet.h"
 #include "jobs/jobstoreobserver.h"
+#include "jobs/schedulersettings.h"
 #include "jobs/speedtable.h"
 #include "jobs/workqueue.h"
 
@@ -38,13 +39,6 @@
     std::int64_t unixMs = 0; ///< wall clock, used only for due times and job ages, as it may jump
 };
 
-struct SchedulerSettings {
-    Duration lease = 4000ms; ///< longer than a restart of all control instances and the election that follows
-    Duration stopTimeout = 400ms; ///< upper bound on the time a stop takes
-    Duration finishedRetention = 150s; ///< how long a finished job stays readable
-    std::size_t advisedMinions = 32; ///< maximum number of minions in one advice request
-};
-
 /// Assigns the tasks of the job store to minions while this instance leads the job group.
 ///
 /// An assignment is committed before its start order is sent, and an end before it is acknowledged to the minion. A
@@ -99,6 +93,7 @@
     void jobEnded(const Job &job) override;
     void jobRemoved(const std::string &job) override;
     void taskAssigned(const Job &job, const TaskName &task, std::uint64_t run) override;
+    void assignmentDropped(const Wire::JobAssignment &assignment) override;
     void taskEnded(const Job &job, const Wire::JobEnd &end, bool changed) override;
     void minionRecorded(const Wire::JobMinion &minion) override;
     void minionRemoved(const std::string &minion) override;
@@ -119,14 +114,22 @@
     /// The largest free amount and the smallest capacity among usable minions, for each resource separately.
     struct CapacityBounds {
         ResourceAmounts maxFree;
+        ResourceAmounts maxFreeForLongRunning; ///< with the minions that only long-running tasks may use now
         ResourceAmounts minCapacity;
     };
+    /// A run whose order was answered, or nulls if it is not in the phase of the order any more.
+    struct AnsweredRun {
+        Minion *minion = nullptr;
+        Run *run = nullptr;
+    };
     enum class Tickets {
         Valid, ///< may start now
         Known, ///< may start once the ticket is renewed
     };
 
     // jobscheduler.cpp and storeevents.cpp
+    /// Forgets what is not in the store; what was learnt about minions and run times stays.
+    void clearState();
     void enqueueJob(const Job &job);
     void enqueue(const Job &job, const TaskName &task);
     void adoptRuns(const Job &job);
@@ -137,9 +140,16 @@
     void enqueueDueTasks();
     void removeFinishedJobs();
     void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int runEnd);
+    /// Records that the runs of an incarnation that is removed or replaced are over.
+    void loseRunsOf(const Minion &minion);
+    void proposeLostRuns();
     void stopRunsOf(const Job &job);
     void stopRuns(const Job &job, const StepName &step);
+    /// Stops the runs of a gang of which a member has ended, in case the earlier leader didn't.
+    void stopPartOfGang(const Job &job, const StepName &step);
     Minion *minionOf(const Task &task);
+    /// Releases what an assignment reserved that is not stored, and lets its task wait again.
+    void revertAssignment(const Wire::JobAssignment &assignment);
 
     // runorders.cpp and leaseanswers.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
@@ -147,11 +157,14 @@
     void sendLeaseRenewal(Minion &minion, Duration wait);
     /// Records whether a minion answered an order.
     void recordContact(Minion &minion, OrderOutcome outcome);
+    /// Records the answer to an order about a run in \p phase.
+    template<class Order> AnsweredRun recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase);
     void sendDueOrders();
     void retryOrder(Minion &minion, const TaskName &task, Run &run);
     /// \param isRecent whether the progress in the list is current
     void processActiveRun(Minion &minion, const ActiveRun &active, bool isRecent);
     void processEndedRun(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
+    [[nodiscard]] bool isStopOver(const Run &run, TimePoint sent) const;
     void endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command);
     void markMinionLost(Minion &minion, std::string_view reason);
     void expireLeases();
@@ -172,7 +185,8 @@
     bool placeStep(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     bool placeGang(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     void place(const Job &job, const TaskName &task, std::uint64_t run, Minion &minion, Wire::JobCommand &command);
-    [[nodiscard]] bool isUsable(const Minion &minion) const;
+    /// \return whether the minion may get a task of a step.
+    [[nodiscard]] bool isUsable(const Minion &minion, bool isLongRunning) const;
     [[nodiscard]] std::optional<StepRequirements> requirementsOf(const Job &job, const StepName &name) const;
     [[nodiscard]] static bool isEligible(const Minion &minion, const StepRequirements &requirements);
     /// \return the bounds for a service, which rule out most steps under load without a look at each minion.
@@ -187,6 +201,9 @@
     void prefetchAdvice(const Job &job, const StepName &name);
 
     // reservations.cpp
+    /// \return whether the step fits on the minion once all but its long-running tasks have ended.
+    [[nodiscard]] bool canBecomeFree(const Minion &minion, const StepName &name,
+                                     const StepRequirements &requirements) const;
     void reserveMinions(const WaitingEntry &entry, const Job &job);
     void reserveCapacity(const WaitingEntry &entry, const Job &job);
     [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
@@ -213,6 +230,9 @@
     std::map<std::string, TimePoint> services_; ///< services that have had waiting tasks, with the time of the last one
     std::set<TaskName> movedTasks_; ///< moved off a slow minion; a task is moved at most once
     std::map<TaskName, std::uint32_t> preemptions_; ///< preemptions of each task of active jobs
+    std::map<TaskName, std::uint64_t>
+        lostRuns_; ///< assigned runs that no minion has; proposed until their end is stored
+    TimePoint lostRunsProposedAt_{};
     std::set<std::string> begunJobs_; ///< active jobs with a confirmed start
     bool planNeeded_ = true; ///< something changed since the last round
     TimePoint lastPlan_{};
--- a/src/libs/jobs/jobstore.cpp
+++ b/src/libs/jobs/jobstore.cpp
@@ -1,6 +1,7 @@
 #include "jobs/jobstore.h"
 
 #include "jobs/jobstoreobserver.h"
+#include "jobs/jobvalidation.h"
 
 #include <jobs.pb.h>
 
@@ -28,11 +29,8 @@
     reply.set_verdict(Wire::JOB_VERDICT_ACCEPTED);
     if (command.has_configuration())
         configure(command.configuration());
-    for (const auto &minion : command.minions()) {
-        minions_[minion.id()] = minion;
-        if (observer_)
-            observer_->minionRecorded(minion);
-    }
+    for (const auto &minion : command.minions())
+        recordMinion(minion);
     for (const auto &minion : command.gone_minions()) {
         minions_.erase(minion);
         if (observer_)
@@ -41,8 +39,10 @@
     for (const auto &end : command.ends())
         applyEnd(end);
     assign(command);
-    if (command.has_submission())
-        submit(command);
+    if (command.has_submission() && !submit(command)) {
+        reply.set_verdict(Wire::JOB_VERDICT_INVALID);
+        reply.set_reason("the job has too many tasks, or steps that depend on later ones");
+    }
     if (!command.cancelled_job().empty()) {
         const auto found = jobs_.find(command.cancelled_job());
         if (found == jobs_.end()) {
@@ -60,6 +60,17 @@
     return reply.SerializeAsString();
 }
 
+void JobStore::recordMinion(const Wire::JobMinion &minion)
+{
+    auto &known = minions_[minion.id()];
+    // A delayed record of an earlier incarnation says nothing about the later one.
+    if (minion.born_unix_ms() < known.born_unix_ms())
+        return;
+    known = minion;
+    if (observer_)
+        observer_->minionRecorded(minion);
+}
+
 void JobStore::configure(const Wire::JobConfiguration &configuration)
 {
     // Versions that are not newer are ignored, so that a resent or delayed command can't restore an old configuration.
@@ -91,26 +102,28 @@
 {
     for (const auto &assignment : command.assignments()) {
         const auto found = jobs_.find(assignment.task().job());
-        if (found == jobs_.end())
-            continue;
-        auto &job = found->second;
         const auto name = toTaskName(assignment.task());
-        if (!job.canAssign(name, assignment.run()))
+        if (found == jobs_.end() || !found->second.canAssign(name, assignment.run())) {
+            if (observer_)
+                observer_->assignmentDropped(assignment);
             continue;
+        }
+        auto &job = found->second;
         job.assign(name, assignment.run(), assignment.minion(), assignment.minion_born_unix_ms());
         if (observer_)
             observer_->taskAssigned(job, name, assignment.run());
     }
 }
 
-void JobStore::submit(const Wire::JobCommand &command)
+bool JobStore::submit(const Wire::JobCommand &command)
 {
     const auto &submission = command.submission();
+    if (!canBeHeld(submission.spec()))
+        return false;
     const auto [entry, isNew] = jobs_.try_emplace(submission.id(), submission);
-    if (!isNew)
-        return;
-    if (observer_)
+    if (isNew && observer_)
         observer_->jobAccepted(entry->second);
+    return true;
 }
 
 std::uint32_t JobStore::maxAttempts(const Job &job) const
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint32_t failuresBeforeAvoiding = 3;
 constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration renewalRetryAfterExpiry = 1s; ///< of a minion whose lease has expired
+constexpr Duration unlistedLimit = 1s; ///< of a run that may be among those that a minion's list lacks
 
 Wire::JobRunEnd toWire(RunEnd end)
 {
@@ -131,9 +132,11 @@
     auto &run = found->second;
     if (run.run != active.run)
         return;
-    if (isRecent)
+    run.listedAt = now_.time;
+    if (isRecent && active.hasProgress)
         recordProgress(minion, active, run);
-    run.measurement = active.measurement;
+    if (active.hasProgress)
+        run.measurement = active.measurement;
     if (!active.checkpoint.empty())
         run.checkpoint = active.checkpoint;
     if (run.phase == RunPhase::Adopted || run.phase == RunPhase::Starting) {
@@ -163,8 +166,9 @@
         }
     } else if (ended.end == RunEnd::Done) {
         minion.consecutiveFailures = 0;
-        // The run time of a task that is far from its data, or was resumed, is not representative.
-        if (isKnown && job && found->second.startedAt != TimePoint{} && job->task(ended.task)->checkpoint.empty()
+        // The run time of a task that lasts, is far from its data, or was resumed is not representative.
+        if (isKnown && job && !job->spec(ended.task.step.step).long_running() && found->second.startedAt != TimePoint{}
+            && job->task(ended.task)->checkpoint.empty()
             && minion.hasLabel(job->spec(ended.task.step.step).data_rack())) {
             const auto took = now_.time - found->second.startedAt;
             speeds_.learn(minion.kind(), took, found->second.expected);
@@ -178,7 +182,7 @@
                             {"minion", minion.report.incarnation.id},
                             {"how", static_cast<int>(ended.end)}});
     }
-    if (!job) {
+    if (!job || !job->task(ended.task)) {
         if (isKnown)
             minion.remove(ended.task);
         return;
@@ -189,6 +193,13 @@
         proposeEnd(command, minion, ended.task, ended.run, toWire(ended.end));
 }
 
+/// \return whether a stop had taken its longest time when the minion was asked.
+bool JobScheduler::isStopOver(const Run &run, TimePoint sent) const
+{
+    return run.phase == RunPhase::Stopping && run.stopConfirmed && sent > run.phaseSince + settings_.stopTimeout;
+}
+
+/// A run that an incomplete list lacks may still be active, so it ends only after a stop.
 void JobScheduler::endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command)
 {
     std::vector<TaskName> unlisted;
@@ -202,14 +213,19 @@
         const auto listed = std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &active) {
             return active.run == number && active.task == name;
         });
-        if (!listed)
+        if (listed)
+            continue;
+        if (answer.isActiveComplete || isStopOver(run, sent))
             unlisted.push_back(task);
+        else if (sent > std::max(run.listedAt, run.phaseSince) + unlistedLimit)
+            sendStop(minion, task, run);
     }
     for (const auto &task : unlisted) {
         const auto run = minion.runs.at(task).run;
         ports_.logDecision(LogLevel::Info, "run-not-listed",
                            {{"task", task.toString()}, {"run", run}, {"minion", minion.report.incarnation.id}});
-        if (store_.job(task.step.job))
+        const auto *job = store_.job(task.step.job);
+        if (job && job->task(task))
             proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED);
         else
             minion.remove(task);
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -46,6 +46,7 @@
     bool isOrphan = false; ///< not the task's current run according to the store
     std::string checkpoint;
     std::uint32_t percent = 0;
+    TimePoint listedAt{}; ///< when the minion last listed it as active
     TimePoint progressAt{}; ///< when percent was last recorded
     TimePoint startedAt{};
     Duration expected{}; ///< predicted run time
@@ -74,7 +75,8 @@
     std::optional<std::int64_t> clockMs; ///< reading of the minion's clock, taken at clockAt or earlier
     TimePoint clockAt{};
 
-    TimePoint avoidUntil{}; ///< no new tasks are placed here before
+    TimePoint refusesUntil{}; ///< no new tasks are placed here before: it refused a start or didn't answer one
+    TimePoint avoidUntil{}; ///< failing or slow: only long-running tasks are placed here before, if nowhere else fits
     std::uint32_t consecutiveSlowFindings = 0; ///< reset when the minion is no longer slow
     std::uint32_t consecutiveFailures = 0; ///< each of another job than the one before
     std::string lastFailedJob;
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -15,6 +15,11 @@
 
 using Logging::LogLevel;
 
+namespace
+{
+constexpr Duration lostRunRetry = 200ms; ///< several times a commit
+} // namespace
+
 void JobScheduler::minionRecorded(const Wire::JobMinion &minion)
 {
     if (!leading_)
@@ -24,6 +29,8 @@
     if (known) {
         known->report.draining = known->report.draining || report.draining;
     } else {
+        if (const auto *replaced = fleet_.find(minion.id()))
+            loseRunsOf(*replaced);
         fleet_.add(std::move(report));
         fleet_.find(minion.id())->lastReportAt = now_.time;
         advice_.removeMinion(minion.id());
@@ -40,15 +47,61 @@
 {
     if (!leading_)
         return;
+    if (const auto *removed = fleet_.find(minion))
+        loseRunsOf(*removed);
     fleet_.remove(minion);
     advice_.removeMinion(minion);
 }
 
+void JobScheduler::loseRunsOf(const Minion &minion)
+{
+    for (const auto &[task, run] : minion.runs) {
+        const auto *job = store_.job(task.step.job);
+        const auto *record = job ? job->task(task) : nullptr;
+        if (record && record->state == TaskState::Assigned && record->run == run.run)
+            lostRuns_[task] = run.run;
+    }
+}
+
+void JobScheduler::proposeLostRuns()
+{
+    if (lostRuns_.empty() || now_.time < lostRunsProposedAt_ + lostRunRetry)
+        return;
+    lostRunsProposedAt_ = now_.time;
+    Wire::JobCommand command;
+    for (auto entry = lostRuns_.begin(); entry != lostRuns_.end();) {
+        const auto &[task, run] = *entry;
+        const auto *job = store_.job(task.step.job);
+        const auto *record = job ? job->task(task) : nullptr;
+        if (!record || record->state != TaskState::Assigned || record->run != run) {
+            entry = lostRuns_.erase(entry);
+            continue;
+        }
+        auto &end = *command.add_ends();
+        fill(*end.mutable_task(), task);
+        end.set_run(run);
+        end.set_how(Wire::JOB_RUN_END_LOST);
+        ++entry;
+    }
+    if (command.ends_size() == 0)
+        return;
+    ports_.logDecision(LogLevel::Info, "runs-without-minion", {{"runs", command.ends_size()}});
+    ports_.propose(std::move(command), {});
+}
+
 void JobScheduler::configurationChanged()
 {
     planNeeded_ = true;
-    if (leading_)
-        ports_.logDecision(LogLevel::Info, "configuration-in-force", {{"version", store_.configuration().version()}});
+    if (!leading_)
+        return;
+    queue_.updateServices([this](const std::string &id) {
+        const auto *job = store_.job(id);
+        const auto *queue = job ? store_.queue(job->submission().queue()) : nullptr;
+        return queue ? queue->service() : std::string();
+    });
+    for (const auto &queue : store_.configuration().queues())
+        services_.try_emplace(queue.service(), now_.time);
+    ports_.logDecision(LogLevel::Info, "configuration-in-force", {{"version", store_.configuration().version()}});
 }
 
 void JobScheduler::jobEnded(const Job &job)
@@ -96,6 +149,17 @@
     }
 }
 
+void JobScheduler::stopPartOfGang(const Job &job, const StepName &step)
+{
+    if (!job.spec(step.step).gang())
+        return;
+    const auto &tasks = job.step(step.occurrence, step.step)->tasks;
+    const bool isWhole
+        = std::none_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.state == TaskState::Waiting; });
+    if (!isWhole)
+        stopRuns(job, step);
+}
+
 Minion *JobScheduler::minionOf(const Task &task)
 {
     return fleet_.find(MinionIncarnation{task.minion, task.minionBornUnixMs});
@@ -107,23 +171,57 @@
 {
     auto *minion = leading_ ? minionOf(*job.task(task)) : nullptr;
     const auto found = minion ? minion->runs.find(task) : std::map<TaskName, Run>::iterator();
-    if (!minion || found == minion->runs.end() || found->second.run != run || found->second.phase != RunPhase::Proposed)
+    if (!minion || found == minion->runs.end() || found->second.run != run) {
+        // The minion was removed or replaced while the assignment was being committed.
+        if (leading_)
+            lostRuns_[task] = run;
+        return;
+    }
+    if (found->second.phase != RunPhase::Proposed)
         return;
     found->second.phase = RunPhase::Starting;
     found->second.phaseSince = now_.time;
     sendStart(*minion, task, found->second);
 }
 
+void JobScheduler::assignmentDropped(const Wire::JobAssignment &assignment)
+{
+    if (leading_)
+        revertAssignment(assignment);
+}
+
+void JobScheduler::revertAssignment(const Wire::JobAssignment &assignment)
+{
+    const auto task = toTaskName(assignment.task());
+    auto *minion = fleet_.find(MinionIncarnation{assignment.minion(), assignment.minion_born_unix_ms()});
+    const auto found = minion ? minion->runs.find(task) : std::map<TaskName, Run>::iterator();
+    if (minion && found != minion->runs.end() && found->second.run == assignment.run()
+        && found->second.phase == RunPhase::Proposed)
+        minion->remove(task);
+    planNeeded_ = true;
+    const auto *job = store_.job(task.step.job);
+    const auto *record = job ? job->task(task) : nullptr;
+    if (record && job->phase() == JobPhase::Active && record->state == TaskState::Waiting)
+        enqueue(*job, task);
+}
+
 void JobScheduler::taskEnded(const Job &job, const Wire::JobEnd &end, bool changed)
 {
     if (!leading_)
         return;
     const auto name = toTaskName(end.task());
+    const auto *task = job.task(name);
+    if (!task) {
+        auto *minion = fleet_.find(MinionIncarnation{end.minion(), end.minion_born_unix_ms()});
+        if (minion)
+            minion->remove(name);
+        return;
+    }
     const auto &step = job.spec(name.step.step);
     planNeeded_ = true;
     // The end may come from the minion of an earlier run, not from the one that the task is assigned to now.
     for (const auto &incarnation : {MinionIncarnation{end.minion(), end.minion_born_unix_ms()},
-                                    MinionIncarnation{job.task(name)->minion, job.task(name)->minionBornUnixMs}}) {
+                                    MinionIncarnation{task->minion, task->minionBornUnixMs}}) {
         auto *minion = fleet_.find(incarnation);
         const auto found = minion ? minion->runs.find(name) : std::map<TaskName, Run>::iterator();
         if (!minion || found == minion->runs.end())
--- a/src/libs/settings/jobsettings.h
+++ b/src/libs/settings/jobsettings.h
@@ -32,10 +32,15 @@
     std::size_t toleratedLosses = 1; ///< of instances with a disk, at a time
     Duration catchUpTime = std::chrono::seconds(4); ///< then the successor of a lost instance counts like the others
     Duration longestLease = std::chrono::seconds(6); ///< minions cut longer ones down to this
-    Duration stopTimeout = std::chrono::milliseconds(400);
-    Duration drainTimeout = std::chrono::seconds(5); ///< of requests in flight, at a planned stop
-    std::size_t maxBodyBytes = std::size_t{4} << 20;
+    Duration minionDrain = std::chrono::milliseconds(2500); ///< a minion that leaves starts nothing later than this
+    Duration stopTimeout = std::chrono::milliseconds(400); ///< upper bound on the time that minions take for a stop
+    Duration gangTimeout = std::chrono::seconds(3); ///< the first members of a gang wait for the others this long
+    Duration reportInterval = std::chrono::milliseconds(1500); ///< between two reports of a minion
+    Duration finishedReadable = std::chrono::seconds(120); ///< how long callers may ask for a finished job
+    Duration stopGrace = std::chrono::seconds(6); ///< a process that is told to stop is killed after it
+    Duration drainTimeout = std::chrono::seconds(5); ///< of requests in flight, at a planned stop; see drainLimit()
     LogSettings log;
+    std::vector<std::string> warnings; ///< a line for each seed that was left out, with its file, line and key
 
     /// \return the addresses of the seeds without their ports.
     [[nodiscard]] std::vector<std::string> seedIps() const;
@@ -43,6 +48,12 @@
     /// \return where this instance listens.
     [[nodiscard]] const std::string &localIp() const { return bindIp.empty() ? ip : bindIp; }
 
+    /// \return how long a planned stop waits for requests in flight: the drain timeout, as far as the grace allows.
+    [[nodiscard]] Duration drainLimit() const;
+
+    /// \return the part of drainLimit() in which an entry still takes new connections.
+    [[nodiscard]] Duration drainNotice() const;
+
     /// \param path the TOML file
     /// \return the checked settings, or every error with its file, line and key, one a line.
     static Result<JobSettings> load(const std::string &path);
--- a/tests/auto/jobs/tst_scheduler.cpp
+++ b/tests/auto/jobs/tst_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
 #include <string>
 
 using namespace Pistachio;
@@ -31,6 +32,10 @@
     CPPUNIT_TEST(newLeaderKeepsRunningTasks);
     CPPUNIT_TEST(restartedMinionLosesItsTasksAtOnce);
     CPPUNIT_TEST(endedLongRunningTaskIsRestarted);
+    CPPUNIT_TEST(unreadableRowEndsRunningTask);
+    CPPUNIT_TEST(unreadableRowKeepsLostStartsForever);
+    CPPUNIT_TEST(unreadableProgressMovesTask);
+    CPPUNIT_TEST(endOfAbsentTaskCrashesTheLeader);
     CPPUNIT_TEST(stalledTaskIsMovedOnce);
     CPPUNIT_TEST(tasksMoveOffSlowMinion);
     CPPUNIT_TEST(tasksSlowEverywhereAreNotMoved);
@@ -40,6 +45,9 @@
     CPPUNIT_TEST(longRunningTaskIsPlacedFirst);
     CPPUNIT_TEST(capacityIsReservedForLargeTask);
     CPPUNIT_TEST(largeTaskPreemptsLowerPriorityQueue);
+    CPPUNIT_TEST(shortLeaseIsRenewedInTime);
+    CPPUNIT_TEST(minionIsKeptUntilReportsAreMissing);
+    CPPUNIT_TEST(unansweredStartIsNotRepeatedPastItsLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static void assertNoViolations(const SimulatedCell &cell)
@@ -182,6 +190,73 @@
         CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
     }
 
+    // A task whose row can't be read for a moment would be started again while it runs.
+    void unreadableRowEndsRunningTask()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 5s);
+        cell.submit(first, 2, 1000, estimate(5s));
+        cell.run(3s);
+        minion.hidesRuns = true;
+        cell.run(800ms);
+        minion.hidesRuns = false;
+        cell.run(4s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.starts);
+        assertNoViolations(cell);
+    }
+
+    // One row of another writer must not make the leader wait for what was lost on its way, or no longer is there.
+    void unreadableRowKeepsLostStartsForever()
+    {
+        SimulatedCell cell(1);
+        for (const auto *id : {"a", "b"})
+            cell.addMinion(id, 4000, 1s).hasOddRow = true;
+        cell.lateOrders = 100;
+        cell.submit(first, 4, 1000, estimate(1s));
+        cell.run(300ms);
+        cell.changeLeader();
+        cell.run(2s);
+        cell.lateOrders = 0;
+        cell.run(15s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        assertNoViolations(cell);
+    }
+
+    // Progress that can't be read is not a lack of progress.
+    void unreadableProgressMovesTask()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, 3s).hidesProgress = true;
+        cell.submit(first, 1, 1000, estimate(3s));
+        cell.run(500ms);
+        cell.addMinion("b", 4000, 3s);
+        cell.run(4s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.starts);
+        assertNoViolations(cell);
+    }
+
+    // A row that names a step or a task that its job doesn't have ended each leader in turn.
+    void endOfAbsentTaskCrashesTheLeader()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 9s);
+        cell.submit(first, 2, 1000, estimate(9s));
+        cell.run(1s);
+        constexpr auto largest = std::numeric_limits<std::uint32_t>::max();
+        minion.strayEnds = {{1, {{first, 0, 99}, 0}, 1, RunEnd::Done, ""},
+                            {2, {{first, largest, 0}, 0}, 1, RunEnd::Done, ""},
+                            {3, {{first, 0, 0}, largest}, 1, RunEnd::Done, ""},
+                            {4, {{first, 0, largest}, largest}, 1, RunEnd::Failed, ""}};
+        cell.run(2s);
+        cell.changeLeader();
+        cell.run(2s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Active);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.starts);
+        assertNoViolations(cell);
+    }
+
     // A minion whose tasks make no progress still renews its lease, so nothing else would move the task.
     void stalledTaskIsMovedOnce()
     {
@@ -235,6 +310,58 @@
         CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["minion-slow"]);
     }
 
+    // Guards against minions that are given up between two renewals where the longest lease is short.
+    void shortLeaseIsRenewedInTime()
+    {
+        SchedulerSettings settings;
+        settings.lease = 1s;
+        SimulatedCell cell(1, settings);
+        cell.addMinion("a", 4000, 1s, 0.98);
+        cell.run(5s);
+        cell.submit(first, 1, 1000);
+        cell.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["minion-lost"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.firstMinionRunning(first));
+        cell.run(2s);
+        CPPUNIT_ASSERT(cell.phase(first) == JobPhase::Completed);
+        assertNoViolations(cell);
+    }
+
+    // Guards against minions that are forgotten between two reports where these are far apart.
+    void minionIsKeptUntilReportsAreMissing()
+    {
+        const auto forgotten = [](Duration reportInterval) {
+            SchedulerSettings settings;
+            settings.reportInterval = reportInterval;
+            SimulatedCell cell(1, settings);
+            cell.addMinion("a", 4000, 1s);
+            cell.run(1s);
+            cell.minions.at("a")->isCut = true;
+            cell.run(12s);
+            return cell.eventCounts["minion-forgotten"];
+        };
+        CPPUNIT_ASSERT_EQUAL(1, forgotten(1500ms));
+        CPPUNIT_ASSERT_EQUAL(0, forgotten(5s));
+    }
+
+    // Guards against a start on a minion whose time to leave is over, or beside members of a gang that no longer wait.
+    void unansweredStartIsNotRepeatedPastItsLimit()
+    {
+        const auto starts = [](Duration startLimit) {
+            SchedulerSettings settings;
+            settings.startLimit = startLimit;
+            SimulatedCell cell(1, settings);
+            cell.addMinion("a", 4000, 10s);
+            cell.run(1s);
+            cell.minions.at("a")->isCut = true;
+            cell.submit(first, 1, 1000);
+            cell.run(3500ms);
+            return cell.starts;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, starts(10s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, starts(1s));
+    }
+
     // Guards against tasks that wait for a lease to expire, placed on a minion that has just become unresponsive.
     void unresponsiveMinionIsChosenLast()
     {
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <string>
+#include <vector>
 
 #include <unistd.h>
 
@@ -67,6 +69,10 @@
     CPPUNIT_TEST(syntaxErrorNamesTheLine);
     CPPUNIT_TEST(localAddressIsTheAdvertisedOneUnlessSet);
     CPPUNIT_TEST(catchUpTimeMayHaveAFraction);
+    CPPUNIT_TEST(boundsInMillisecondsMayHaveAFraction);
+    CPPUNIT_TEST(drainEndsWithinTheGrace);
+    CPPUNIT_TEST(oddSeedRefusesTheFile);
+    CPPUNIT_TEST(listThatDoesNotEndIsAnError);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -158,7 +164,83 @@
         CPPUNIT_ASSERT(contains(message, "limits.catch_up_s must be a number of seconds"));
     }
 
+    // Guards against a bound with a fraction that refuses the file, so that the process never starts.
+    void boundsInMillisecondsMayHaveAFraction()
+    {
+        const auto fraction = JobSettings::load(write(jobText + "[limits]\nlongest_lease_ms = 2500.5\n"));
+        CPPUNIT_ASSERT(fraction.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'500'500}, std::int64_t{fraction.value().longestLease.count()});
+        const auto whole = JobSettings::load(write(jobText + "[limits]\ndrain_timeout_ms = 700\n"));
+        CPPUNIT_ASSERT(whole.has_value());
+        CPPUNIT_ASSERT(whole.value().drainTimeout == std::chrono::milliseconds(700));
+        const std::string message = errorOf(JobSettings::load(write(jobText + "[limits]\nlongest_lease_ms = 0\n")));
+        CPPUNIT_ASSERT(contains(message, "limits.longest_lease_ms must be a number of milliseconds"));
+    }
+
+    // Guards against an entry that still drains when it is killed, and against a drain shorter than the notice.
+    void drainEndsWithinTheGrace()
+    {
+        const auto limits = [this](const std::string &text) {
+            const auto settings = JobSettings::load(write(jobText + "[limits]\n" + text));
+            CPPUNIT_ASSERT(settings.has_value());
+            return std::pair(settings.value().drainLimit() / 1ms, settings.value().drainNotice() / 1ms);
+        };
+        using Limits = std::pair<std::int64_t, std::int64_t>;
+        CPPUNIT_ASSERT(limits("") == Limits(5000, 2500));
+        CPPUNIT_ASSERT(limits("stop_grace_s = 6\ndrain_timeout_ms = 1000\n") == Limits(1000, 500));
+        CPPUNIT_ASSERT(limits("stop_grace_s = 60\ndrain_timeout_ms = 20000\n") == Limits(20'000, 2500));
+        CPPUNIT_ASSERT(limits("stop_grace_s = 1.5\n") == Limits(1250, 625));
+        const std::string message = errorOf(JobSettings::load(write(jobText + "[limits]\nstop_grace_s = 0\n")));
+        CPPUNIT_ASSERT(contains(message, "limits.stop_grace_s must be a number of seconds"));
+    }
+
+    // A process whose file is refused ends at each start; the other seeds are enough, and none is for a lone instance.
+    void oddSeedRefusesTheFile()
+    {
+        const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+        for (const std::string &odd :
+             {std::string("\"10.0.0.2:65536\""), std::string("\"10.0.0.2:99999999999999999999\""),
+              std::string("\"10.0.0.2:-1\""), std::string("\"10.0.0.2:0\""), std::string("\"10.0.0.2\""),
+              std::string("\"no.name:80\""), std::string("\"\""), std::string("99999999999999999999"),
+              std::string("1e999"), std::string("7"), std::string("null"), nested, std::string("[\"10.0.0.2:1\"]"),
+              std::string("{\"a\": 1}")}) {
+            const std::string good1 = "\"10.0.0.1:7101\"";
+            const std::string good2 = "\"[::1]:7102\"";
+            checkSeeds({odd}, 0);
+            checkSeeds({odd, good1, good2}, 2);
+            checkSeeds({good1, odd, good2}, 2);
+            checkSeeds({good1, good2, odd}, 2);
+        }
+    }
+
+    void listThatDoesNotEndIsAnError()
+    {
+        for (const std::string &list : {std::string("\"10.0.0.1:7101\""), std::string("[[[["), std::string("\"open")}) {
+            std::string text = jobText;
+            replace(text, "\"10.0.0.1:7101\"]", list);
+            CPPUNIT_ASSERT_MESSAGE(list, JobSettings::load(write(text)).has_error());
+        }
+    }
+
 private:
+    void checkSeeds(const std::vector<std::string> &items, std::size_t usable)
+    {
+        std::string seeds;
+        for (const auto &item : items)
+            seeds.append(seeds.empty() ? "" : ", ").append(item);
+        std::string text = jobText;
+        replace(text, "\"10.0.0.1:7101\"", seeds);
+        const auto name = seeds.substr(0, 80);
+        const auto settings = JobSettings::load(write(text + "[log]\nlevel = \"info\"\n"));
+        CPPUNIT_ASSERT_MESSAGE(name + ": " + (settings ? "" : settings.error().message.substr(0, 200)),
+                               settings.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, usable, settings.value().seeds.size());
+        if (usable == 2)
+            CPPUNIT_ASSERT_EQUAL(std::uint16_t{7102}, settings.value().seeds.back().port);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::size_t{1}, settings.value().warnings.size());
+        CPPUNIT_ASSERT(contains(settings.value().warnings.front(), "settings.toml:5: seeds leaves out item"));
+    }
+
     std::string write(const std::string &text)
     {
         const std::filesystem::path path = folder_ / "settings.toml";
