--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -30,7 +30,12 @@
 {
 }
 
-JobControl::~JobControl() = default;
+JobControl::~JobControl()
+{
+    // They outlive this, and their answers must not.
+    d_->minions.close();
+    d_->advice.close();
+}
 
 Result<void> JobControl::open()
 {
@@ -69,6 +74,11 @@
     return !d_->group->replica().leaderHint().isEmpty();
 }
 
+std::size_t JobControl::internalConnections() const
+{
+    return d_->server.connections();
+}
+
 void JobControl::scheduleTick()
 {
     d_->tickTimer = d_->runtime.loop().callAfter(d_->scheduler.isLeading() ? leaderTick : followerTick, [this] {
@@ -122,6 +132,8 @@
 {
     d_->group->flush(EventLoop::now());
     followLeadership();
+    if (const auto postponed = d_->group->takePostponedSnapshot())
+        d_->runtime.logger().write(LogLevel::Warning, "snapshot-postponed", {{"reason", postponed->message}});
     if (const auto &failure = d_->group->replica().failure()) {
         d_->runtime.logger().write(LogLevel::Error, "replica-failed", {{"reason", failure->message}});
         d_->runtime.loop().stop();
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -41,6 +41,9 @@
     /// \return whether this instance leads or has heard of a leader.
     [[nodiscard]] bool hasLeader() const;
 
+    /// \return the number of connections that other instances have opened.
+    [[nodiscard]] std::size_t internalConnections() const;
+
     /// Gives the vote of this instance to a learner if there is one, stops taking work and calls \p finished when
     /// nothing is in flight.
     void stop(std::function<void()> finished);
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -2,6 +2,7 @@
 
 #include "jobnode/adviceclient.h"
 #include "jobnode/adviserpool.h"
+#include "jobnode/descriptorbudget.h"
 #include "jobnode/groupmembership.h"
 #include "jobnode/groupreport.h"
 #include "jobnode/internalcalls.h"
@@ -14,6 +15,7 @@
 #include "jobnode/schedulersettings.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
+#include "settings/jobsettings.h"
 #include "storage/posixfilesystem.h"
 #include "storage/replicatedgroup.h"
 #include "transport/http2server.h"
@@ -48,7 +50,7 @@
         , scheduler(store, owner, schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
         , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
-        , server(nodeRuntime.loop(), serverLimits(),
+        , server(nodeRuntime.loop(), serverLimits(jobSettings),
                  [this](const Transport::Request &request, const Transport::Responder &responder) {
                      internalCalls->handle(request, responder);
                  })
@@ -56,9 +58,10 @@
     {
     }
 
-    static Transport::Http2ServerLimits serverLimits()
+    static Transport::Http2ServerLimits serverLimits(const Settings::JobSettings &jobSettings)
     {
         Transport::Http2ServerLimits limits;
+        limits.connections = DescriptorBudget::forControl(jobSettings.maxDescriptors).internal;
         limits.bodyBytes = 64U << 20;
         return limits;
     }
--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -3,6 +3,7 @@
 #include "jobnode/adviceclient.h"
 #include "jobnode/advicerequests.h"
 #include "jobnode/callercalls.h"
+#include "jobnode/descriptorbudget.h"
 #include "jobnode/instanceid.h"
 #include "jobnode/noderuntime.h"
 #include "jobnode/peers.h"
@@ -52,7 +53,7 @@
         , runtime(nodeRuntime)
         , advice(adviceClient)
         , calls(nodeRuntime.loop(), peers, seedIps(jobSettings))
-        , server(nodeRuntime.loop(), {},
+        , server(nodeRuntime.loop(), serverLimits(jobSettings),
                  [&owner](const Transport::Request &request, const Transport::Responder &responder) {
                      owner.handleInternal(request, responder);
                  })
@@ -60,6 +61,13 @@
     {
     }
 
+    static Transport::Http2ServerLimits serverLimits(const Settings::JobSettings &jobSettings)
+    {
+        Transport::Http2ServerLimits limits;
+        limits.connections = DescriptorBudget::forEntry(jobSettings.maxDescriptors).internal;
+        return limits;
+    }
+
     const Settings::JobSettings &settings;
     NodeRuntime &runtime;
     AdviceClient &advice;
@@ -77,7 +85,16 @@
 {
 }
 
-JobEntry::~JobEntry() = default;
+JobEntry::~JobEntry()
+{
+    // It outlives this, and its answers must not.
+    d_->advice.close();
+}
+
+std::size_t JobEntry::internalConnections() const
+{
+    return d_->server.connections();
+}
 
 Result<void> JobEntry::open()
 {
--- a/src/libs/jobnode/jobentry.h
+++ b/src/libs/jobnode/jobentry.h
@@ -41,6 +41,9 @@
     /// \return whether callers' requests are likely to be served.
     [[nodiscard]] bool isReady() const;
 
+    /// \return the number of connections that other instances have opened.
+    [[nodiscard]] std::size_t internalConnections() const;
+
     /// \param deadline how long the caller waits
     /// \param answered called exactly once, later
     void call(const Wire::JobCall &call, Duration deadline, std::function<void(const Wire::JobReply &)> answered);
--- a/src/libs/jobnode/jobgroup.h
+++ b/src/libs/jobnode/jobgroup.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,8 @@
     [[nodiscard]] bool canAnswer(TimePoint now) const { return host_->canAnswer(now); }
     [[nodiscard]] bool isLeaderWithState() const { return host_->group().isLeaderWithState(); }
     [[nodiscard]] const Storage::ReplicatedGroup &replica() const { return host_->group(); }
+    /// \return ReplicatedGroup::takePostponedSnapshot().
+    std::optional<Error> takePostponedSnapshot() { return host_->group().takePostponedSnapshot(); }
     [[nodiscard]] const InstanceId &self() const { return self_; }
 
 private:
--- a/src/libs/jobnode/noderuntime.cpp
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -1,5 +1,6 @@
 #include "jobnode/noderuntime.h"
 
+#include "jobnode/descriptorbudget.h"
 #include "settings/jobsettings.h"
 
 #include <chrono>
@@ -27,10 +28,13 @@
 {
     if (settings.metricsPort == 0)
         return success();
+    Transport::HttpServerLimits limits;
+    limits.connections = DescriptorBudget::forEntry(settings.maxDescriptors).metrics;
     metricsServer_ = std::make_unique<Transport::HttpServer>(
-        loop_, Transport::HttpServerLimits(),
-        [this](const Transport::Request &, const Transport::Responder &responder) {
+        loop_, limits, [this](const Transport::Request &, const Transport::Responder &responder) {
             metrics_.set("log_lines_dropped", static_cast<double>(logger_.droppedLines()));
+            if (refresh_)
+                refresh_(metrics_);
             responder.respond({200, {{"Content-Type", "text/plain; charset=utf-8"}}, metrics_.exposition()});
         });
     BOOST_OUTCOME_TRY(const auto port, metricsServer_->listen({settings.localIp(), settings.metricsPort}));
--- a/src/libs/jobnode/noderuntime.h
+++ b/src/libs/jobnode/noderuntime.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Pistachio::Settings
@@ -31,6 +32,9 @@
     /// Serves the metrics where the settings say so.
     Result<void> listen(const Settings::JobSettings &settings);
 
+    /// \param refresh called before the metrics are served, to bring gauges up to date
+    void onExposition(std::function<void(Metrics::Registry &)> refresh) { refresh_ = std::move(refresh); }
+
     using SeedsChanged = std::function<void(std::vector<std::string> seeds)>;
 
     /// Reads the settings file again. New seeds take effect at once, all else at the next start.
@@ -61,6 +65,7 @@
     std::unique_ptr<Transport::HttpServer> metricsServer_;
     std::vector<std::string> seeds_; ///< as last read
     Transport::Timer seedsTimer_;
+    std::function<void(Metrics::Registry &)> refresh_;
 };
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -43,6 +43,7 @@
     now_ = now;
     leading_ = true;
     fencingToken_ = fencingToken;
+    backoff_ = RetryBackoff(fencingToken);
     restored();
     ports_.logDecision(LogLevel::Info, "leadership-gained",
                        {{"fence", fencingToken},
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -6,6 +6,7 @@
 #include "jobs/durationmodel.h"
 #include "jobs/fleet.h"
 #include "jobs/jobstoreobserver.h"
+#include "jobs/retrybackoff.h"
 #include "jobs/schedulersettings.h"
 #include "jobs/speedtable.h"
 #include "jobs/workqueue.h"
@@ -151,7 +152,7 @@
     /// Releases what an assignment reserved that is not stored, and lets its task wait again.
     void revertAssignment(const Wire::JobAssignment &assignment);
 
-    // runorders.cpp and leaseanswers.cpp
+    // runorders.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
     void sendStop(Minion &minion, const TaskName &task, Run &run);
     void sendLeaseRenewal(Minion &minion, Duration wait);
@@ -159,13 +160,27 @@
     void recordContact(Minion &minion, OrderOutcome outcome);
     /// Records the answer to an order about a run in \p phase.
     template<class Order> AnsweredRun recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase);
+    void giveUpStart(Minion &minion, const TaskName &task, const Run &run);
+
+    // orderretries.cpp
+    [[nodiscard]] Duration idleRenewalInterval() const;
+    /// \return how long a renewal of a minion with runs waits for an end.
+    [[nodiscard]] Duration longPollTime() const;
     void sendDueOrders();
-    void retryOrder(Minion &minion, const TaskName &task, Run &run);
+    template<class Visit> void forEachMinionFrom(std::string &cursor, std::size_t budget, const Visit &visit);
+    void recordAttempt(Run &run, OrderOutcome outcome);
+    [[nodiscard]] bool isRetryDue(const Minion &minion, const Run &run) const;
+    /// \return whether an order was due.
+    bool retryOrder(Minion &minion, const TaskName &task, Run &run);
+
+    // leaseanswers.cpp
     /// \param isRecent whether the progress in the list is current
     void processActiveRun(Minion &minion, const ActiveRun &active, bool isRecent);
     void processEndedRun(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
     [[nodiscard]] bool isStopOver(const Run &run, TimePoint sent) const;
     void endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command);
+
+    // runorders.cpp
     void markMinionLost(Minion &minion, std::string_view reason);
     void expireLeases();
     void proposeMinionRemoval(const std::string &id);
@@ -220,6 +235,9 @@
     WorkQueue queue_;
     AdviceCache advice_;
     AnswerLossDetector answerLosses_;
+    RetryBackoff backoff_{0};
+    std::string renewalCursor_; ///< the minion that was visited last for renewals
+    std::string retryCursor_; ///< the minion that was visited last for retries
     SpeedTable speeds_;
     DurationModel durations_;
     std::map<std::string, std::vector<std::function<void(bool)>>> reportsToStore_; ///< callbacks by minion id
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -19,7 +19,6 @@
 {
 
 constexpr Duration maxAnswerDelay = 400ms; ///< beyond the wait of a renewal; the client times out earlier
-constexpr Duration renewalRetry = 50ms;
 constexpr std::uint32_t failuresBeforeAvoiding = 3;
 constexpr Duration avoidAfterFailures = 8s;
 constexpr Duration renewalRetryAfterExpiry = 1s; ///< of a minion whose lease has expired
@@ -54,7 +53,6 @@
         return;
     minion->renewalOutstanding = false;
     recordContact(*minion, answer.outcome);
-    minion->nextRenewal = now.time + renewalRetry;
     const bool incarnationDiffers
         = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
     if (answer.outcome == OrderOutcome::IncarnationMismatch || incarnationDiffers) {
@@ -62,8 +60,11 @@
         return;
     }
     if (answer.outcome != OrderOutcome::Done) {
-        if (now.time > minion->latestLeaseExpiry)
-            minion->nextRenewal = now.time + renewalRetryAfterExpiry;
+        const bool isExpired = now.time > minion->latestLeaseExpiry;
+        const auto delay = backoff_.delay(++minion->renewalFailures);
+        minion->nextRenewal = now.time + (isExpired ? renewalRetryAfterExpiry : delay);
+        if (answer.outcome == OrderOutcome::NotSent)
+            return;
         ports_.logDecision(LogLevel::Info, "lease-renewal-not-confirmed",
                            {{"minion", order.minion.id},
                             {"outcome", toString(answer.outcome)},
@@ -76,6 +77,7 @@
     minion->leaseConfirmed = true;
     minion->lastContactAt = now.time;
     minion->nextRenewal = now.time;
+    minion->renewalFailures = 0;
     planNeeded_ = planNeeded_ || first;
     // An answer read after this process was suspended shows the progress from before the suspension.
     const bool isRecent = now.time <= minion->renewalSentAt + order.wait + maxAnswerDelay;
@@ -88,6 +90,8 @@
     if (isRecent)
         checkSpeed(*minion);
     adjustThrottles(*minion);
+    if (minion->runs.empty() && answer.ended.empty())
+        minion->nextRenewal = now.time + idleRenewalInterval();
     if (!answer.ended.empty())
         minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
     if (command.ends_size() == 0) {
--- a/src/libs/jobs/minion.cpp
+++ b/src/libs/jobs/minion.cpp
@@ -28,6 +28,8 @@
         return "other life";
     case OrderOutcome::Unanswered:
         return "unanswered";
+    case OrderOutcome::NotSent:
+        return "not sent";
     }
     return "unanswered";
 }
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -41,7 +41,10 @@
     TimePoint phaseSince{};
     TimePoint lastOrderAt{};
     bool orderOutstanding = false;
-    std::uint32_t attempts = 0;
+    std::uint32_t attempts = 0; ///< starts that the minion may have seen
+    std::uint32_t failures = 0; ///< orders of this phase in a row that were not confirmed
+    TimePoint retryAt{}; ///< of an order that was not confirmed
+    TimePoint unansweredAt{}; ///< when the last order was given up without an answer
     bool stopConfirmed = false;
     bool isOrphan = false; ///< not the task's current run according to the store
     std::string checkpoint;
@@ -65,11 +68,13 @@
     bool renewalOutstanding = false;
     TimePoint renewalSentAt{};
     TimePoint nextRenewal{};
+    std::uint32_t renewalFailures = 0; ///< in a row
     bool endsProposed = false; ///< the next renewal waits until they are committed
     std::uint64_t acknowledgedEnd = 0;
     std::uint64_t seenEnd = 0;
 
     TimePoint lastContactAt{}; ///< last answered lease renewal
+    TimePoint lastAnswerAt{}; ///< to any order
     TimePoint lastUnansweredAt{}; ///< when an order last timed out; reset by the next answer
     TimePoint latestLeaseExpiry{}; ///< all leases granted so far have expired by then, on the leader's clock
     std::optional<std::int64_t> clockMs; ///< reading of the minion's clock, taken at clockAt or earlier
--- a/src/libs/jobs/orders.h
+++ b/src/libs/jobs/orders.h
@@ -75,10 +75,17 @@
     Refused, ///< the minion is unhealthy and did nothing
     IncarnationMismatch, ///< another minion or incarnation uses the address
     Unanswered, ///< the order may have been executed, or may be later
+    NotSent, ///< this process lacked a connection; the minion has not seen the order
 };
 
 [[nodiscard]] std::string toString(OrderOutcome outcome);
 
+/// \return whether the minion has answered, whatever it answered.
+[[nodiscard]] constexpr bool isAnswered(OrderOutcome outcome)
+{
+    return outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent;
+}
+
 /// The answer to a start, stop or throttle order.
 struct OrderAnswer {
     OrderOutcome outcome = OrderOutcome::Unanswered;
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -17,16 +17,7 @@
 namespace
 {
 
-constexpr Duration renewalWait
-    = 500ms; ///< bounds how long a lost answer delays the ends of runs; allows several attempts per lease
-constexpr Duration lossyRenewalWait = 150ms; ///< while answers are being lost
 constexpr Duration maxLossGap = 1s; ///< a minion that answers again within it was responsive; only the answer was lost
-/// Renewals of the usual lease wait renewalWait, or lossyRenewalWait, times the number of full 100 minions, but at
-/// least once that and at most idleRenewalWait. This limits the rate of calls.
-constexpr std::int64_t minionsPerRenewalWait = 100;
-constexpr Duration idleRenewalWait = 1500ms; ///< for a minion without runs
-constexpr Duration orderRetry = 20ms;
-constexpr std::uint32_t maxStartAttempts = 5;
 constexpr Duration avoidAfterRefusal = 1s;
 constexpr Duration avoidAfterUnansweredStart = 500ms;
 constexpr int missingReports = 4; ///< before a minion is forgotten; counted from its last report and lease
@@ -36,13 +27,6 @@
 constexpr std::uint32_t minThrottlePercent = 5;
 constexpr Duration throttleInterval = 400ms;
 
-/// \return the wait for a lease that may be shorter than the usual one.
-Duration scaledToLease(Duration wait, Duration lease)
-{
-    constexpr auto usual = SchedulerSettings::usualLease;
-    return lease < usual ? wait * lease.count() / usual.count() : wait;
-}
-
 } // namespace
 
 void JobScheduler::sendStart(Minion &minion, const TaskName &task, Run &run)
@@ -79,6 +63,7 @@
     if (run.phase != RunPhase::Stopping) {
         run.phase = RunPhase::Stopping;
         run.phaseSince = now_.time;
+        run.failures = 0;
     }
     run.lastOrderAt = now_.time;
     run.orderOutstanding = true;
@@ -92,7 +77,8 @@
     order.address = minion.report.address;
     order.leaseExpiresAtMs = minion.extendLease(settings_.lease);
     order.acknowledgedEnd = minion.acknowledgedEnd;
-    order.wait = minion.leaseConfirmed ? wait : Duration::zero();
+    // A renewal that follows a failed one is answered at once, so that there is time for more before the lease ends.
+    order.wait = minion.leaseConfirmed && minion.renewalFailures == 0 ? wait : Duration::zero();
     order.fencingToken = fencingToken_;
     minion.renewalOutstanding = true;
     minion.renewalSentAt = now_.time;
@@ -101,43 +87,18 @@
 
 void JobScheduler::recordContact(Minion &minion, OrderOutcome outcome)
 {
+    if (outcome == OrderOutcome::NotSent)
+        return;
     if (outcome == OrderOutcome::Unanswered) {
         minion.lastUnansweredAt = now_.time;
         return;
     }
+    minion.lastAnswerAt = now_.time;
     if (minion.lastUnansweredAt != TimePoint{} && now_.time < minion.lastUnansweredAt + maxLossGap)
         answerLosses_.recordLoss(now_.time);
     minion.lastUnansweredAt = {};
 }
 
-void JobScheduler::sendDueOrders()
-{
-    const auto share = static_cast<std::int64_t>(fleet_.minions().size()) / minionsPerRenewalWait;
-    const auto shortest = answerLosses_.isLossy(now_.time) ? lossyRenewalWait : renewalWait;
-    const auto idleWait = scaledToLease(idleRenewalWait, settings_.lease);
-    const auto wait = scaledToLease(std::clamp(shortest * share, shortest, idleRenewalWait), settings_.lease);
-    for (auto &[id, minion] : fleet_.minions()) {
-        if (!minion.renewalOutstanding && !minion.endsProposed && now_.time >= minion.nextRenewal)
-            sendLeaseRenewal(minion, minion.runs.empty() ? idleWait : wait);
-        for (auto &[task, run] : minion.runs)
-            retryOrder(minion, task, run);
-    }
-}
-
-void JobScheduler::retryOrder(Minion &minion, const TaskName &task, Run &run)
-{
-    if (run.orderOutstanding || now_.time < run.lastOrderAt + orderRetry)
-        return;
-    if (run.phase == RunPhase::Starting) {
-        if (run.attempts < maxStartAttempts && now_.time < run.phaseSince + settings_.startLimit)
-            sendStart(minion, task, run);
-        else
-            sendStop(minion, task, run);
-    } else if (run.phase == RunPhase::Stopping) {
-        sendStop(minion, task, run);
-    }
-}
-
 template<class Order>
 JobScheduler::AnsweredRun JobScheduler::recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase)
 {
@@ -151,6 +112,7 @@
     if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != phase)
         return {};
     found->second.orderOutstanding = false;
+    recordAttempt(found->second, answer.outcome);
     return {minion, &found->second};
 }
 
@@ -168,6 +130,12 @@
         run.phaseSince = now.time;
         run.startedAt = now.time;
         run.progressAt = now.time;
+        // Its end is heard of by a renewal that waits for it.
+        minion->nextRenewal = std::min(minion->nextRenewal, now.time);
+        return;
+    }
+    if (answer.outcome == OrderOutcome::NotSent) {
+        --run.attempts;
         return;
     }
     ports_.logDecision(LogLevel::Info, "start-not-confirmed",
@@ -207,8 +175,13 @@
         sendStop(*minion, order.task, run);
         return;
     }
+    giveUpStart(*minion, order.task, run);
+}
+
+void JobScheduler::giveUpStart(Minion &minion, const TaskName &task, const Run &run)
+{
     Wire::JobCommand command;
-    proposeEnd(command, *minion, order.task, order.run, Wire::JOB_RUN_END_NOT_STARTED);
+    proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_NOT_STARTED);
     ports_.propose(std::move(command), {});
 }
 
@@ -229,6 +202,8 @@
         run.phaseSince = now.time;
         return;
     }
+    if (answer.outcome == OrderOutcome::NotSent)
+        return;
     ports_.logDecision(LogLevel::Info, "stop-not-confirmed",
                        {{"task", order.task.toString()},
                         {"run", order.run},
--- a/src/libs/storage/logstore.cpp
+++ b/src/libs/storage/logstore.cpp
@@ -250,8 +250,9 @@
 Result<void> LogStore::compact(const Snapshot &snapshot, LogIndex firstKept)
 {
     BOOST_OUTCOME_TRYV(checkUsable());
-    BOOST_OUTCOME_TRYV(guard(writeSnapshot(snapshot)));
-    return guard(removeSegmentsBefore(firstKept));
+    // Until the new snapshot is durable, nothing that it replaces is removed, so a failure leaves the log as it was.
+    BOOST_OUTCOME_TRYV(writeSnapshot(snapshot));
+    return removeSegmentsBefore(firstKept);
 }
 
 Result<void> LogStore::startSegment(const HardState &hardState, const Snapshot *reset)
@@ -285,19 +286,27 @@
     const LogIndex previous = std::exchange(snapshotIndex_, snapshot.index);
     if (previous == 0 || previous == snapshot.index)
         return success();
-    return fileSystem_.remove(path(Internal::numberedName(Internal::snapshotPrefix, previous)));
+    return removeIfPresent(Internal::numberedName(Internal::snapshotPrefix, previous));
 }
 
 Result<void> LogStore::removeSegmentsBefore(LogIndex firstKept)
 {
     while (segments_.size() > 1 && segments_.front().lastIndex < firstKept) {
-        const std::string name = Internal::numberedName(Internal::segmentPrefix, segments_.front().sequence);
-        BOOST_OUTCOME_TRYV(fileSystem_.remove(path(name)));
+        BOOST_OUTCOME_TRYV(
+            removeIfPresent(Internal::numberedName(Internal::segmentPrefix, segments_.front().sequence)));
         segments_.erase(segments_.begin());
     }
     return success();
 }
 
+Result<void> LogStore::removeIfPresent(std::string_view name)
+{
+    auto removed = fileSystem_.remove(path(name));
+    if (!removed && removed.error().code != ErrorCode::NotFound)
+        return removed;
+    return success();
+}
+
 void LogStore::putRecord(std::string &out, Internal::RecordType type, std::string_view payload) const
 {
     Internal::putRecord(out, segments_.back().sequence, size_ + out.size(), type, durableBytes_, payload);
--- a/src/libs/storage/logstore.h
+++ b/src/libs/storage/logstore.h
@@ -56,7 +56,8 @@
     /// Writes a hard state and entries; they are durable after sync() only.
     /// \param hardState the new hard state, if it changed
     /// \param entries replace the log from the first one's index on
-    /// \return Capacity when the disk is full, with nothing changed; the call may be repeated.
+    /// \return Capacity when the disk is full or descriptors are missing, with nothing changed; the call may be
+    /// repeated.
     Result<void> append(const std::optional<Replication::HardState> &hardState,
                         std::span<const Replication::Entry> entries);
 
@@ -69,6 +70,7 @@
 
     /// Stores a snapshot of this replica; durable on return.
     /// \param firstKept segments with only entries before this index are removed
+    /// \return why the snapshot is not stored or files that it replaces are left; the store can be used all the same.
     Result<void> compact(const Replication::Snapshot &snapshot, Replication::LogIndex firstKept);
 
     /// \return the number of syncs of the log since the start.
@@ -91,6 +93,7 @@
     Result<void> startSegment(const Replication::HardState &hardState, const Replication::Snapshot *reset);
     Result<void> writeSnapshot(const Replication::Snapshot &snapshot);
     Result<void> removeSegmentsBefore(Replication::LogIndex firstKept);
+    Result<void> removeIfPresent(std::string_view name);
     Result<void> checkUsable() const;
     Result<void> guard(Result<void> result);
     [[nodiscard]] std::string path(std::string_view name) const;
--- a/src/libs/storage/logwriter.cpp
+++ b/src/libs/storage/logwriter.cpp
@@ -74,10 +74,9 @@
             outcome.result = append(store, *item->ready);
             mustSync = mustSync || item->ready->mustSync;
         } else {
-            outcome.result = store.compact(*item->compacted, item->firstKept);
-            // With a full disk the log stays as it is; the next snapshot tries again.
-            if (!outcome.result && outcome.result.error().code == ErrorCode::Capacity)
-                outcome.result = success();
+            // The log stays as it is without the snapshot; the next one tries again.
+            if (const auto compacted = store.compact(*item->compacted, item->firstKept); !compacted)
+                outcome.postponedSnapshot = compacted.error();
         }
         if (!outcome.result)
             break;
--- a/src/libs/storage/logwriter.h
+++ b/src/libs/storage/logwriter.h
@@ -31,6 +31,7 @@
 struct WriteOutcome {
     std::size_t written = 0; ///< durable, from the first one on
     Result<void> result = success(); ///< why the next one is not
+    std::optional<Error> postponedSnapshot; ///< why a snapshot of the replica's own is not durable; the log goes on
 };
 
 /// Carries out the writes of one log store on a thread of its own, so that a slow disk does not hold up decisions.
--- a/src/libs/storage/posixfilesystem.cpp
+++ b/src/libs/storage/posixfilesystem.cpp
@@ -24,7 +24,9 @@
 Error systemError(const std::string &operation, const std::string &path, int number)
 {
     ErrorCode code = ErrorCode::Io;
-    if (number == ENOSPC || number == EDQUOT)
+    const bool isTemporary
+        = number == ENOSPC || number == EDQUOT || number == EMFILE || number == ENFILE || number == ENOMEM;
+    if (isTemporary)
         code = ErrorCode::Capacity;
     else if (number == ENOENT)
         code = ErrorCode::NotFound;
--- a/src/libs/storage/replicatedgroup.cpp
+++ b/src/libs/storage/replicatedgroup.cpp
@@ -181,6 +181,8 @@
             isCompacting_ = false;
         }
     }
+    if (outcome.postponedSnapshot)
+        postponedSnapshot_ = outcome.postponedSnapshot;
     return outcome.result;
 }
 
@@ -333,6 +335,11 @@
     return failure_;
 }
 
+std::optional<Error> ReplicatedGroup::takePostponedSnapshot()
+{
+    return std::exchange(postponedSnapshot_, std::nullopt);
+}
+
 bool ReplicatedGroup::isDiskFull() const
 {
     return retryAt_.has_value();
--- a/src/libs/storage/replicatedgroup.h
+++ b/src/libs/storage/replicatedgroup.h
@@ -132,6 +132,9 @@
     /// \return the failure that stopped this replica for good; the state machine stays readable.
     [[nodiscard]] const std::optional<Error> &failure() const;
 
+    /// \return why the last due snapshot was not stored, once; the log keeps what it would have replaced.
+    std::optional<Error> takePostponedSnapshot();
+
     /// \return whether the disk is full: until a later flush() succeeds the replica takes part in nothing, as if
     /// paused, and the state machine stays readable.
     [[nodiscard]] bool isDiskFull() const;
@@ -166,6 +169,7 @@
     std::uint64_t bytesSinceSnapshot_ = 0;
     Replication::LogIndex snapshotIndex_ = 0;
     std::uint64_t snapshotBytes_ = 0;
+    std::optional<Error> postponedSnapshot_;
     std::optional<Error> failure_;
     std::optional<TimePoint> retryAt_; ///< set while the disk is full
     std::unique_ptr<LogWriter> writer_; ///< last, since its thread uses the store
--- a/src/libs/transport/httpclient.cpp
+++ b/src/libs/transport/httpclient.cpp
@@ -1,16 +1,14 @@
 #include "transport/httpclient.h"
 
 #include "transport/eventloopcontext.h"
+#include "transport/httpconnectionpool.h"
 #include "transport/httpconversion.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
-#include <cerrno>
+#include <algorithm>
 #include <deque>
 #include <list>
 #include <map>
@@ -26,28 +24,6 @@
 using namespace Internal;
 using boost::system::error_code;
 
-/// A connection of the pool with the buffer that belongs to it.
-struct Connection {
-    explicit Connection(boost::asio::io_context &io)
-        : socket(io)
-    {
-    }
-
-    /// \return whether the peer has neither closed the connection nor sent something unasked.
-    [[nodiscard]] bool isQuiet()
-    {
-        char byte = 0;
-        const auto result = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return result < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
-
-    Tcp::socket socket;
-    boost::beast::flat_buffer buffer;
-    TimePoint idleSince;
-};
-
-using ConnectionPointer = std::shared_ptr<Connection>;
-
 /// A call from its start to its completion.
 struct HttpCall {
     Endpoint endpoint;
@@ -56,8 +32,9 @@
     CallCompletion completion;
     Timer timer;
     Timer connectTimer;
-    ConnectionPointer connection;
+    HttpConnectionPointer connection;
     bool written = false;
+    bool isStarved = false; ///< waits for a connection that another call uses
 
     void complete(CallResult result)
     {
@@ -72,12 +49,21 @@
 
 using CallPointer = std::shared_ptr<HttpCall>;
 
-struct Pool {
-    std::deque<ConnectionPointer> idle;
+struct EndpointCalls {
     std::deque<CallPointer> waiting;
-    std::list<CallPointer> active;
+    std::list<CallPointer> active; ///< at most as many as connections to the endpoint are allowed
+
+    [[nodiscard]] bool isEmpty() const { return waiting.empty() && active.empty(); }
 };
 
+/// \return whether this process has run out of something that connections need.
+bool isLocalShortage(const error_code &error)
+{
+    return error == boost::asio::error::no_descriptors || error == boost::asio::error::no_memory
+        || error == boost::asio::error::no_buffer_space || error == boost::system::errc::too_many_files_open_in_system
+        || error == boost::system::errc::address_not_available;
+}
+
 } // namespace
 
 class HttpClient::Implementation : public std::enable_shared_from_this<Implementation>
@@ -86,6 +72,7 @@
     Implementation(EventLoop &loop, const HttpClientLimits &limits)
         : loop_(loop)
         , limits_(limits)
+        , connections_(loop, limits.connections, limits.idleTimeout)
     {
     }
 
@@ -94,8 +81,8 @@
         auto call = std::make_shared<HttpCall>();
         call->endpoint = endpoint;
         call->completion = std::move(completion);
-        auto &pool = pools_[endpoint];
-        if (pool.waiting.size() >= limits_.queuedPerEndpoint) {
+        auto &calls = calls_[endpoint];
+        if (calls.waiting.size() >= limits_.queuedPerEndpoint) {
             call->fail(ErrorCode::Unavailable, "too many calls wait for " + endpoint.toString());
             return;
         }
@@ -111,61 +98,105 @@
             const auto self = weak.lock();
             const auto late = weakCall.lock();
             if (self && late)
-                self->finish(late, ErrorCode::Timeout, "no response in time");
+                self->timedOut(late);
         });
-        if (pool.active.size() >= limits_.connectionsPerEndpoint) {
-            pool.waiting.push_back(std::move(call));
+        if (calls.active.size() >= limits_.connectionsPerEndpoint) {
+            calls.waiting.push_back(std::move(call));
             return;
         }
-        begin(pool, call);
+        begin(calls, call);
     }
 
     void forget(const Endpoint &endpoint)
     {
-        const auto found = pools_.find(endpoint);
-        if (found != pools_.end())
-            found->second.idle.clear();
+        connections_.closeIdle(endpoint);
+        startStarved();
     }
 
+    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+    [[nodiscard]] std::size_t waitingCalls() const { return starved_.size(); }
+
     void close()
     {
-        const auto pools = std::exchange(pools_, {});
-        for (const auto &[endpoint, pool] : pools) {
-            for (const auto &call : pool.active) {
+        starved_.clear();
+        connections_.closeAllIdle();
+        const auto all = std::exchange(calls_, {});
+        for (const auto &[endpoint, calls] : all) {
+            for (const auto &call : calls.active) {
                 if (call->connection)
-                    closeSocket(call->connection->socket);
+                    connections_.close(call->connection);
                 call->fail(ErrorCode::Unavailable, "the client was closed");
             }
-            for (const auto &call : pool.waiting)
+            for (const auto &call : calls.waiting)
                 call->fail(ErrorCode::Unavailable, "the client was closed");
         }
     }
 
 private:
-    void begin(Pool &pool, const CallPointer &call)
+    void begin(EndpointCalls &calls, const CallPointer &call)
+    {
+        calls.active.push_back(call);
+        if (startOnConnection(call))
+            return;
+        if (starved_.size() >= limits_.queued)
+            finish(call, ErrorCode::Capacity, "too many calls wait for a connection");
+        else
+            starve(call);
+    }
+
+    void starve(const CallPointer &call)
+    {
+        call->isStarved = true;
+        starved_.push_back(call);
+    }
+
+    /// \return whether there was a connection for the call.
+    bool startOnConnection(const CallPointer &call)
     {
-        pool.active.push_back(call);
-        const auto oldest = EventLoop::now() - limits_.idleTimeout;
-        while (!pool.idle.empty()) {
-            call->connection = std::move(pool.idle.back());
-            pool.idle.pop_back();
-            if (call->connection->idleSince > oldest && call->connection->isQuiet()) {
-                write(call);
+        call->connection = connections_.takeIdle(call->endpoint);
+        if (call->connection) {
+            write(call);
+            return true;
+        }
+        call->connection = connections_.add();
+        if (call->connection)
+            connect(call);
+        return call->connection != nullptr;
+    }
+
+    /// Gives connections that have become free to the calls that wait for one.
+    void startStarved()
+    {
+        while (!starved_.empty()) {
+            const auto call = starved_.front();
+            if (!startOnConnection(call))
                 return;
-            }
+            leaveStarved(call);
         }
-        connect(call);
+    }
+
+    void leaveStarved(const CallPointer &call)
+    {
+        if (std::exchange(call->isStarved, false))
+            std::erase(starved_, call);
+    }
+
+    void timedOut(const CallPointer &call)
+    {
+        if (call->isStarved)
+            finish(call, ErrorCode::Capacity, "no connection became free in time");
+        else
+            finish(call, ErrorCode::Timeout, "no response in time");
     }
 
     void connect(const CallPointer &call)
     {
+        const auto connection = call->connection;
         const auto endpoint = toAsio(call->endpoint);
         if (!endpoint) {
             finish(call, endpoint.error().code, endpoint.error().message);
             return;
         }
-        call->connection = std::make_shared<Connection>(loop_.context().io);
-        const auto connection = call->connection;
         call->connectTimer = loop_.callAfter(limits_.connectTimeout, [connection] { closeSocket(connection->socket); });
         connection->socket.async_connect(
             endpoint.value(), [self = shared_from_this(), call, connection](const error_code &error) {
@@ -173,7 +204,8 @@
                 if (!call->completion)
                     return;
                 if (error) {
-                    self->finish(call, ErrorCode::Unavailable, "can't connect: " + error.message());
+                    const auto code = isLocalShortage(error) ? ErrorCode::Capacity : ErrorCode::Unavailable;
+                    self->finish(call, code, "can't connect: " + error.message());
                     return;
                 }
                 error_code ignored;
@@ -238,43 +270,53 @@
         Response response{static_cast<int>(status), toHeaders(message), std::move(message.body())};
         const auto connection = std::move(call->connection);
         release(call);
-        if (reusable && connection->buffer.size() == 0) {
-            connection->idleSince = EventLoop::now();
-            pools_[call->endpoint].idle.push_back(connection);
-        }
+        if (reusable && connection->buffer.size() == 0)
+            connections_.putIdle(call->endpoint, connection);
+        else
+            connections_.close(connection);
         startWaiting(call->endpoint);
+        startStarved();
         call->complete(std::move(response));
     }
 
     void release(const CallPointer &call)
     {
-        auto &pool = pools_[call->endpoint];
-        pool.active.remove(call);
-        std::erase(pool.waiting, call);
+        leaveStarved(call);
+        const auto found = calls_.find(call->endpoint);
+        if (found == calls_.end())
+            return;
+        found->second.active.remove(call);
+        std::erase(found->second.waiting, call);
+        if (found->second.isEmpty())
+            calls_.erase(found);
     }
 
     void finish(const CallPointer &call, ErrorCode code, const std::string &text)
     {
         if (call->connection)
-            closeSocket(call->connection->socket);
+            connections_.close(call->connection);
         release(call);
         startWaiting(call->endpoint);
+        startStarved();
         call->fail(code, call->endpoint.toString() + ": " + text);
     }
 
     void startWaiting(const Endpoint &endpoint)
     {
-        auto &pool = pools_[endpoint];
-        if (pool.waiting.empty() || pool.active.size() >= limits_.connectionsPerEndpoint)
+        const auto found = calls_.find(endpoint);
+        if (found == calls_.end() || found->second.waiting.empty()
+            || found->second.active.size() >= limits_.connectionsPerEndpoint)
             return;
-        const auto next = std::move(pool.waiting.front());
-        pool.waiting.pop_front();
-        begin(pool, next);
+        const auto next = std::move(found->second.waiting.front());
+        found->second.waiting.pop_front();
+        begin(found->second, next);
     }
 
     EventLoop &loop_;
     const HttpClientLimits limits_;
-    std::map<Endpoint, Pool> pools_;
+    HttpConnectionPool connections_;
+    std::map<Endpoint, EndpointCalls> calls_; ///< of endpoints with calls
+    std::deque<CallPointer> starved_; ///< active calls without a connection, since all are in use
 };
 
 HttpClient::HttpClient(EventLoop &loop, const HttpClientLimits &limits)
@@ -292,6 +334,16 @@
     implementation_->call(endpoint, std::move(request), timeout, std::move(completion));
 }
 
+std::size_t HttpClient::connections() const
+{
+    return implementation_->connections();
+}
+
+std::size_t HttpClient::waitingCalls() const
+{
+    return implementation_->waitingCalls();
+}
+
 void HttpClient::forget(const Endpoint &endpoint)
 {
     implementation_->forget(endpoint);
--- a/src/libs/transport/httpclient.h
+++ b/src/libs/transport/httpclient.h
@@ -14,13 +14,19 @@
 struct HttpClientLimits {
     std::size_t headerBytes = 16U << 10;
     std::size_t bodyBytes = 8U << 20;
+    std::size_t connections = 1024; ///< open at a time, to all endpoints together
     std::size_t connectionsPerEndpoint = 64;
-    std::size_t queuedPerEndpoint = 1024; ///< calls that wait for a connection
+    std::size_t queuedPerEndpoint = 1024; ///< calls that wait for a connection to one endpoint
+    std::size_t queued = 8192; ///< calls that wait for any connection to be closed
     Duration connectTimeout = 1s;
     Duration idleTimeout = 20s; ///< below the server's, so that a reused connection is rarely one that is being closed
 };
 
 /// An HTTP/1.1 client with a pool of connections for each endpoint. It never sends a request twice.
+///
+/// The pools share a bounded number of connections. If a call needs a new one beyond it, the connection that has been
+/// idle for longest is closed; if none is idle, the call waits for one. A call that fails because this process lacks
+/// connections, descriptors or memory fails with ErrorCode::Capacity, and nothing of it was sent.
 class HttpClient
 {
 public:
@@ -37,6 +43,11 @@
     /// \param completion gets the response or the failure
     void call(const Endpoint &endpoint, Request request, Duration timeout, CallCompletion completion);
 
+    /// \return the number of open connections, idle ones among them.
+    [[nodiscard]] std::size_t connections() const;
+    /// \return the number of calls that wait for a connection.
+    [[nodiscard]] std::size_t waitingCalls() const;
+
     /// Closes the idle connections to \p endpoint, so that a later call opens a new one.
     void forget(const Endpoint &endpoint);
 
--- a/src/libs/transport/httpserver.cpp
+++ b/src/libs/transport/httpserver.cpp
@@ -290,6 +290,8 @@
 private:
     void accepted(Tcp::socket socket) override
     {
+        if (count() >= limits_.connections + limits_.refusals)
+            return;
         // The session refers to the limits and the observer, so it keeps this object alive.
         const auto session = std::make_shared<HttpSession>(
             context(), std::move(socket), limits_, rejected_, handler_,
--- a/src/libs/transport/httpserver.h
+++ b/src/libs/transport/httpserver.h
@@ -16,6 +16,7 @@
     std::size_t headerBytes = 16U << 10;
     std::size_t bodyBytes = 8U << 20;
     std::size_t connections = 4096;
+    std::size_t refusals = 64; ///< connections beyond the limit that are told so at a time; further ones are closed
     Duration idleTimeout = 30s; ///< for a connection between two requests
     Duration receiveTimeout = 10s; ///< from the first byte of a request to its last
     Duration sendTimeout = 30s; ///< for sending one response
--- a/tests/auto/jobnode/tst_jobcontrol.cpp
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(aloneItLeadsAndStoresAConfiguration);
     CPPUNIT_TEST(emptyInstanceFindsALeaderThatIsNoSeed);
     CPPUNIT_TEST(stopEndsCallsToMinions);
+    CPPUNIT_TEST(destructionEndsCallsToMinions);
     CPPUNIT_TEST(instanceBehindATranslatedAddressTakesPart);
     CPPUNIT_TEST(stoppedVoterHandsOver);
     CPPUNIT_TEST(oddAnnouncementsTakePart);
@@ -148,6 +149,22 @@
             runtime.loop().runFor(10ms);
     }
 
+    // After a failed log the process ended without a stop, and answers came to an object that no longer existed.
+    void destructionEndsCallsToMinions()
+    {
+        TemporaryFolder folder;
+        const auto settings = settingsOf("127.0.0.1", folder.path);
+        NodeRuntime runtime("test", settings);
+        NoAdvice advice;
+        NoMinions minions;
+        {
+            JobControl control(settings, runtime, minions, advice);
+            CPPUNIT_ASSERT(control.open());
+            CPPUNIT_ASSERT(!minions.isClosed);
+        }
+        CPPUNIT_ASSERT(minions.isClosed);
+    }
+
     // Its own address is not one of the machine: neither listening nor connecting from there works.
     void instanceBehindATranslatedAddressTakesPart()
     {
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -236,9 +236,19 @@
     });
 }
 
+bool SimulatedCell::hasConnection(std::function<void()> failed)
+{
+    if (!hasConnections)
+        scheduleForLeader(Duration::zero(), std::move(failed));
+    return hasConnections;
+}
+
 void SimulatedCell::start(const StartOrder &order)
 {
     ++starts;
+    const OrderAnswer notSent{OrderOutcome::NotSent, std::nullopt};
+    if (!hasConnection([this, order, notSent] { scheduler_->startAnswered(now(), order, notSent); }))
+        return;
     startLog.push_back(std::to_string(now_.time_since_epoch() / 1ms) + ' ' + order.task.toString() + " run "
                        + std::to_string(order.run) + " on " + order.minion.id);
     if (const auto fault = startFault ? startFault(order) : std::nullopt) {
@@ -272,6 +282,10 @@
 
 void SimulatedCell::stop(const StopOrder &order)
 {
+    ++stops;
+    const OrderAnswer notSent{OrderOutcome::NotSent, std::nullopt};
+    if (!hasConnection([this, order, notSent] { scheduler_->stopAnswered(now(), order, notSent); }))
+        return;
     const bool lost = chance(lostAnswers);
     if (lost)
         scheduleForLeader(orderTimeout, [this, order] { scheduler_->stopAnswered(now(), order, {}); });
@@ -290,6 +304,11 @@
 
 void SimulatedCell::renewLease(const LeaseOrder &order)
 {
+    ++renewals;
+    LeaseAnswer notSent;
+    notSent.outcome = OrderOutcome::NotSent;
+    if (!hasConnection([this, order, notSent] { scheduler_->leaseAnswered(now(), order, notSent); }))
+        return;
     const bool lost = chance(lostAnswers);
     const auto timeout = order.wait + orderTimeout;
     if (lost)
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -83,9 +83,12 @@
     std::uint64_t failedProposals = 0; ///< percentage of proposals that are not appended to the log
     /// \return the outcome of a start that the minion does not carry out, or nothing.
     std::function<std::optional<Pistachio::Jobs::OrderOutcome>(const Pistachio::Jobs::StartOrder &order)> startFault;
+    bool hasConnections = true; ///< false: no order is sent, and each fails at once
     bool answersAdvice = false; ///< approves all minions
     std::vector<std::string> startLog; ///< task, run and minion of each start order, with its time
     std::size_t starts = 0;
+    std::size_t stops = 0;
+    std::size_t renewals = 0;
     std::map<std::string, int> eventCounts; ///< log lines by event
 
 private:
@@ -100,6 +103,9 @@
     void logDecision(Pistachio::Logging::LogLevel level, std::string_view event,
                      std::initializer_list<Pistachio::Logging::LogField> fields) override;
 
+    /// Calls \p failed unless there are connections.
+    /// \return whether there are some.
+    bool hasConnection(std::function<void()> failed);
     /// Calls \p function after \p delay, or when the leader is no longer frozen.
     void scheduleForLeader(Duration delay, std::function<void()> function);
     void schedule(Duration delay, std::function<void()> function);
--- a/tests/auto/platform/scriptedminion.h
+++ b/tests/auto/platform/scriptedminion.h
@@ -24,7 +24,7 @@
                  })
         , logger("test", "test", "warning", logFile)
         , port(server.listen({"127.0.0.1", 0}).value())
-        , client(loop, logger, {"127.0.0.1", port})
+        , client(loop, logger, {"127.0.0.1", port}, connections)
     {
     }
 
@@ -63,6 +63,8 @@
         return result;
     }
 
+    static constexpr std::size_t connections = 64;
+
     Pistachio::Transport::EventLoop loop;
     Pistachio::Transport::HttpServer server;
     Pistachio::Transport::Request request;
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(unreadableListsAreNoAnswer);
     CPPUNIT_TEST(closeAnswersWhatIsUnderWay);
     CPPUNIT_TEST(adviceIsAwaitedUpToItsLimit);
+    CPPUNIT_TEST(orderWithoutAConnectionIsNotSent);
     CPPUNIT_TEST_SUITE_END();
 
     static Jobs::StartOrder order(const std::string &address)
@@ -152,7 +153,7 @@
             [&held](const Transport::Request &, const Transport::Responder &responder) { held.push_back(responder); });
         const auto port = service.listen({"127.0.0.1", 0}).value();
         Logging::Logger logger("test", "test", "error", "/dev/null");
-        PlatformClient client(loop, logger, {"127.0.0.1", port});
+        PlatformClient client(loop, logger, {"127.0.0.1", port}, 64);
         std::optional<bool> answered;
         const auto ask = [&](Duration limit) {
             Jobs::AdviceRequest request;
@@ -170,6 +171,32 @@
         loop.runFor(400ms);
         CPPUNIT_ASSERT(answered == std::optional(true));
     }
+
+    // Guards against taking a lack of connections in this process for a minion that may have carried out an order.
+    void orderWithoutAConnectionIsNotSent()
+    {
+        Transport::EventLoop loop;
+        Logging::Logger logger("test", "test", "error", "/dev/null");
+        std::vector<Transport::Responder> held;
+        Transport::HttpServer minion(
+            loop, {},
+            [&held](const Transport::Request &, const Transport::Responder &responder) { held.push_back(responder); });
+        const auto address = "127.0.0.1:" + std::to_string(minion.listen({"127.0.0.1", 0}).value());
+        PlatformClient client(loop, logger, {"127.0.0.1", 1}, 1);
+        Jobs::LeaseOrder renewal;
+        renewal.address = address;
+        renewal.wait = 2s;
+        std::optional<OrderOutcome> renewed;
+        client.renewLease(renewal, [&](const Jobs::LeaseAnswer &answer) { renewed = answer.outcome; });
+        std::optional<OrderOutcome> started;
+        client.start(order(address), [&](const Jobs::OrderAnswer &answer) { started = answer.outcome; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.connections());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, client.waitingCalls());
+        loop.runFor(500ms);
+        CPPUNIT_ASSERT(started == OrderOutcome::NotSent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, held.size());
+        CPPUNIT_ASSERT(!renewed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
--- a/tests/auto/settings/tst_settings.cpp
+++ b/tests/auto/settings/tst_settings.cpp
@@ -190,6 +190,9 @@
         CPPUNIT_ASSERT(limits("stop_grace_s = 6\ndrain_timeout_ms = 1000\n") == Limits(1000, 500));
         CPPUNIT_ASSERT(limits("stop_grace_s = 60\ndrain_timeout_ms = 20000\n") == Limits(20'000, 2500));
         CPPUNIT_ASSERT(limits("stop_grace_s = 1.5\n") == Limits(1250, 625));
+        const auto descriptors = JobSettings::load(write(jobText + "[limits]\nmax_descriptors = 4324\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4324}, descriptors.value().maxDescriptors);
+        CPPUNIT_ASSERT(!JobSettings::load(write(jobText + "[limits]\nmax_descriptors = 10\n")));
         const std::string message = errorOf(JobSettings::load(write(jobText + "[limits]\nstop_grace_s = 0\n")));
         CPPUNIT_ASSERT(contains(message, "limits.stop_grace_s must be a number of seconds"));
     }
--- a/tests/auto/storage/memoryfilesystem.h
+++ b/tests/auto/storage/memoryfilesystem.h
@@ -24,6 +24,8 @@
 
     bool failSyncs = false; ///< sync() reports Io and makes nothing durable
     bool forgetSyncs = false; ///< sync() of a file reports success and makes nothing durable: a disk that lies
+    bool failOpens = false; ///< openForAppend() reports Capacity: the process has no descriptor left
+    bool failRemoves = false; ///< remove() reports Io
     std::size_t room = std::numeric_limits<std::size_t>::max(); ///< bytes until the disk is full
     std::uint64_t syncs = 0; ///< of files
     std::map<std::string, std::shared_ptr<Content>> files;
@@ -67,6 +69,8 @@
 
     Result<std::unique_ptr<File>> openForAppend(const std::string &path) override
     {
+        if (failOpens)
+            return failure(ErrorCode::Capacity, path);
         auto &content = files[path];
         if (!content)
             content = std::make_shared<Content>();
@@ -82,6 +86,8 @@
 
     Result<void> remove(const std::string &path) override
     {
+        if (failRemoves)
+            return failure(ErrorCode::Io, path);
         return files.erase(path) > 0 ? Result<void>(success()) : failure(ErrorCode::NotFound, path);
     }
 
--- a/tests/auto/storage/tst_storage.cpp
+++ b/tests/auto/storage/tst_storage.cpp
@@ -186,6 +186,8 @@
     CPPUNIT_TEST(failedSyncIsNeverRetried);
     CPPUNIT_TEST(fullDiskChangesNothing);
     CPPUNIT_TEST(compactionRemovesSegments);
+    CPPUNIT_TEST(snapshotThatFailsLeavesTheLogUsable);
+    CPPUNIT_TEST(shortageOfDescriptorsIsTemporary);
     CPPUNIT_TEST(missingOrForeignFilesAreRefused);
     CPPUNIT_TEST(realFilesAreReadBack);
     CPPUNIT_TEST_SUITE_END();
@@ -310,6 +312,45 @@
         CPPUNIT_ASSERT_EQUAL(LogIndex{499}, state.last());
     }
 
+    // A snapshot that could not be written ended the process, though the log held everything.
+    void snapshotThatFailsLeavesTheLogUsable()
+    {
+        auto opened = LogStore::open(*files_, folder, "cell/control-1", 300).value();
+        bool *const faults[] = {&files_->failOpens, &files_->failRemoves, &files_->failSyncs};
+        LogIndex index = 6;
+        for (bool *const fault : faults) {
+            for (int i = 0; i < 20; ++i, ++index)
+                CPPUNIT_ASSERT(opened.store->append({}, std::vector{entryAt(index, 2)}));
+            CPPUNIT_ASSERT(opened.store->sync());
+            *fault = true;
+            CPPUNIT_ASSERT(!opened.store->compact({index - 1, 2, members, "state"}, index - 5));
+            *fault = false;
+            CPPUNIT_ASSERT(opened.store->append({}, std::vector{entryAt(index, 2)}));
+            CPPUNIT_ASSERT(opened.store->sync());
+            MemoryFileSystem copy;
+            copyFiles(*files_, copy);
+            const State state = stateOf(LogStore::open(copy, folder, "cell/control-1", 300).value().state);
+            CPPUNIT_ASSERT_EQUAL(index, state.last());
+            ++index;
+        }
+        CPPUNIT_ASSERT(opened.store->compact({index - 1, 2, members, "state"}, index - 5));
+    }
+
+    // A new segment needs a descriptor; its lack ended the process.
+    void shortageOfDescriptorsIsTemporary()
+    {
+        auto opened = LogStore::open(*files_, folder, "cell/control-1", 50).value();
+        CPPUNIT_ASSERT(opened.store->append({}, std::vector{entryAt(6, 2)}));
+        CPPUNIT_ASSERT(opened.store->sync());
+        files_->failOpens = true;
+        CPPUNIT_ASSERT(opened.store->append({}, std::vector{entryAt(7, 2)}).error().code == ErrorCode::Capacity);
+        files_->failOpens = false;
+        CPPUNIT_ASSERT(opened.store->append({}, std::vector{entryAt(7, 2)}));
+        CPPUNIT_ASSERT(opened.store->sync());
+        CPPUNIT_ASSERT_EQUAL(LogIndex{7},
+                             stateOf(LogStore::open(*files_, folder, "cell/control-1").value().state).last());
+    }
+
     // Guards against a replica that starts with another's votes, or empty after it has lost its log.
     void missingOrForeignFilesAreRefused()
     {
