Bound the lines of each event in the log

Cause: on a large fleet one event wrote 386,814 lines in 58 s and crowded out the others.

Result: tests of logging and settings pass.

--- a/src/libs/controlnode/controlnode.cpp
+++ b/src/libs/controlnode/controlnode.cpp
@@ -39,7 +39,8 @@
             std::unique_ptr<Storage::FileSystem> fileSystem)
         : settings(std::move(controlSettings))
         , files(std::move(fileSystem))
-        , logger("pistachio-control", settings.instance.value(), settings.log.level, settings.log.file)
+        , logger("pistachio-control", settings.instance.value(), settings.log.level, settings.log.file,
+                 Logging::Logger::defaultQueueCapacity, settings.log.linesPerSecond)
         , events(eventCapacity)
         , network(settings, std::move(token), events, metrics)
         , decisions(settings, *files, events, network, logger, metrics)
--- a/src/libs/entrynode/entrynode.cpp
+++ b/src/libs/entrynode/entrynode.cpp
@@ -41,7 +41,8 @@
     explicit Private(const Settings::EntrySettings &entrySettings)
         : settings(entrySettings)
         , bootId(hexadecimal(randomNumber()))
-        , logger("pistachio-entry", settings.instance.value(), settings.log.level, settings.log.file)
+        , logger("pistachio-entry", settings.instance.value(), settings.log.level, settings.log.file,
+                 Logging::Logger::defaultQueueCapacity, settings.log.linesPerSecond)
         , events(ringCapacity)
         , orders(ringCapacity)
         , network(settings, bootId, events, orders, metrics, logger)
--- a/src/libs/jobnode/noderuntime.cpp
+++ b/src/libs/jobnode/noderuntime.cpp
@@ -16,7 +16,8 @@
 } // namespace
 
 NodeRuntime::NodeRuntime(std::string_view program, const Settings::JobSettings &settings)
-    : logger_(program, settings.instance, settings.log.level, settings.log.file)
+    : logger_(program, settings.instance, settings.log.level, settings.log.file, Logging::Logger::defaultQueueCapacity,
+              settings.log.linesPerSecond)
     , seeds_(settings.seedIps())
 {
     logWarnings(settings);
--- a/src/libs/logging/logger.cpp
+++ b/src/libs/logging/logger.cpp
@@ -1,6 +1,7 @@
 #include "logging/logger.h"
 
 #include "core/boundedring.h"
+#include "logging/logratelimiter.h"
 
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -12,6 +13,7 @@
 #include <atomic>
 #include <chrono>
 #include <ctime>
+#include <mutex>
 #include <thread>
 
 namespace Pistachio::Logging
@@ -87,11 +89,12 @@
 {
 public:
     Private(std::string_view program, std::string_view instance, std::string_view level, const std::string &file,
-            std::size_t queueCapacity)
+            std::size_t queueCapacity, std::uint64_t linesPerSecond)
         : program_(program)
         , instance_(instance)
         , lowestLevel_(levelFromName(level))
         , ring_(queueCapacity)
+        , limiter_(linesPerSecond)
         , hierarchy_(log4cxx::Hierarchy::create())
         , logger_(hierarchy_->getLogger("pistachio"))
     {
@@ -113,6 +116,8 @@
         ring_.close();
         writer_.join();
         reportDropped();
+        for (const auto &suppressed : limiter_.takeAllSuppressed())
+            emit(suppressedLine(suppressed));
     }
 
     Private(const Private &) = delete;
@@ -120,6 +125,22 @@
 
     [[nodiscard]] bool isEnabled(LogLevel level) const { return level >= lowestLevel_; }
 
+    /// \return whether another line of the event may be written now.
+    bool admit(std::string_view event)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        std::vector<SuppressedLines> suppressed;
+        bool admitted = false;
+        {
+            const std::lock_guard lock(limiterMutex_);
+            suppressed = limiter_.takeSuppressed(now);
+            admitted = limiter_.admit(now, event);
+        }
+        for (const auto &lines : suppressed)
+            push(suppressedLine(lines));
+        return admitted;
+    }
+
     void push(Line line)
     {
         if (!ring_.tryPush(std::move(line)))
@@ -129,6 +150,14 @@
     [[nodiscard]] std::uint64_t dropped() const { return dropped_.load(std::memory_order_relaxed); }
 
 private:
+    static Line suppressedLine(const SuppressedLines &lines)
+    {
+        return {LogLevel::Warning,
+                std::chrono::system_clock::now(),
+                "log-lines-suppressed",
+                {{"of", lines.event}, {"count", lines.count}}};
+    }
+
     void run()
     {
         while (auto line = ring_.pop()) {
@@ -167,6 +196,8 @@
     const std::string instance_;
     const LogLevel lowestLevel_;
     BoundedRing<Line> ring_;
+    std::mutex limiterMutex_;
+    LogRateLimiter limiter_; ///< guarded by limiterMutex_
     std::atomic<std::uint64_t> dropped_ = 0;
     std::uint64_t reportedDropped_ = 0; // used by the writer thread, and after its end by the destructor
     log4cxx::spi::LoggerRepositoryPtr hierarchy_;
@@ -175,8 +206,8 @@
 };
 
 Logger::Logger(std::string_view program, std::string_view instance, std::string_view level, const std::string &file,
-               std::size_t queueCapacity)
-    : d_(std::make_unique<Private>(program, instance, level, file, queueCapacity))
+               std::size_t queueCapacity, std::uint64_t linesPerSecond)
+    : d_(std::make_unique<Private>(program, instance, level, file, queueCapacity, linesPerSecond))
 {
 }
 
@@ -189,7 +220,7 @@
 
 void Logger::writeFields(LogLevel level, std::string_view event, std::span<const LogField> fields)
 {
-    if (!d_->isEnabled(level))
+    if (!d_->isEnabled(level) || !d_->admit(event))
         return;
     d_->push({level, std::chrono::system_clock::now(), std::string(event), {fields.begin(), fields.end()}});
 }
--- a/src/libs/settings/logsettings.cpp
+++ b/src/libs/settings/logsettings.cpp
@@ -9,6 +9,11 @@
 namespace Pistachio::Settings
 {
 
+namespace
+{
+constexpr std::int64_t mostLinesPerSecond = 1'000'000;
+}
+
 LogSettings LogSettings::read(TableReader &reader)
 {
     static constexpr std::array<std::string_view, 4> levels{"debug", "info", "warning", "error"};
@@ -16,6 +21,8 @@
     settings.level = reader.optionalString("level", settings.level);
     if (std::find(levels.begin(), levels.end(), settings.level) == levels.end())
         reader.addError("level", "must be debug, info, warning or error");
+    settings.linesPerSecond = static_cast<std::uint64_t>(reader.optionalInteger(
+        "lines_per_second", static_cast<std::int64_t>(settings.linesPerSecond), 1, mostLinesPerSecond));
     settings.file = reader.optionalString("file", "");
     return settings;
 }
--- a/src/libs/settings/logsettings.h
+++ b/src/libs/settings/logsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 namespace Pistachio::Settings
@@ -10,6 +11,7 @@
 /// The [log] table.
 struct LogSettings {
     std::string level = "info"; ///< debug, info, warning or error
+    std::uint64_t linesPerSecond = 2000; ///< of each event; further ones are counted only
     std::string file; ///< empty: standard error; "-": standard output
 
     /// \param reader the [log] table; errors are collected there
--- a/tests/auto/logging/tst_logging.cpp
+++ b/tests/auto/logging/tst_logging.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(LoggingTest);
     CPPUNIT_TEST(linesAreJsonInOrder);
     CPPUNIT_TEST(droppedLinesAreCounted);
+    CPPUNIT_TEST(suppressedLinesAreCounted);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,7 +52,7 @@
         constexpr std::size_t written = 20000;
         std::uint64_t dropped = 0;
         {
-            Logger logger("pistachio-test", "i1", "info", file_, 1);
+            Logger logger("pistachio-test", "i1", "info", file_, 1, 2 * written);
             for (std::size_t i = 0; i < written; ++i)
                 logger.write(LogLevel::Info, "line");
             dropped = logger.droppedLines();
@@ -68,6 +69,32 @@
         CPPUNIT_ASSERT_EQUAL(dropped, reported);
     }
 
+    // An event that repeats without end filled the log, and lines of other events were dropped.
+    void suppressedLinesAreCounted()
+    {
+        constexpr int written = 3000;
+        {
+            Logger logger("pistachio-test", "i1", "info", file_, Logger::defaultQueueCapacity, 10);
+            for (int i = 0; i < written; ++i)
+                logger.write(LogLevel::Info, "repeated");
+            logger.write(LogLevel::Info, "other");
+        }
+        int repeated = 0;
+        int others = 0;
+        std::int64_t suppressed = 0;
+        for (const auto &line : readLines()) {
+            repeated += line.at("event") == "repeated" ? 1 : 0;
+            others += line.at("event") == "other" ? 1 : 0;
+            if (line.at("event") == "log-lines-suppressed") {
+                CPPUNIT_ASSERT_EQUAL(std::string("repeated"), line.at("of").get<std::string>());
+                suppressed += line.at("count").get<std::int64_t>();
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(1, others);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{written}, repeated + suppressed);
+        CPPUNIT_ASSERT(suppressed > 0);
+    }
+
 private:
     [[nodiscard]] std::vector<nlohmann::json> readLines() const
     {
