Ask a minion once more before its runs are lost, and renew leases during slow commits

Renewals also waited for ends to be committed, so that a slow commit let leases lapse. Found by reading: a failed proposal reset the ends of all minions, after which the leader acknowledged ends that were not stored.

Change: after its lease a minion is asked once more, and lost only if it stays silent; renewals go on after half a lease while ends are committed; a failed proposal reverts its own ends alone; a response that has arrived when the time is up is read.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -314,14 +314,8 @@
                        {{"assignments", command.assignments_size()}, {"ends", command.ends_size()}});
     for (const auto &assignment : command.assignments())
         revertAssignment(assignment);
-    for (auto &[id, minion] : fleet_.minions()) {
-        minion.endsProposed = false;
-        for (auto &[task, run] : minion.runs) {
-            // The minion reports the end again, or the loss is detected again.
-            if (run.phase == RunPhase::Ending)
-                run.phase = RunPhase::Running;
-        }
-    }
+    for (const auto &end : command.ends())
+        revertEnd(end);
     for (const auto &minion : command.minions()) {
         const auto waiting = reportsToStore_.extract(minion.id());
         if (waiting.empty())
@@ -331,6 +325,16 @@
     }
 }
 
+/// The minion reports the end again, or the loss is detected again.
+void JobScheduler::revertEnd(const Wire::JobEnd &end)
+{
+    auto *minion = fleet_.find(MinionIncarnation{end.minion(), end.minion_born_unix_ms()});
+    const auto found = minion ? minion->runs.find(toTaskName(end.task())) : std::map<TaskName, Run>::iterator();
+    if (minion && found != minion->runs.end() && found->second.run == end.run()
+        && found->second.phase == RunPhase::Ending)
+        found->second.phase = RunPhase::Running;
+}
+
 void JobScheduler::removeFinishedJobs()
 {
     if (finishedJobs_.empty() || finishedJobs_.begin()->first > now_.time)
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -23,6 +23,7 @@
 namespace Pistachio::Wire
 {
 class JobCommand;
+class JobEnd;
 class JobQueue;
 class JobStep;
 } // namespace Pistachio::Wire
@@ -151,6 +152,8 @@
     Minion *minionOf(const Task &task);
     /// Releases what an assignment reserved that is not stored, and lets its task wait again.
     void revertAssignment(const Wire::JobAssignment &assignment);
+    /// Lets a run go on whose end is not stored.
+    void revertEnd(const Wire::JobEnd &end);
 
     // runorders.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
@@ -167,6 +170,7 @@
     /// \return how long a renewal of a minion with runs waits for an end.
     [[nodiscard]] Duration longPollTime() const;
     void sendDueOrders();
+    [[nodiscard]] bool isRenewalDue(const Minion &minion) const;
     template<class Visit> void forEachMinionFrom(std::string &cursor, std::size_t budget, const Visit &visit);
     void recordAttempt(Run &run, OrderOutcome outcome);
     [[nodiscard]] bool isRetryDue(const Minion &minion, const Run &run) const;
@@ -176,6 +180,8 @@
     // leaseanswers.cpp
     /// \param isRecent whether the progress in the list is current
     void processActiveRun(Minion &minion, const ActiveRun &active, bool isRecent);
+    /// Proposes the ends that an answer lists or shows.
+    void processEnds(Minion &minion, const LeaseAnswer &answer);
     void processEndedRun(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
     [[nodiscard]] bool isStopOver(const Run &run, TimePoint sent) const;
     void endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command);
@@ -183,6 +189,9 @@
     // runorders.cpp
     void markMinionLost(Minion &minion, std::string_view reason);
     void expireLeases();
+    /// Asks a minion once more what became of its runs after its lease has expired.
+    /// \return whether it has been asked and didn't answer.
+    bool staysSilentAfterExpiry(Minion &minion);
     void proposeMinionRemoval(const std::string &id);
     void adjustThrottles(Minion &minion);
 
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -63,8 +63,10 @@
         const bool isExpired = now.time > minion->latestLeaseExpiry;
         const auto delay = backoff_.delay(++minion->renewalFailures);
         minion->nextRenewal = now.time + (isExpired ? renewalRetryAfterExpiry : delay);
-        if (answer.outcome == OrderOutcome::NotSent)
+        if (answer.outcome == OrderOutcome::NotSent) {
+            minion->renewalSentAt = {};
             return;
+        }
         ports_.logDecision(LogLevel::Info, "lease-renewal-not-confirmed",
                            {{"minion", order.minion.id},
                             {"outcome", toString(answer.outcome)},
@@ -83,23 +85,31 @@
     const bool isRecent = now.time <= minion->renewalSentAt + order.wait + maxAnswerDelay;
     for (const auto &active : answer.active)
         processActiveRun(*minion, active, isRecent);
-    Wire::JobCommand command;
-    for (const auto &ended : answer.ended)
-        processEndedRun(*minion, ended, command);
-    endUnlistedRuns(*minion, answer, minion->renewalSentAt, command);
+    // Ends that are listed beside proposed ones are listed again once those are committed.
+    if (!minion->endsProposed)
+        processEnds(*minion, answer);
     if (isRecent)
         checkSpeed(*minion);
     adjustThrottles(*minion);
-    if (minion->runs.empty() && answer.ended.empty())
-        minion->nextRenewal = now.time + idleRenewalInterval();
+}
+
+void JobScheduler::processEnds(Minion &minion, const LeaseAnswer &answer)
+{
+    Wire::JobCommand command;
+    for (const auto &ended : answer.ended)
+        processEndedRun(minion, ended, command);
+    endUnlistedRuns(minion, answer, minion.renewalSentAt, command);
+    if (minion.runs.empty() && answer.ended.empty())
+        minion.nextRenewal = now_.time + idleRenewalInterval();
     if (!answer.ended.empty())
-        minion->seenEnd = std::max(minion->seenEnd, answer.ended.back().number);
+        minion.seenEnd = std::max(minion.seenEnd, answer.ended.back().number);
     if (command.ends_size() == 0) {
-        minion->acknowledgedEnd = minion->seenEnd;
+        minion.acknowledgedEnd = minion.seenEnd;
         return;
     }
-    minion->endsProposed = true;
-    ports_.propose(std::move(command), [this, incarnation = order.minion, last = minion->seenEnd](bool applied) {
+    minion.endsProposed = true;
+    const auto incarnation = minion.report.incarnation;
+    ports_.propose(std::move(command), [this, incarnation, last = minion.seenEnd](bool applied) {
         auto *later = leading_ ? fleet_.find(incarnation) : nullptr;
         if (!later)
             return;
--- a/src/libs/jobs/orderretries.cpp
+++ b/src/libs/jobs/orderretries.cpp
@@ -45,8 +45,7 @@
 void JobScheduler::sendDueOrders()
 {
     forEachMinionFrom(renewalCursor_, renewalsPerRound, [this, wait = longPollTime()](Minion &minion) {
-        const bool isDue = !minion.renewalOutstanding && !minion.endsProposed && now_.time >= minion.nextRenewal;
-        if (!isDue)
+        if (!isRenewalDue(minion))
             return std::size_t{0};
         // A minion without runs has nothing to wait for, and its connection stays free for starts.
         sendLeaseRenewal(minion, minion.runs.empty() ? Duration::zero() : wait);
@@ -60,6 +59,13 @@
     });
 }
 
+/// While ends are being committed, the next renewal waits for them as long as the lease allows, to acknowledge them.
+bool JobScheduler::isRenewalDue(const Minion &minion) const
+{
+    const bool mayWait = minion.endsProposed && now_.time < minion.renewalSentAt + settings_.lease / 2;
+    return !minion.renewalOutstanding && !mayWait && now_.time >= minion.nextRenewal;
+}
+
 /// Visits minions in turn, beginning behind the one at \p cursor, until \p budget orders are sent.
 template<class Visit> void JobScheduler::forEachMinionFrom(std::string &cursor, std::size_t budget, const Visit &visit)
 {
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -268,13 +268,28 @@
         const bool runsSomething = std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto &entry) {
             return entry.second.phase != RunPhase::Proposed && entry.second.phase != RunPhase::Ending;
         });
-        if (runsSomething || (minion.leaseConfirmed && now_.time > minion.lastContactAt + settings_.lease))
+        const bool isSuspect
+            = runsSomething || (minion.leaseConfirmed && now_.time > minion.lastContactAt + settings_.lease);
+        if (isSuspect && staysSilentAfterExpiry(minion))
             markMinionLost(minion, "its lease has expired");
     }
     for (const auto &id : removable)
         proposeMinionRemoval(id);
 }
 
+bool JobScheduler::staysSilentAfterExpiry(Minion &minion)
+{
+    if (minion.renewalOutstanding)
+        return false;
+    // Answers from before may have been lost, or may not have been read in time if this process is busy.
+    const auto expiredAt = minion.latestLeaseExpiry + leaseMargin;
+    const bool wasAsked = minion.renewalSentAt >= expiredAt && minion.renewalFailures > 0;
+    const bool isOverdue = now_.time >= expiredAt + settings_.lease;
+    if (!wasAsked && !isOverdue)
+        sendLeaseRenewal(minion, Duration::zero());
+    return wasAsked || isOverdue;
+}
+
 void JobScheduler::proposeMinionRemoval(const std::string &id)
 {
     auto *minion = fleet_.find(id);
--- a/src/libs/transport/httpclient.cpp
+++ b/src/libs/transport/httpclient.cpp
@@ -24,6 +24,8 @@
 using namespace Internal;
 using boost::system::error_code;
 
+constexpr Duration unreadResponseGrace = 50ms;
+
 /// A call from its start to its completion.
 struct HttpCall {
     Endpoint endpoint;
@@ -34,6 +36,7 @@
     Timer connectTimer;
     HttpConnectionPointer connection;
     bool written = false;
+    bool isExtended = false; ///< its time was up once while a response was waiting to be read
     bool isStarved = false; ///< waits for a connection that another call uses
 
     void complete(CallResult result)
@@ -94,12 +97,7 @@
             call->message.set(Http::field::host, endpoint.toString());
         call->message.body() = std::move(request.body);
         call->message.prepare_payload();
-        call->timer = loop_.callAfter(timeout, [weak = weak_from_this(), weakCall = std::weak_ptr(call)] {
-            const auto self = weak.lock();
-            const auto late = weakCall.lock();
-            if (self && late)
-                self->timedOut(late);
-        });
+        startTimer(call, timeout);
         if (calls.active.size() >= limits_.connectionsPerEndpoint) {
             calls.waiting.push_back(std::move(call));
             return;
@@ -133,6 +131,16 @@
     }
 
 private:
+    void startTimer(const CallPointer &call, Duration timeout)
+    {
+        call->timer = loop_.callAfter(timeout, [weak = weak_from_this(), weakCall = std::weak_ptr(call)] {
+            const auto self = weak.lock();
+            const auto late = weakCall.lock();
+            if (self && late)
+                self->timedOut(late);
+        });
+    }
+
     void begin(EndpointCalls &calls, const CallPointer &call)
     {
         calls.active.push_back(call);
@@ -181,9 +189,18 @@
             std::erase(starved_, call);
     }
 
+    /// While this process is behind, a response may have arrived that was not read yet.
+    bool hasUnreadResponse(const CallPointer &call) const
+    {
+        error_code error;
+        return call->written && call->connection && call->connection->socket.available(error) > 0 && !error;
+    }
+
     void timedOut(const CallPointer &call)
     {
-        if (call->isStarved)
+        if (!std::exchange(call->isExtended, true) && hasUnreadResponse(call))
+            startTimer(call, unreadResponseGrace);
+        else if (call->isStarved)
             finish(call, ErrorCode::Capacity, "no connection became free in time");
         else
             finish(call, ErrorCode::Timeout, "no response in time");
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr Duration networkDelay = 5ms;
-constexpr Duration commitDelay = 20ms;
+constexpr Duration usualCommitDelay = 20ms;
 constexpr Duration step = 10ms;
 constexpr Duration tickInterval = 20ms;
 constexpr Duration reportInterval = 1500ms;
@@ -24,7 +24,8 @@
 } // namespace
 
 SimulatedCell::SimulatedCell(std::uint64_t seed, const SchedulerSettings &settings)
-    : settings_(settings)
+    : commitDelay(usualCommitDelay)
+    , settings_(settings)
     , now_(std::chrono::hours(1))
     , random_(seed)
     , nextReport_(now_ + reportInterval)
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -83,6 +83,7 @@
     std::uint64_t failedProposals = 0; ///< percentage of proposals that are not appended to the log
     /// \return the outcome of a start that the minion does not carry out, or nothing.
     std::function<std::optional<Pistachio::Jobs::OrderOutcome>(const Pistachio::Jobs::StartOrder &order)> startFault;
+    Duration commitDelay; ///< from a proposal to its application
     bool hasConnections = true; ///< false: no order is sent, and each fails at once
     bool answersAdvice = false; ///< approves all minions
     std::vector<std::string> startLog; ///< task, run and minion of each start order, with its time
