Spread the reports of a large fleet over the control instances

Change: from 200 minions on the leader names another control instance, chosen by rendezvous hashing among those that answer; it takes the reports and carries them on in batches each 100 ms, news at once. A report is confirmed only after the leader has taken it, and one that says something new after its commit. Smaller fleets report to the leader as before.

--- a/src/libs/jobnode/controlservice.h
+++ b/src/libs/jobnode/controlservice.h
@@ -16,7 +16,8 @@
 namespace Pistachio::Jobnode
 {
 
-/// What a control instance does for minions and operators. All of it is refused unless it leads the job group.
+/// What a control instance does for minions and operators. All of it but reports is refused unless it leads the job
+/// group.
 class ControlService
 {
 public:
@@ -35,8 +36,11 @@
     /// \param handler answers requests that other instances forward
     virtual void onForwarded(Transport::RequestHandler handler) = 0;
 
+    /// Takes a minion's report, whether this instance leads or not.
     /// \param stored gets whether what the report says is stored
     virtual void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) = 0;
+    /// \return the address of the control instance that the minion should report to next; empty if it isn't known.
+    [[nodiscard]] virtual std::string reportIp(const std::string &minion) const = 0;
     virtual void minionLeft(const Jobs::MinionIncarnation &incarnation) = 0;
 
     /// \param answered gets ACCEPTED once a configuration at least as new is in force
--- a/src/libs/jobnode/internalcalls.cpp
+++ b/src/libs/jobnode/internalcalls.cpp
@@ -7,6 +7,7 @@
 #include "jobnode/jobcalls.h"
 #include "jobnode/jobgroup.h"
 #include "jobnode/noderuntime.h"
+#include "jobnode/reportbatch.h"
 #include "jobs/jobstore.h"
 
 #include <jobs.pb.h>
@@ -53,6 +54,8 @@
         handleJoin(request, responder);
     } else if (request.target == "/jobs/forward") {
         handleForwarded(request, responder);
+    } else if (request.target == "/jobs/reports") {
+        answerReportBatch(instance_.runtime.loop(), request.body, instance_.minionReported, responder);
     } else if (request.target == "/jobs/advice") {
         answerAdviceRequest(instance_.advice, request, responder);
     } else {
--- a/src/libs/jobnode/internalcalls.h
+++ b/src/libs/jobnode/internalcalls.h
@@ -12,7 +12,8 @@
 namespace Pistachio::Jobs
 {
 class JobStore;
-}
+struct MinionReport;
+} // namespace Pistachio::Jobs
 
 namespace Pistachio::Wire
 {
@@ -46,6 +47,8 @@
         AdviserPool &advisers;
         const TimePoint &ledSince; ///< when the instance became the leader
         const Transport::RequestHandler &forwarded; ///< handles what another instance forwards; may be empty
+        /// Handles a report that another instance has taken; refuses it unless this one leads.
+        std::function<void(const Jobs::MinionReport &, std::function<void(bool stored)>)> minionReported;
         std::function<void()> changed; ///< called after what may have changed the state of the group
     };
 
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -1,6 +1,7 @@
 #include "jobnode/jobcontrol.h"
 
 #include "jobnode/jobcontrolprivate.h"
+#include "jobnode/reportplacement.h"
 
 #include <jobs.pb.h>
 
@@ -51,7 +52,11 @@
     d_->calls = std::make_unique<JobCalls>(d_->store, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
     d_->internalCalls = std::make_unique<InternalCalls>(
         InternalCalls::Instance{d_->runtime, d_->advice, d_->store, *d_->group, *d_->calls, *d_->membership,
-                                d_->advisers, d_->ledSince, d_->forwarded, [this] { changed(); }});
+                                d_->advisers, d_->ledSince, d_->forwarded,
+                                [this](const Jobs::MinionReport &report, const std::function<void(bool)> &stored) {
+                                    takeRelayedReport(report, stored);
+                                },
+                                [this] { changed(); }});
     BOOST_OUTCOME_TRY(const auto port, d_->server.listen({settings.localIp(), settings.internalPort}));
     d_->runtime.logger().write(LogLevel::Info, "started",
                                {{"id", identity.id.value()},
@@ -253,14 +258,33 @@
 
 void JobControl::minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored)
 {
-    if (!d_->scheduler.isLeading()) {
-        stored(false);
+    if (!canAnswer() || !d_->scheduler.isLeading()) {
+        const auto leader = leaderIp();
+        d_->reportRelay.add(leader == d_->settings.ip ? std::string() : leader, report, std::move(stored));
         return;
     }
     d_->scheduler.minionReported(momentNow(), report, stored);
     changed();
 }
 
+/// A report is carried once only, so that two instances that hold each other for the leader pass none to and fro.
+void JobControl::takeRelayedReport(const Jobs::MinionReport &report, const std::function<void(bool)> &stored)
+{
+    if (canAnswer())
+        minionReported(report, stored);
+    else
+        stored(false);
+}
+
+std::string JobControl::reportIp(const std::string &minion) const
+{
+    const auto minions = d_->store.minions().size();
+    if (!d_->scheduler.isLeading())
+        return takesReportsFromMinions(minions) ? d_->settings.ip : leaderIp();
+    const auto members = d_->group->replica().memberStatus(EventLoop::now());
+    return placeReports(minion, minions, members).value_or(d_->settings.ip);
+}
+
 void JobControl::minionLeft(const Jobs::MinionIncarnation &incarnation)
 {
     if (d_->scheduler.isLeading())
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -53,6 +53,7 @@
     void forward(const Transport::Request &request, std::function<void(Transport::Response)> answered) override;
     void onForwarded(Transport::RequestHandler handler) override;
     void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) override;
+    [[nodiscard]] std::string reportIp(const std::string &minion) const override;
     void minionLeft(const Jobs::MinionIncarnation &incarnation) override;
     void configure(const Wire::JobConfiguration &configuration,
                    std::function<void(const Wire::JobReply &)> answered) override;
@@ -75,6 +76,7 @@
     void connectionRefused(const std::string &ip) override;
 
     [[nodiscard]] std::string leaderIp() const;
+    void takeRelayedReport(const Jobs::MinionReport &report, const std::function<void(bool stored)> &stored);
     void scheduleTick();
     void tick();
     void changed();
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -12,6 +12,7 @@
 #include "jobnode/minionclient.h"
 #include "jobnode/noderuntime.h"
 #include "jobnode/peers.h"
+#include "jobnode/reportrelay.h"
 #include "jobnode/schedulersettings.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
@@ -55,6 +56,7 @@
                      internalCalls->handle(request, responder);
                  })
         , peers(nodeRuntime.loop(), jobSettings.internalPort, jobSettings.bindIp, &owner)
+        , reportRelay(nodeRuntime.loop(), peers, store)
     {
     }
 
@@ -91,7 +93,8 @@
     TimePoint ledSince{};
     std::string lastLeader;
     Transport::RequestHandler forwarded;
-    Peers peers; ///< last, since its calls end in the others
+    Peers peers; ///< after the others, since its calls end in them
+    ReportRelay reportRelay;
 };
 
 } // namespace Pistachio::Jobnode
--- /dev/null
+++ b/src/libs/jobnode/reportplacement.cpp
@@ -0,0 +1,44 @@
+#include "jobnode/reportplacement.h"
+
+#include "core/time.h"
+#include "jobnode/instanceid.h"
+#include "replication/types.h"
+
+#include <functional>
+
+namespace Pistachio::Jobnode
+{
+
+namespace
+{
+
+constexpr std::size_t fewestMinions = 200;
+constexpr Duration answerLimit = 1s; ///< an instance that is silent for longer takes no reports
+
+} // namespace
+
+bool takesReportsFromMinions(std::size_t minions)
+{
+    return minions >= fewestMinions;
+}
+
+std::optional<std::string> placeReports(const std::string &minion, std::size_t minions,
+                                        std::span<const Replication::MemberStatus> members)
+{
+    std::optional<std::string> best;
+    std::size_t highest = 0;
+    for (const auto &member : members) {
+        const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer < answerLimit;
+        if (!takesReportsFromMinions(minions) || !answers)
+            continue;
+        std::string ip(ipOf(member.instance));
+        const auto weight = std::hash<std::string>{}(minion + '@' + ip);
+        if (!best || weight > highest) {
+            best = std::move(ip);
+            highest = weight;
+        }
+    }
+    return best;
+}
+
+} // namespace Pistachio::Jobnode
--- a/tests/auto/platform/tst_oddbodies.cpp
+++ b/tests/auto/platform/tst_oddbodies.cpp
@@ -34,6 +34,7 @@
         ++calls;
         stored(true);
     }
+    [[nodiscard]] std::string reportIp(const std::string & /*minion*/) const override { return {}; }
     void minionLeft(const Jobs::MinionIncarnation & /*incarnation*/) override { ++calls; }
     void configure(const Wire::JobConfiguration & /*configuration*/,
                    std::function<void(const Wire::JobReply &)> /*answered*/) override
@@ -86,7 +87,7 @@
         }
         RecordingService service;
         Logging::Logger logger("test", "test", "error", "/dev/null");
-        ControlProtocol protocol(service, logger, {"127.0.0.1", 1});
+        ControlProtocol protocol(service, logger, 1);
         for (const auto &body : bodies) {
             CPPUNIT_ASSERT_EQUAL_MESSAGE(shorten(body), 400,
                                          post(protocol, "/pistachioworks/instances/i-1/heartbeat", body));
@@ -158,7 +159,7 @@
     {
         RecordingService service;
         Logging::Logger logger("test", "test", "error", "/dev/null");
-        ControlProtocol protocol(service, logger, {"127.0.0.1", 1});
+        ControlProtocol protocol(service, logger, 1);
         const std::string target = "/pistachioworks/instances/i-1/deregister";
         for (const std::string &body :
              {std::string(R"({"born":1e999})"), std::string(R"({"born":18446744073709551615})"),
