Close idle connections in favour of new ones at a server's limit

Cause: on one control instance 1,100 minions held all connections that it serves between their reports, and an operator got 503 for as long as that lasted. Found with a load run of the real programs.

--- a/src/libs/transport/httpserver.cpp
+++ b/src/libs/transport/httpserver.cpp
@@ -11,8 +11,13 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
+#include <list>
+#include <memory>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace Pistachio::Transport
@@ -44,14 +49,19 @@
 public:
     using Closed = std::function<void(const std::shared_ptr<HttpSession> &)>;
 
+    /// Called when the session begins or ends to wait for a request.
+    using IdleObserver = std::function<void(const std::shared_ptr<HttpSession> &, bool isIdle)>;
+
     HttpSession(EventLoop::Context &context, Tcp::socket socket, const HttpServerLimits &limits,
-                const HttpServer::RejectionObserver &rejected, RequestHandler handler, Closed closed)
+                const HttpServer::RejectionObserver &rejected, RequestHandler handler, IdleObserver idleChanged,
+                Closed closed)
         : context_(context)
         , socket_(std::move(socket))
         , timer_(context.io)
         , limits_(limits)
         , rejected_(rejected)
         , handler_(std::move(handler))
+        , idleChanged_(std::move(idleChanged))
         , onClosed_(std::move(closed))
     {
     }
@@ -69,9 +79,8 @@
     void stop()
     {
         stopping_ = true;
-        error_code error;
         // A request that has already arrived counts as in flight.
-        if (idle_ && socket_.available(error) == 0)
+        if (idle_ && !hasUnreadRequest())
             close();
     }
 
@@ -80,12 +89,26 @@
         if (std::exchange(closed_, true))
             return;
         timer_.cancel();
+        setIdle(false);
         closeSocket(socket_);
         if (const auto closed = std::exchange(onClosed_, nullptr))
             closed(shared_from_this());
     }
 
+    /// \return whether a request has arrived that was not read yet.
+    [[nodiscard]] bool hasUnreadRequest()
+    {
+        error_code error;
+        return socket_.available(error) > 0;
+    }
+
 private:
+    void setIdle(bool isIdle)
+    {
+        if (std::exchange(idle_, isIdle) != isIdle)
+            idleChanged_(shared_from_this(), isIdle);
+    }
+
     void arm(Duration limit)
     {
         timedOut_ = false;
@@ -106,10 +129,10 @@
             readRequest();
             return;
         }
-        idle_ = true;
+        setIdle(true);
         arm(limits_.idleTimeout);
         socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
-            self->idle_ = false;
+            self->setIdle(false);
             if (error || self->closed_) {
                 self->close();
                 return;
@@ -262,6 +285,7 @@
     const HttpServerLimits &limits_;
     const HttpServer::RejectionObserver &rejected_;
     RequestHandler handler_;
+    IdleObserver idleChanged_;
     Closed onClosed_;
     boost::beast::flat_buffer buffer_;
     std::optional<Http::request_parser<Http::string_body>> parser_;
@@ -290,11 +314,14 @@
 private:
     void accepted(Tcp::socket socket) override
     {
+        if (count() >= limits_.connections)
+            closeLongestIdle();
         if (count() >= limits_.connections + limits_.refusals)
             return;
         // The session refers to the limits and the observer, so it keeps this object alive.
         const auto session = std::make_shared<HttpSession>(
             context(), std::move(socket), limits_, rejected_, handler_,
+            [this](const std::shared_ptr<HttpSession> &changed, bool isIdle) { idleChanged(changed, isIdle); },
             [self = shared_from_this()](const std::shared_ptr<HttpSession> &closed) { self->remove(closed); });
         add(session);
         if (count() > limits_.connections)
@@ -303,9 +330,34 @@
             session->start();
     }
 
+    void idleChanged(const std::shared_ptr<HttpSession> &session, bool isIdle)
+    {
+        if (isIdle) {
+            idle_.push_back(session);
+            idlePlaces_[session.get()] = std::prev(idle_.end());
+            return;
+        }
+        const auto place = idlePlaces_.extract(session.get());
+        if (!place.empty())
+            idle_.erase(place.mapped());
+    }
+
+    /// A client that returns later opens a new connection; one that is refused now may give up.
+    void closeLongestIdle()
+    {
+        const auto found
+            = std::ranges::find_if(idle_, [](const auto &session) { return !session->hasUnreadRequest(); });
+        if (found == idle_.end())
+            return;
+        const auto session = *found;
+        session->close();
+    }
+
     const HttpServerLimits limits_;
     RejectionObserver rejected_;
     RequestHandler handler_;
+    std::list<std::shared_ptr<HttpSession>> idle_; ///< the one that has been idle for longest first
+    std::unordered_map<const HttpSession *, std::list<std::shared_ptr<HttpSession>>::iterator> idlePlaces_;
 };
 
 HttpServer::HttpServer(EventLoop &loop, const HttpServerLimits &limits, RequestHandler handler)
--- a/src/libs/transport/httpserver.h
+++ b/src/libs/transport/httpserver.h
@@ -25,7 +25,8 @@
 /// An HTTP/1.1 server with keep-alive. Requests on one connection are handled one after the other.
 ///
 /// It answers by itself: 400 for what is not HTTP, 408 for a slow sender, 413 and 431 for a body or header above the
-/// limit, 503 above the limit of connections.
+/// limit, 503 above the limit of connections if all of them are in use. A connection that waits for a request is closed
+/// in favour of a new one.
 class HttpServer
 {
 public:
