Don't send a call that has waited past its time

Cause: after a pause of the process, a call that had waited for a connection was given one and sent before its timer was looked at: an order on a permission that may have run out.

Change: a call is given a connection only before its deadline.

Result: overdueCallIsNotSentAfterAPause fails without the change.

--- a/src/libs/jobnode/reportplacement.cpp
+++ b/src/libs/jobnode/reportplacement.cpp
@@ -32,7 +32,7 @@
         if (!takesReportsFromMinions(minions) || !answers)
             continue;
         std::string ip(ipOf(member.instance));
-        const auto weight = std::hash<std::string>{}(minion + '@' + ip);
+        const auto weight = std::hash<std::string>{}(std::string(ip).append(1, '@').append(minion));
         if (!best || weight > highest) {
             best = std::move(ip);
             highest = weight;
--- a/src/libs/storage/durablefile.cpp
+++ b/src/libs/storage/durablefile.cpp
@@ -30,7 +30,7 @@
     auto written = writeAndSync(fileSystem, unfinished, bytes);
     if (!written) {
         // The content must not become part of a later attempt, so a failure to remove it counts.
-        const auto removed = fileSystem.remove(unfinished);
+        auto removed = fileSystem.remove(unfinished);
         if (!removed && removed.error().code != ErrorCode::NotFound)
             return removed;
         return written;
--- a/src/libs/transport/httpclient.cpp
+++ b/src/libs/transport/httpclient.cpp
@@ -32,6 +32,7 @@
     Http::request<Http::string_body> message;
     std::optional<Http::response_parser<Http::string_body>> parser;
     CallCompletion completion;
+    TimePoint deadline{};
     Timer timer;
     Timer connectTimer;
     HttpConnectionPointer connection;
@@ -133,6 +134,7 @@
 private:
     void startTimer(const CallPointer &call, Duration timeout)
     {
+        call->deadline = EventLoop::now() + timeout;
         call->timer = loop_.callAfter(timeout, [weak = weak_from_this(), weakCall = std::weak_ptr(call)] {
             const auto self = weak.lock();
             const auto late = weakCall.lock();
@@ -161,6 +163,11 @@
     /// \return whether there was a connection for the call.
     bool startOnConnection(const CallPointer &call)
     {
+        // After a pause of this process a call that has waited may be overdue before its timer was looked at.
+        if (EventLoop::now() >= call->deadline) {
+            finish(call, ErrorCode::Capacity, "no connection became free in time");
+            return true;
+        }
         call->connection = connections_.takeIdle(call->endpoint);
         if (call->connection) {
             write(call);
@@ -177,9 +184,12 @@
     {
         while (!starved_.empty()) {
             const auto call = starved_.front();
-            if (!startOnConnection(call))
-                return;
             leaveStarved(call);
+            if (!startOnConnection(call)) {
+                call->isStarved = true;
+                starved_.push_front(call);
+                return;
+            }
         }
     }
 
--- a/tests/auto/transport/tst_connectionlimits.cpp
+++ b/tests/auto/transport/tst_connectionlimits.cpp
@@ -8,6 +8,7 @@
 #include <sys/resource.h>
 
 #include <memory>
+#include <thread>
 #include <vector>
 
 using namespace Pistachio;
@@ -78,6 +79,7 @@
     CPPUNIT_TEST(idleLongestIsClosedFirst);
     CPPUNIT_TEST(idleConnectionsEndWithoutAnotherCall);
     CPPUNIT_TEST(callWithoutAConnectionFailsUnsent);
+    CPPUNIT_TEST(overdueCallIsNotSentAfterAPause);
     CPPUNIT_TEST(waitingCallsGetConnectionsInOrder);
     CPPUNIT_TEST(shortageOfDescriptorsIsALocalFailure);
     CPPUNIT_TEST(serverBoundsConnectionsThatItRefuses);
@@ -175,6 +177,39 @@
         CPPUNIT_ASSERT(runUntil(loop_, [&] { return answers_ == 1; }));
     }
 
+    // A process that had been paused sent an order that had waited for a connection, although its time was over.
+    void overdueCallIsNotSentAfterAPause()
+    {
+        for (const bool isSameEndpoint : {true, false}) {
+            RawSocket first;
+            RawSocket second;
+            const Endpoint firstEndpoint{"127.0.0.1", first.listen()};
+            const Endpoint secondEndpoint{"127.0.0.1", second.listen()};
+            HttpClientLimits limits;
+            limits.connections = 1;
+            limits.connectionsPerEndpoint = 1;
+            HttpClient client(loop_, limits);
+            answers_ = 0;
+            call(client, firstEndpoint);
+            int descriptor = -1;
+            CPPUNIT_ASSERT(runUntil(loop_, [&] { return (descriptor = first.accept()) >= 0; }));
+            RawSocket peer(descriptor);
+            std::string received;
+            CPPUNIT_ASSERT(runUntil(loop_, [&] { return peer.receive(received) || !received.empty(); }));
+            std::optional<CallResult> late;
+            client.call(isSameEndpoint ? firstEndpoint : secondEndpoint, {}, 30ms,
+                        [&](CallResult answer) { late = std::move(answer); });
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            std::this_thread::sleep_for(60ms);
+            CPPUNIT_ASSERT(runUntil(loop_, [&] { return late.has_value() && answers_ == 1; }));
+            loop_.runFor(20ms);
+            received.clear();
+            (void)peer.receive(received);
+            CPPUNIT_ASSERT(late->has_error() && !late->error().written);
+            CPPUNIT_ASSERT(received.empty() && first.accept() < 0 && second.accept() < 0);
+        }
+    }
+
     void waitingCallsGetConnectionsInOrder()
     {
         ServerGroup servers(loop_, 6);
