--- a/review/standins/minion.cpp
+++ b/review/standins/minion.cpp
@@ -120,6 +120,8 @@
         active_.clear();
         highest_.clear();
         ended_.clear();
+        failsAtStart_ = false;
+        hasFailed_ = false;
         isDraining_ = false;
         drainConfirmed_ = false;
         isReporting_ = true;
@@ -153,6 +155,10 @@
     sleepMs(options_.linkMs);
     if (!isUp_)
         return {};
+    if (request.target == "/pistachioworks/run-start" && failsAtStart_.exchange(false)) {
+        hasFailed_ = true;
+        return {};
+    }
     const auto expected = request.headers.find("expected-instance");
     HttpResponse response;
     const auto body = json::parse(request.body, nullptr, false);
--- a/review/standins/minion.h
+++ b/review/standins/minion.h
@@ -77,6 +77,9 @@
     bool start();
     /// The process ends at once.
     void crash();
+    /// Lets the next start that arrives go unheard; crash() is to follow then.
+    void failAtNextStart() { failsAtStart_ = true; }
+    [[nodiscard]] bool hasFailedAtStart() const { return hasFailed_; }
     /// Reports that it drains, until that is confirmed.
     void drain();
     /// Deregisters as a minion that is about to end.
@@ -130,6 +133,8 @@
     HttpChannel channel_; ///< to a control instance; kept open between status reports
     std::atomic<bool> isUp_ = false;
     std::atomic<bool> isReporting_ = true;
+    std::atomic<bool> failsAtStart_ = false;
+    std::atomic<bool> hasFailed_ = false;
     std::atomic<bool> isDraining_ = false;
     std::atomic<bool> drainConfirmed_ = false;
     std::atomic<std::size_t> control_ = 0; ///< where the next report goes
