--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -6,7 +6,6 @@
 
 #include <signal.h>
 
-#include <cstdio>
 #include <memory>
 
 using namespace Review;
@@ -33,20 +32,17 @@
     Cell cell(record, 3, 2);
     cell.startAll();
     Minion::Options options;
-    options.id = "i-7f3a91c2";
-    options.service = "huvo11a";
-    options.ip = cell.address(4, 1);
     options.workMs = [](const std::string &task, std::uint64_t) { return workOf(task); };
-    Minion minion(cell, record, watch, options);
-    if (!minion.start() || !cell.configure(desiredState(1, {route("r-1", "/lohu930/", "huvo11a", 3)}, {"huvo11a"}), 20'000))
+    const auto minions = startMinions(cell, record, watch, 1, options);
+    const auto state = desiredState(1, {route("r-1", "/lohu930/", "huvo11a", 3)}, {"huvo11a"});
+    if (minions.empty() || !cell.configure(state, 20'000))
         return CouldNotRun;
+    auto &minion = *minions.front();
     sleepMs(4000);
     std::vector<std::string> ids;
     for (int number = 0; number < jobs; ++number) {
         ids.push_back(newJobId());
-        const json job{{"taskSpec", "name " + ids.back()},
-                       {"jobSteps", {{{"count", tasksPerJob}, {"cpu", 18}, {"memMb", 32}, {"estimateMs", 1000}}}}};
-        if (cell.submit("/lohu930/" + ids.back(), job) != 200)
+        if (cell.submit("/lohu930/" + ids.back(), oneStepJob(ids.back(), tasksPerJob, 18, 32, 1000)) != 200)
             return CouldNotRun;
     }
     const auto until = nowMs() + 5000;
@@ -78,16 +74,14 @@
     for (const auto &[how, count] : watch.endCounts())
         counts += ' ' + how + ' ' + std::to_string(count);
     const auto violations = watch.violations();
-    record.line(std::to_string(watch.starts()) + " starts; ends:" + counts + "; tasks run twice: "
-                + std::to_string(violations.size()));
+    record.line(std::to_string(watch.starts()) + " starts; ends:" + counts
+                + "; tasks run twice: " + std::to_string(violations.size()));
     return violations.empty() ? Held : Broken;
 }
 
 } // namespace
 
-int main(int, char **argv)
+int main(int argc, char **argv)
 {
-    const int verdict = play(argv[1]);
-    std::printf("%s\n", verdict == Held ? "the rule held" : verdict == Broken ? "the rule was broken" : "could not run");
-    return verdict;
+    return runCase(argc, argv, play);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -4,7 +4,6 @@
 #include "cell.h"
 #include "minion.h"
 
-#include <cstdio>
 #include <memory>
 
 using namespace Review;
@@ -26,18 +25,10 @@
     Record record(folder + "/record.txt");
     RunWatch watch(record);
     Cell cell(record, 3, 2, true);
-    // What the control instances send to the minion that leaves passes these proxies.
-    std::vector<std::unique_ptr<Proxy>> proxies;
-    for (std::size_t index = 0; index < cell.size(); ++index) {
-        const auto &instance = cell.instance(index);
-        for (const auto port : {cell.internalPort(), cell.controlPort()}) {
-            if (port == cell.controlPort() && !instance.isControl)
-                continue;
-            proxies.push_back(std::make_unique<Proxy>());
-            if (!proxies.back()->listen(instance.ip, port, instance.bindIp, port))
-                return CouldNotRun;
-        }
-    }
+    // What the control instances send to the minion that leaves passes these and a proxy of its own.
+    const auto proxies = proxiesOf(cell, {cell.address(4, 1)});
+    if (proxies.empty())
+        return CouldNotRun;
     cell.startAll();
     if (!cell.configure(desiredState(1, {route("r-1", "/lohu930/", "huvo11a", 3)}, {"huvo11a"}), 20'000))
         return CouldNotRun;
@@ -46,7 +37,6 @@
     const auto add = [&](int number) {
         Minion::Options options;
         options.id = "i-" + std::to_string(number);
-        options.service = "huvo11a";
         options.ip = cell.address(4, number);
         options.bindIp = cell.address(5, number);
         options.workMs = [](const std::string &, std::uint64_t) { return workMs; };
@@ -57,13 +47,9 @@
     };
     if (!add(1))
         return CouldNotRun;
-    for (auto &proxy : proxies)
-        proxy->setHeldCallers({cell.address(4, 1)});
     sleepMs(4000);
     const auto id = newJobId();
-    const json job{{"taskSpec", "name " + id},
-                   {"jobSteps", {{{"count", tasks}, {"cpu", 1500}, {"memMb", 1600}, {"estimateMs", 20000}}}}};
-    if (cell.submit("/lohu930/" + id, job) != 200)
+    if (cell.submit("/lohu930/" + id, oneStepJob(id, tasks, 1500, 1600, 20'000)) != 200)
         return CouldNotRun;
     auto &leaving = *minions.front();
     const auto until = nowMs() + 10'000;
@@ -98,9 +84,7 @@
 
 } // namespace
 
-int main(int, char **argv)
+int main(int argc, char **argv)
 {
-    const int verdict = play(argv[1]);
-    std::printf("%s\n", verdict == Held ? "the rule held" : verdict == Broken ? "the rule was broken" : "could not run");
-    return verdict;
+    return runCase(argc, argv, play);
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -4,7 +4,6 @@
 #include "cell.h"
 #include "minion.h"
 
-#include <cstdio>
 #include <memory>
 #include <random>
 
@@ -26,20 +25,14 @@
     RunWatch watch(record);
     Cell cell(record, 3, 2);
     cell.startAll();
-    std::vector<std::unique_ptr<Minion>> minions;
-    for (int number = 1; number <= minionCount; ++number) {
-        Minion::Options options;
-        options.id = "i-" + std::to_string(number);
-        options.service = "huvo11a";
-        options.ip = cell.address(4, number);
-        options.linkMs = linkMs;
-        options.workMs = [](const std::string &task, std::uint64_t) {
-            return 300 + static_cast<std::int64_t>(std::hash<std::string>{}(task) % 600);
-        };
-        minions.push_back(std::make_unique<Minion>(cell, record, watch, options));
-        if (!minions.back()->start())
-            return CouldNotRun;
-    }
+    Minion::Options options;
+    options.linkMs = linkMs;
+    options.workMs = [](const std::string &task, std::uint64_t) {
+        return 300 + static_cast<std::int64_t>(std::hash<std::string>{}(task) % 600);
+    };
+    auto minions = startMinions(cell, record, watch, minionCount, options);
+    if (minions.empty())
+        return CouldNotRun;
     if (!cell.configure(desiredState(1, {route("r-1", "/lohu930/", "huvo11a", 3)}, {"huvo11a"}), 20'000))
         return CouldNotRun;
     sleepMs(4000);
@@ -48,9 +41,7 @@
     std::thread consumer([&] {
         while (!isOver) {
             const auto id = newJobId();
-            const json job{{"taskSpec", "name " + id},
-                           {"jobSteps", {{{"count", 6}, {"cpu", 1500}, {"memMb", 1600}, {"estimateMs", 600}}}}};
-            cell.submit("/lohu930/" + id, job);
+            cell.submit("/lohu930/" + id, oneStepJob(id, 6, 1500, 1600, 600));
             sleepMs(jobEveryMs);
         }
     });
@@ -81,9 +72,7 @@
 
 } // namespace
 
-int main(int, char **argv)
+int main(int argc, char **argv)
 {
-    const int verdict = play(argv[1]);
-    std::printf("%s\n", verdict == Held ? "the rule held" : verdict == Broken ? "the rule was broken" : "could not run");
-    return verdict;
+    return runCase(argc, argv, play);
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -6,7 +6,6 @@
 #include "minion.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <memory>
 
 using namespace Review;
@@ -29,33 +28,17 @@
     Record record(folder + "/record.txt");
     RunWatch watch(record);
     Cell cell(record, 3, entries, true);
-    std::vector<std::unique_ptr<Proxy>> proxies;
-    for (std::size_t index = 0; index < cell.size(); ++index) {
-        const auto &instance = cell.instance(index);
-        for (const auto port : {cell.internalPort(), cell.controlPort()}) {
-            if (port == cell.controlPort() && !instance.isControl)
-                continue;
-            auto proxy = std::make_unique<Proxy>();
-            proxy->setHeldCallers({cell.instance(cell.controls()).bindIp});
-            if (!proxy->listen(instance.ip, port, instance.bindIp, port))
-                return CouldNotRun;
-            proxies.push_back(std::move(proxy));
-        }
-    }
+    const auto proxies = proxiesOf(cell, {cell.instance(cell.controls()).bindIp});
+    if (proxies.empty())
+        return CouldNotRun;
     // The entries are behind their own proxies, which stay open; those of the control instances come first.
     const std::size_t controlProxies = 2 * cell.controls();
     cell.startAll();
-    std::vector<std::unique_ptr<Minion>> minions;
-    for (int number = 1; number <= minionCount; ++number) {
-        Minion::Options options;
-        options.id = "i-" + std::to_string(number);
-        options.service = "huvo11a";
-        options.ip = cell.address(4, number);
-        options.workMs = [](const std::string &, std::uint64_t) { return 200; };
-        minions.push_back(std::make_unique<Minion>(cell, record, watch, options));
-        if (!minions.back()->start())
-            return CouldNotRun;
-    }
+    Minion::Options options;
+    options.workMs = [](const std::string &, std::uint64_t) { return 200; };
+    auto minions = startMinions(cell, record, watch, minionCount, options);
+    if (minions.empty())
+        return CouldNotRun;
     const auto kept = route("r-1", "/lohu930/", "huvo11a", 3);
     const auto removed = route("r-2", "/pufi791/", "huvo11a", 3);
     int version = 1;
@@ -72,11 +55,11 @@
             threads.emplace_back([&] {
                 while (!isOver) {
                     const auto id = newJobId();
-                    const json job{{"taskSpec", "name " + id},
-                                   {"jobSteps", {{{"count", 1}, {"cpu", 100}, {"memMb", 16}, {"estimateMs", 200}}}}};
+                    const auto job = oneStepJob(id, 1, 100, 16, 200);
                     for (int attempt = 0; attempt < attempts; ++attempt) {
                         // Retries reach other nodes.
-                        const auto status = cell.consumer(static_cast<std::size_t>(attempt), "POST", "/pufi791/" + id, job).status;
+                        const auto status
+                            = cell.consumer(static_cast<std::size_t>(attempt), "POST", "/pufi791/" + id, job).status;
                         record.line("POST /pufi791/" + id + " at frontend-" + std::to_string(attempt + 1) + ": "
                                     + std::to_string(status));
                         const std::lock_guard lock(mutex);
@@ -94,7 +77,8 @@
                 proxies[index]->holdRequests(isCut);
                 proxies[index]->holdAnswers(isCut);
             }
-            record.line(std::string("frontend-1 is ") + (isCut ? "cut off from" : "connected to") + " the control instances");
+            record.line(std::string("frontend-1 is ") + (isCut ? "cut off from" : "connected to")
+                        + " the control instances");
         };
         if (hasTrouble())
             setCut(true);
@@ -109,8 +93,9 @@
             thread.join();
         sleepMs(afterMs);
         for (const auto &[id, statuses] : answers) {
-            const bool isRejected = std::all_of(statuses.begin(), statuses.end(),
-                                                [](int status) { return status >= 400 && status != 502 && status != 504; });
+            const bool isRejected = std::all_of(statuses.begin(), statuses.end(), [](int status) {
+                return status >= 400 && status != 502 && status != 504;
+            });
             if (!isRejected || !watch.hasBegun(id))
                 continue;
             ++brokenJobs;
@@ -128,9 +113,7 @@
 
 } // namespace
 
-int main(int, char **argv)
+int main(int argc, char **argv)
 {
-    const int verdict = play(argv[1]);
-    std::printf("%s\n", verdict == Held ? "the rule held" : verdict == Broken ? "the rule was broken" : "could not run");
-    return verdict;
+    return runCase(argc, argv, play);
 }
--- a/review/standins/minion.cpp
+++ b/review/standins/minion.cpp
@@ -108,9 +108,9 @@
     {
         const std::lock_guard lock(mutex_);
         bornAt_ = nowMs();
-        bornUnixMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                          std::chrono::system_clock::now().time_since_epoch())
-                          .count();
+        bornUnixMs_
+            = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+                  .count();
         sequence_ = 0;
         fence_ = 0;
         leaseUntil_ = 0;
@@ -254,7 +254,8 @@
     json answer{{"clockMs", clock()}, {"born", bornUnixMs_}, {"active", json::array()}, {"endedRuns", json::array()}};
     for (const auto &[task, work] : active_)
         answer["active"].push_back(
-            {task, work.run, "", 100 * (nowMs() - work.beganAt) / std::max<std::int64_t>(1, work.endsAt - work.beganAt + 1), 0});
+            {task, work.run, "",
+             100 * (nowMs() - work.beganAt) / std::max<std::int64_t>(1, work.endsAt - work.beganAt + 1), 0});
     for (std::size_t index = 0; index < std::min(endsAtATime, ended_.size()); ++index) {
         const auto &end = ended_[index];
         answer["endedRuns"].push_back({end.number, end.task, end.run, end.how, ""});
@@ -387,4 +388,18 @@
     return ended_.size();
 }
 
+std::vector<std::unique_ptr<Minion>> startMinions(Cell &cell, Record &record, RunWatch &watch, int count,
+                                                  Minion::Options options)
+{
+    std::vector<std::unique_ptr<Minion>> minions;
+    for (int number = 1; number <= count; ++number) {
+        options.id = "i-" + std::to_string(number);
+        options.ip = cell.address(4, number);
+        minions.push_back(std::make_unique<Minion>(cell, record, watch, options));
+        if (!minions.back()->start())
+            return {};
+    }
+    return minions;
+}
+
 } // namespace Review
