--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,23 +1,24 @@
-// Minions crash and start again under their ids. A start that is repeated reaches the next life of the minion, which
-// carries it out, while the task is started elsewhere.
+// A minion that leaves sends its deregistration to a control machine that is frozen. It ends without a confirmation and
+// starts again under its id. When the machine wakes, the deregistration of the life before ends the runs of this one.
 
 #include "cell.h"
 #include "minion.h"
 
-#include <memory>
-#include <random>
+#include <signal.h>
 
 using namespace Review;
 
 namespace
 {
 
-constexpr int minionCount = 8;
-constexpr std::int64_t playMs = 80'000;
-constexpr std::int64_t jobEveryMs = 60;
-constexpr std::int64_t crashEveryMs = 1000;
-constexpr std::int64_t startWaitMs = 1000;
-constexpr std::int64_t linkMs = 8; ///< SYSTEM: "8 ms between regions", one way
+constexpr int minionCount = 6;
+constexpr int tasks = 10;
+constexpr std::int64_t workMs = 20'000;
+constexpr std::int64_t drainMs = 2500; ///< SYSTEM: drainMs
+constexpr std::int64_t freezeMs = 6000;
+constexpr std::int64_t confirmationLimitMs = 1000;
+constexpr std::int64_t endsAnywayMs = 1000; ///< PROTOCOL: "some seconds later"
+constexpr std::int64_t restartMs = 300;
 
 int play(const std::string &folder)
 {
@@ -26,44 +27,36 @@
     Cell cell(record, 3, 2);
     cell.startAll();
     Minion::Options options;
-    options.linkMs = linkMs;
-    options.workMs = [](const std::string &task, std::uint64_t) {
-        return 300 + static_cast<std::int64_t>(std::hash<std::string>{}(task) % 600);
-    };
+    options.workMs = [](const std::string &, std::uint64_t) { return workMs; };
     auto minions = startMinions(cell, record, watch, minionCount, options);
-    if (minions.empty())
-        return CouldNotRun;
-    if (!cell.configure(desiredState(1, {route("r-1", "/lohu930/", "huvo11a", 3)}, {"huvo11a"}), 20'000))
+    const auto state = desiredState(1, {route("r-1", "/lohu930/", "huvo11a", 3)}, {"huvo11a"});
+    if (minions.empty() || !cell.configure(state, 20'000))
         return CouldNotRun;
     sleepMs(4000);
-    std::mt19937 random(std::random_device{}());
-    std::atomic<bool> isOver = false;
-    std::thread consumer([&] {
-        while (!isOver) {
-            const auto id = newJobId();
-            cell.submit("/lohu930/" + id, oneStepJob(id, 6, 1500, 1600, 600));
-            sleepMs(jobEveryMs);
-        }
-    });
-    const auto until = nowMs() + playMs;
-    while (nowMs() < until && watch.violations().empty()) {
-        sleepMs(crashEveryMs);
-        if (!hasTrouble())
-            continue;
-        // It crashes as a start arrives.
-        auto &minion = *minions[random() % minions.size()];
-        minion.failAtNextStart();
-        const auto waitUntil = nowMs() + startWaitMs;
-        while (!minion.hasFailedAtStart() && nowMs() < waitUntil)
-            sleepMs(1);
-        minion.crash();
-        sleepMs(20 + static_cast<std::int64_t>(random() % 130));
-        if (!minion.start())
-            return CouldNotRun;
+    auto &minion = *minions.front();
+    minion.drain();
+    sleepMs(drainMs);
+    // The minion's status reports and its deregistration go to the control instance that answered the last one.
+    const auto frozen = minion.control();
+    const auto frozenAt = nowMs();
+    if (hasTrouble())
+        cell.signal(frozen, SIGSTOP);
+    if (!minion.deregister(confirmationLimitMs))
+        sleepMs(endsAnywayMs);
+    minion.crash();
+    sleepMs(restartMs);
+    if (!minion.start())
+        return CouldNotRun;
+    sleepMs(2000);
+    const auto id = newJobId();
+    if (cell.submit("/lohu930/" + id, oneStepJob(id, tasks, 1500, 1600, 20'000)) != 200)
+        return CouldNotRun;
+    if (hasTrouble()) {
+        sleepMs(frozenAt + freezeMs - nowMs());
+        record.line("its runs: " + std::to_string(minion.active()));
+        cell.signal(frozen, SIGCONT);
     }
-    isOver = true;
-    consumer.join();
-    sleepMs(1500);
+    sleepMs(4000);
     const auto violations = watch.violations();
     record.line(std::to_string(watch.starts()) + " starts; tasks run twice: " + std::to_string(violations.size()));
     minions.clear();
--- a/review/standins/minion.cpp
+++ b/review/standins/minion.cpp
@@ -307,7 +307,7 @@
                                 {"POST",
                                  "/pistachioworks/instances/" + options_.id + '/' + call,
                                  {{"Content-Type", "application/json"}},
-                                 body.dump()},
+                                 body.is_null() ? std::string() : body.dump()},
                                 limitMs, options_.ip);
     sleepMs(options_.linkMs);
     return answer;
@@ -369,9 +369,8 @@
 bool Minion::deregister(std::int64_t limitMs)
 {
     isReporting_ = false;
-    json body{{"born", bornUnixMs_}};
     record_.line(options_.id + " deregisters, with " + std::to_string(active()) + " runs at work");
-    const auto answer = callControl(control_, "deregister", body, limitMs);
+    const auto answer = callControl(control_, "deregister", nullptr, limitMs);
     record_.line(options_.id + (answer.status == 200 ? " has the confirmation" : " has no confirmation"));
     return answer.status == 200;
 }
--- a/review/standins/minion.h
+++ b/review/standins/minion.h
@@ -88,6 +88,8 @@
     bool deregister(std::int64_t limitMs);
     [[nodiscard]] std::size_t active();
     [[nodiscard]] std::size_t unacknowledged();
+    /// \return the index of the control instance that it calls.
+    [[nodiscard]] std::size_t control() const { return control_ % cell_.controls(); }
     [[nodiscard]] std::uint16_t port() const { return port_; }
     [[nodiscard]] const std::string &id() const { return options_.id; }
 
