--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -17,7 +17,7 @@
 constexpr std::int64_t drainMs = 2500; ///< SYSTEM: drainMs
 constexpr std::int64_t freezeMs = 6000;
 constexpr std::int64_t confirmationLimitMs = 1000;
-constexpr std::int64_t endsAnywayMs = 1000; ///< PROTOCOL: "some seconds later"
+constexpr std::int64_t endsAnywayMs = 2000; ///< PROTOCOL: "some seconds later"
 constexpr std::int64_t restartMs = 300;
 
 int play(const std::string &folder)
