--- /dev/null
+++ b/src/libs/jobs/endproof.cpp
@@ -0,0 +1,35 @@
+#include "jobs/endproof.h"
+
+#include "jobs/minion.h"
+
+#include <algorithm>
+
+namespace Pistachio::Jobs
+{
+
+std::optional<EndProof> EndProof::stopped(const TaskName &task, const Run &run, const LeaseAnswer &answer,
+                                          TimePoint asked, Duration stopTimeout)
+{
+    const bool isConfirmed = run.phase == RunPhase::Stopping && run.stopConfirmed && asked > run.phaseSince;
+    if (!isConfirmed || answer.hasMoreEnds || isListedActive(task, run, answer))
+        return std::nullopt;
+    const bool isComplete = answer.isActiveComplete && answer.areEndsComplete;
+    if (!isComplete && asked <= run.phaseSince + stopTimeout)
+        return std::nullopt;
+    return EndProof("stopped");
+}
+
+bool isListedActive(const TaskName &task, const Run &run, const LeaseAnswer &answer)
+{
+    return std::any_of(answer.active.begin(), answer.active.end(),
+                       [&](const ActiveRun &active) { return active.run == run.run && active.task == task; });
+}
+
+bool isAbsent(const TaskName &task, const Run &run, const LeaseAnswer &answer)
+{
+    const auto isEnd = [&](const EndedRun &ended) { return ended.run == run.run && ended.task == task; };
+    return answer.isActiveComplete && answer.areEndsComplete && !answer.hasMoreEnds
+        && !isListedActive(task, run, answer) && std::none_of(answer.ended.begin(), answer.ended.end(), isEnd);
+}
+
+} // namespace Pistachio::Jobs
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -332,7 +332,7 @@
     const auto found = minion ? minion->runs.find(toTaskName(end.task())) : std::map<TaskName, Run>::iterator();
     if (minion && found != minion->runs.end() && found->second.run == end.run()
         && found->second.phase == RunPhase::Ending)
-        found->second.phase = RunPhase::Running;
+        found->second.phase = found->second.stopConfirmed ? RunPhase::Stopping : RunPhase::Running;
 }
 
 void JobScheduler::removeFinishedJobs()
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -171,6 +171,9 @@
     [[nodiscard]] Duration longPollTime() const;
     void sendDueOrders();
     [[nodiscard]] bool isRenewalDue(const Minion &minion) const;
+    /// \param isStopConfirmed true: the stop of the run is confirmed, false: its order is under way
+    /// \return whether there is such a run among those that the minion's lists lack.
+    [[nodiscard]] static bool hasUnlistedRun(const Minion &minion, bool isStopConfirmed);
     template<class Visit> void forEachMinionFrom(std::string &cursor, std::size_t budget, const Visit &visit);
     void recordAttempt(Run &run, OrderOutcome outcome);
     [[nodiscard]] bool isRetryDue(const Minion &minion, const Run &run) const;
@@ -183,8 +186,10 @@
     /// Proposes the ends that an answer lists or shows.
     void processEnds(Minion &minion, const LeaseAnswer &answer);
     void processEndedRun(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
-    [[nodiscard]] bool isStopOver(const Run &run, TimePoint sent) const;
-    void endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command);
+    /// Proposes the ends of runs of which \p answer shows that their stop is over.
+    /// \param asked when the minion was asked for its lists
+    void endStoppedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint asked, Wire::JobCommand &command);
+    void stopUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint asked);
 
     // runorders.cpp
     void markMinionLost(Minion &minion, std::string_view reason);
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -1,6 +1,7 @@
 // Handles answers to lease renewals: active runs, ended runs and runs that are missing from the lists.
 
 #include "jobs/demand.h"
+#include "jobs/endproof.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
 #include "jobs/schedulerports.h"
@@ -98,7 +99,8 @@
     Wire::JobCommand command;
     for (const auto &ended : answer.ended)
         processEndedRun(minion, ended, command);
-    endUnlistedRuns(minion, answer, minion.renewalSentAt, command);
+    endStoppedRuns(minion, answer, minion.renewalSentAt, command);
+    stopUnlistedRuns(minion, answer, minion.renewalSentAt);
     if (minion.runs.empty() && answer.ended.empty())
         minion.nextRenewal = now_.time + idleRenewalInterval();
     if (!answer.ended.empty())
@@ -207,34 +209,14 @@
         proposeEnd(command, minion, ended.task, ended.run, toWire(ended.end));
 }
 
-/// \return whether a stop had taken its longest time when the minion was asked.
-bool JobScheduler::isStopOver(const Run &run, TimePoint sent) const
+void JobScheduler::endStoppedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint asked, Wire::JobCommand &command)
 {
-    return run.phase == RunPhase::Stopping && run.stopConfirmed && sent > run.phaseSince + settings_.stopTimeout;
-}
-
-/// A run that an incomplete list lacks may still be active, so it ends only after a stop.
-void JobScheduler::endUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint sent, Wire::JobCommand &command)
-{
-    std::vector<TaskName> unlisted;
-    for (auto &[task, run] : minion.runs) {
-        const bool settled = run.phase == RunPhase::Adopted || run.phase == RunPhase::Running
-            || (run.phase == RunPhase::Stopping && run.stopConfirmed);
-        if (!settled || run.phaseSince >= sent)
-            continue;
-        const auto &name = task;
-        const auto number = run.run;
-        const auto listed = std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &active) {
-            return active.run == number && active.task == name;
-        });
-        if (listed)
-            continue;
-        if (answer.isActiveComplete || isStopOver(run, sent))
-            unlisted.push_back(task);
-        else if (sent > std::max(run.listedAt, run.phaseSince) + unlistedLimit)
-            sendStop(minion, task, run);
+    std::vector<TaskName> over;
+    for (const auto &[task, run] : minion.runs) {
+        if (EndProof::stopped(task, run, answer, asked, settings_.stopTimeout))
+            over.push_back(task);
     }
-    for (const auto &task : unlisted) {
+    for (const auto &task : over) {
         const auto run = minion.runs.at(task).run;
         ports_.logDecision(LogLevel::Info, "run-not-listed",
                            {{"task", task.toString()}, {"run", run}, {"minion", minion.report.incarnation.id}});
@@ -246,4 +228,20 @@
     }
 }
 
+/// That a run is missing from the lists doesn't prove that it has ended or won't begin, so it is stopped first.
+void JobScheduler::stopUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint asked)
+{
+    for (auto &[task, run] : minion.runs) {
+        const bool isSettled = run.phase == RunPhase::Adopted || run.phase == RunPhase::Running;
+        if (!isSettled || run.phaseSince >= asked || isListedActive(task, run, answer))
+            continue;
+        // A run that couldn't be read may be listed by the next answer.
+        const bool isOverdue = !answer.hasMoreEnds && asked > std::max(run.listedAt, run.phaseSince) + unlistedLimit;
+        if (!isAbsent(task, run, answer) && !isOverdue)
+            continue;
+        run.isUnlisted = true;
+        sendStop(minion, task, run);
+    }
+}
+
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -47,6 +47,7 @@
     TimePoint unansweredAt{}; ///< when the last order was given up without an answer
     bool stopConfirmed = false;
     bool isOrphan = false; ///< not the task's current run according to the store
+    bool isUnlisted = false; ///< was stopped because the minion's lists lack it
     std::string checkpoint;
     std::uint32_t percent = 0;
     TimePoint listedAt{}; ///< when the minion last listed it as active
--- a/src/libs/jobs/orderretries.cpp
+++ b/src/libs/jobs/orderretries.cpp
@@ -48,7 +48,8 @@
         if (!isRenewalDue(minion))
             return std::size_t{0};
         // A minion without runs has nothing to wait for, and its connection stays free for starts.
-        sendLeaseRenewal(minion, minion.runs.empty() ? Duration::zero() : wait);
+        const bool isAnsweredAtOnce = minion.runs.empty() || hasUnlistedRun(minion, true);
+        sendLeaseRenewal(minion, isAnsweredAtOnce ? Duration::zero() : wait);
         return std::size_t{1};
     });
     forEachMinionFrom(retryCursor_, retriesPerRound, [this](Minion &minion) {
@@ -59,11 +60,23 @@
     });
 }
 
-/// While ends are being committed, the next renewal waits for them as long as the lease allows, to acknowledge them.
+/// The next renewal waits, as long as the lease allows, for the commit of ends, to acknowledge them, and for the stop
+/// of runs that the lists lack, to show that it is over.
 bool JobScheduler::isRenewalDue(const Minion &minion) const
 {
-    const bool mayWait = minion.endsProposed && now_.time < minion.renewalSentAt + settings_.lease / 2;
-    return !minion.renewalOutstanding && !mayWait && now_.time >= minion.nextRenewal;
+    if (minion.renewalOutstanding || now_.time < minion.nextRenewal)
+        return false;
+    const bool mayWait = now_.time < minion.renewalSentAt + settings_.lease / 2;
+    return !mayWait || !(minion.endsProposed || hasUnlistedRun(minion, false));
+}
+
+bool JobScheduler::hasUnlistedRun(const Minion &minion, bool isStopConfirmed)
+{
+    return std::any_of(minion.runs.begin(), minion.runs.end(), [isStopConfirmed](const auto &entry) {
+        const auto &run = entry.second;
+        return run.isUnlisted && run.phase == RunPhase::Stopping && run.stopConfirmed == isStopConfirmed
+            && run.orderOutstanding != isStopConfirmed;
+    });
 }
 
 /// Visits minions in turn, beginning behind the one at \p cursor, until \p budget orders are sent.
--- a/src/libs/jobs/orders.h
+++ b/src/libs/jobs/orders.h
@@ -118,6 +118,8 @@
     std::vector<ActiveRun> active;
     bool isActiveComplete = true; ///< false: active lacks runs that could not be read
     std::vector<EndedRun> ended;
+    bool areEndsComplete = true; ///< false: ended lacks rows that could not be read
+    bool hasMoreEnds = false; ///< the minion has more ends than one answer lists
 };
 
 /// A minion's report about itself.
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(startCarriesEverything);
     CPPUNIT_TEST(refusalsAreToldApart);
     CPPUNIT_TEST(listsAreDecoded);
+    CPPUNIT_TEST(fullListOfEndsIsNotTheWhole);
     CPPUNIT_TEST(unreadableListsAreNoAnswer);
     CPPUNIT_TEST(closeAnswersWhatIsUnderWay);
     CPPUNIT_TEST(adviceIsAwaitedUpToItsLimit);
@@ -111,6 +112,25 @@
                        == json({{"expiresAtMs", 9000}, {"fencingToken", 7}, {"ackCursor", 57}, {"waitMs", 500}}));
     }
 
+    // A run whose end is in the next list was taken for one that had never started, and its task ran again.
+    void fullListOfEndsIsNotTheWhole()
+    {
+        ScriptedMinion minion;
+        for (const std::size_t count : {0, 499, 500}) {
+            auto ended = json::array();
+            for (std::size_t number = 1; number <= count; ++number)
+                ended.push_back({number, "5c0e7a21d94b36f8.0.1." + std::to_string(number), 1, "done", ""});
+            minion.answer
+                = reply(200, {{"clockMs", 5}, {"born", 1700}, {"active", json::array()}, {"endedRuns", ended}});
+            const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, 7});
+            CPPUNIT_ASSERT_EQUAL(count, answer.ended.size());
+            CPPUNIT_ASSERT(answer.areEndsComplete);
+            CPPUNIT_ASSERT_EQUAL(count == 500, answer.hasMoreEnds);
+        }
+        minion.answer = reply(200, {{"clockMs", 5}, {"born", 1700}, {"active", json::array()}, {"endedRuns", {7}}});
+        CPPUNIT_ASSERT(!minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, 7}).areEndsComplete);
+    }
+
     // A list that is read in part would show tasks as gone that still run.
     void unreadableListsAreNoAnswer()
     {
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -8,6 +8,11 @@
 using namespace Pistachio;
 using namespace Pistachio::Jobs;
 
+namespace
+{
+constexpr std::size_t endsPerAnswer = 500;
+} // namespace
+
 SimulatedMinion::SimulatedMinion(MinionReport minionReport, Duration runTime, double clockRate)
     : report(std::move(minionReport))
     , runTime_(runTime)
@@ -103,7 +108,9 @@
     answer.isActiveComplete = !hidesRuns && !hasOddRow;
     if (hidesRuns)
         answer.active.clear();
-    answer.ended = ended_;
+    answer.ended.assign(ended_.begin(),
+                        ended_.begin() + static_cast<std::ptrdiff_t>(std::min(ended_.size(), endsPerAnswer)));
+    answer.hasMoreEnds = ended_.size() >= endsPerAnswer;
     answer.ended.insert(answer.ended.end(), strayEnds.begin(), strayEnds.end());
     return answer;
 }
