--- a/src/libs/jobnode/controlservice.h
+++ b/src/libs/jobnode/controlservice.h
@@ -41,7 +41,9 @@
     virtual void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) = 0;
     /// \return the address of the control instance that the minion should report to next; empty if it isn't known.
     [[nodiscard]] virtual std::string reportIp(const std::string &minion) const = 0;
-    virtual void minionLeft(const Jobs::MinionIncarnation &incarnation) = 0;
+    /// \param confirmed gets true once the minion may end, false if this instance doesn't lead
+    virtual void minionLeft(const Jobs::MinionIncarnation &incarnation, std::function<void(bool confirmed)> confirmed)
+        = 0;
 
     /// \param answered gets ACCEPTED once a configuration at least as new is in force
     virtual void configure(const Wire::JobConfiguration &configuration,
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -285,10 +285,9 @@
     return placeReports(minion, minions, members).value_or(d_->settings.ip);
 }
 
-void JobControl::minionLeft(const Jobs::MinionIncarnation &incarnation)
+void JobControl::minionLeft(const Jobs::MinionIncarnation &incarnation, std::function<void(bool confirmed)> confirmed)
 {
-    if (d_->scheduler.isLeading())
-        d_->scheduler.minionLeft(momentNow(), incarnation);
+    d_->scheduler.minionLeft(momentNow(), incarnation, std::move(confirmed));
     changed();
 }
 
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -54,7 +54,7 @@
     void onForwarded(Transport::RequestHandler handler) override;
     void minionReported(const Jobs::MinionReport &report, std::function<void(bool stored)> stored) override;
     [[nodiscard]] std::string reportIp(const std::string &minion) const override;
-    void minionLeft(const Jobs::MinionIncarnation &incarnation) override;
+    void minionLeft(const Jobs::MinionIncarnation &incarnation, std::function<void(bool confirmed)> confirmed) override;
     void configure(const Wire::JobConfiguration &configuration,
                    std::function<void(const Wire::JobReply &)> answered) override;
     void readConfiguration(std::function<void(std::optional<std::string> document)> answered) override;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -21,6 +21,8 @@
 constexpr Duration planInterval = 200ms; ///< replans without changes, as tickets expire and minions become usable again
 constexpr Duration backlogInterval = 15ms; ///< between rounds with a backlog; saves processor time but delays starts
 
+constexpr Duration leaveLimit = 750ms; ///< minions repeat a deregistration that isn't confirmed within a second
+
 constexpr Duration longRunningTime = 24h; ///< expected for tasks that run until their job is cancelled
 
 } // namespace
@@ -77,6 +79,8 @@
         for (const auto &stored : waiting)
             stored(false);
     }
+    for (const auto &leave : std::exchange(pendingLeaves_, {}))
+        leave.confirmed(false);
     ports_.logDecision(LogLevel::Info, "leadership-lost", {{"fence", fencingToken_}});
 }
 
@@ -176,16 +180,44 @@
     ports_.propose(std::move(command), {});
 }
 
-void JobScheduler::minionLeft(const EventTime &now, const MinionIncarnation &incarnation)
+void JobScheduler::minionLeft(const EventTime &now, const MinionIncarnation &incarnation,
+                              std::function<void(bool)> confirmed)
 {
     now_ = now;
-    auto *minion = fleet_.find(incarnation.id);
-    if (!minion || (incarnation.bornUnixMs != 0 && minion->report.incarnation.bornUnixMs != incarnation.bornUnixMs))
+    auto *minion = leading_ ? fleet_.find(incarnation.id) : nullptr;
+    const bool isMeant = minion && (incarnation.bornUnixMs == 0 || minion->report.incarnation == incarnation);
+    ports_.logDecision(LogLevel::Info, isMeant ? "minion-leaves" : "minion-leave-ignored",
+                       {{"minion", incarnation.id},
+                        {"born", incarnation.bornUnixMs},
+                        {"known", minion ? minion->report.incarnation.bornUnixMs : 0},
+                        {"runs", minion ? minion->runs.size() : 0}});
+    if (!isMeant) {
+        confirmed(leading_);
         return;
-    markMinionLost(*minion, "it has left");
-    Wire::JobCommand command;
-    command.add_gone_minions(incarnation.id);
-    ports_.propose(std::move(command), {});
+    }
+    minion->report.draining = true;
+    minion->isLeaving = true;
+    for (auto &[task, run] : minion->runs)
+        sendStop(*minion, task, run);
+    pendingLeaves_.push_back({minion->report.incarnation, now.time, std::move(confirmed)});
+    confirmLeaves();
+}
+
+/// Whether the confirmation arrives isn't known, so what still runs there is waited for like on a silent minion.
+void JobScheduler::confirmLeaves()
+{
+    for (auto leave = pendingLeaves_.begin(); leave != pendingLeaves_.end();) {
+        const auto *minion = fleet_.find(leave->minion);
+        const bool isOver = !minion || minion->runs.empty();
+        if (!isOver && now_.time < leave->since + leaveLimit) {
+            ++leave;
+            continue;
+        }
+        if (minion && isOver)
+            proposeMinionRemoval(leave->minion.id);
+        leave->confirmed(true);
+        leave = pendingLeaves_.erase(leave);
+    }
 }
 
 TimePoint JobScheduler::acceptedTime(const Job &job, std::uint32_t occurrence) const
@@ -359,6 +391,7 @@
         return;
     enqueueDueTasks();
     expireLeases();
+    confirmLeaves();
     proposeLostRuns();
     sendDueOrders();
     removeFinishedJobs();
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -61,8 +61,11 @@
     /// \param stored called with true once a change is committed or if nothing must be stored, with false if the
     /// proposal failed or leadership was lost
     void minionReported(const EventTime &now, const MinionReport &report, const std::function<void(bool)> &stored);
-    /// The minion has shut down.
-    void minionLeft(const EventTime &now, const MinionIncarnation &incarnation);
+    /// A minion has deregistered and ends once that is confirmed. Its runs are stopped first.
+    /// \param incarnation the incarnation; one of time 0 isn't told apart from earlier ones
+    /// \param confirmed called with true once nothing runs there or shortly afterwards, with false if this instance
+    /// doesn't lead
+    void minionLeft(const EventTime &now, const MinionIncarnation &incarnation, std::function<void(bool)> confirmed);
 
     void startAnswered(const EventTime &now, const StartOrder &order, const OrderAnswer &answer);
     void stopAnswered(const EventTime &now, const StopOrder &order, const OrderAnswer &answer);
@@ -194,6 +197,8 @@
     // runorders.cpp
     void markMinionLost(Minion &minion, std::string_view reason);
     void expireLeases();
+    /// Confirms deregistrations of minions that run nothing more, or after leaveLimit.
+    void confirmLeaves();
     /// Asks a minion once more what became of its runs after its lease has expired.
     /// \return whether it has been asked and didn't answer.
     bool staysSilentAfterExpiry(Minion &minion);
@@ -264,6 +269,13 @@
     std::map<TaskName, std::uint32_t> preemptions_; ///< preemptions of each task of active jobs
     std::map<TaskName, std::uint64_t>
         lostRuns_; ///< assigned runs that no minion has; proposed until their end is stored
+    /// A deregistration that is not confirmed yet.
+    struct PendingLeave {
+        MinionIncarnation minion;
+        TimePoint since{};
+        std::function<void(bool)> confirmed;
+    };
+    std::vector<PendingLeave> pendingLeaves_;
     TimePoint lostRunsProposedAt_{};
     std::set<std::string> begunJobs_; ///< active jobs with a confirmed start
     bool planNeeded_ = true; ///< something changed since the last round
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -88,6 +88,7 @@
     std::string lastFailedJob;
     TimePoint lastReportAt{};
     bool removalProposed = false;
+    bool isLeaving = false; ///< has deregistered
 
     /// Adds a run, replacing an earlier one of the task.
     Run &add(const TaskName &task, const Run &run);
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -181,7 +181,10 @@
         return;
     found->second.phase = RunPhase::Starting;
     found->second.phaseSince = now_.time;
-    sendStart(*minion, task, found->second);
+    if (minion->isLeaving)
+        giveUpStart(*minion, task, found->second);
+    else
+        sendStart(*minion, task, found->second);
 }
 
 void JobScheduler::assignmentDropped(const Wire::JobAssignment &assignment)
--- a/tests/auto/jobs/controlfaults.cpp
+++ b/tests/auto/jobs/controlfaults.cpp
@@ -87,8 +87,13 @@
 void SimulatedCell::leave(SimulatedMinion &minion)
 {
     destroy(minion);
+    deregister(minion.report.incarnation);
+}
+
+void SimulatedCell::deregister(const MinionIncarnation &incarnation, std::function<void(bool confirmed)> confirmed)
+{
     if (hasLeader_)
-        scheduler_->minionLeft(now(), minion.report.incarnation);
+        scheduler_->minionLeft(now(), incarnation, std::move(confirmed));
 }
 
 void SimulatedCell::destroy(SimulatedMinion &minion)
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -57,6 +57,10 @@
 
     /// The minion shuts down gracefully.
     void leave(SimulatedMinion &minion);
+    /// A deregistration arrives; the minion works on.
+    void deregister(
+        const Pistachio::Jobs::MinionIncarnation &incarnation,
+        std::function<void(bool confirmed)> confirmed = [](bool) {});
     /// The minion loses its power and does not come back.
     void destroy(SimulatedMinion &minion);
     /// The store forgets the minion, as after its removal.
--- a/tests/auto/jobs/tst_runends.cpp
+++ b/tests/auto/jobs/tst_runends.cpp
@@ -11,6 +11,7 @@
 {
 
 const std::string job = "0000000000000001";
+constexpr Duration longRun = 1h;
 
 std::string jobNumber(int number)
 {
@@ -22,6 +23,11 @@
     return [duration](Wire::JobStep &step) { step.set_estimate_ms(duration / 1ms); };
 }
 
+void longRunning(Wire::JobStep &step)
+{
+    step.set_long_running(true);
+}
+
 void assertNoViolations(const SimulatedCell &cell)
 {
     CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(), cell.violations.empty());
@@ -34,6 +40,8 @@
 {
     CPPUNIT_TEST_SUITE(RunEndsTest);
     CPPUNIT_TEST(endsBeyondTheFirstListAreAwaited);
+    CPPUNIT_TEST(runsOfALeavingMinionWorkUntilItsLeaseEnds);
+    CPPUNIT_TEST(runsOfALeavingMinionAreStopped);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -59,6 +67,55 @@
             CPPUNIT_ASSERT(cell.phase(jobNumber(number)) == JobPhase::Completed);
         assertNoViolations(cell);
     }
+
+    // Guards against starting the tasks of a minion elsewhere that has deregistered and works on, as it isn't told that
+    // the leader knows.
+    void runsOfALeavingMinionWorkUntilItsLeaseEnds()
+    {
+        SimulatedCell cell(1);
+        auto &leaving = cell.addMinion("a", 4000, longRun);
+        cell.run(1s);
+        cell.submit(job, 4, 1000, longRunning);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, leaving.runs.size());
+        cell.addMinion("b", 4000, longRun);
+        leaving.report.draining = true;
+        ++leaving.report.sequence;
+        cell.report(leaving);
+        cell.run(500ms);
+        leaving.isCut = true;
+        cell.deregister(leaving.report.incarnation);
+        cell.run(8s);
+        assertNoViolations(cell);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.minions.at("b")->runs.size());
+    }
+
+    // Guards against throwing away the work of a minion that leaves: it ends once the leader confirms its departure.
+    void runsOfALeavingMinionAreStopped()
+    {
+        SimulatedCell cell(1);
+        auto &leaving = cell.addMinion("a", 4000, longRun);
+        leaving.stopTime = SchedulerSettings().stopTimeout;
+        cell.run(1s);
+        cell.submit(job, 4, 1000, longRunning);
+        cell.run(1s);
+        cell.addMinion("b", 4000, longRun);
+        leaving.report.draining = true;
+        ++leaving.report.sequence;
+        cell.report(leaving);
+        cell.run(500ms);
+        bool isConfirmed = false;
+        cell.deregister(leaving.report.incarnation, [&](bool confirmed) {
+            isConfirmed = confirmed;
+            CPPUNIT_ASSERT(leaving.runs.empty());
+            cell.destroy(leaving);
+        });
+        CPPUNIT_ASSERT(!isConfirmed);
+        cell.run(800ms);
+        CPPUNIT_ASSERT(isConfirmed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.minions.at("b")->runs.size());
+        assertNoViolations(cell);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunEndsTest);
--- a/tests/auto/platform/tst_oddbodies.cpp
+++ b/tests/auto/platform/tst_oddbodies.cpp
@@ -35,7 +35,12 @@
         stored(true);
     }
     [[nodiscard]] std::string reportIp(const std::string & /*minion*/) const override { return {}; }
-    void minionLeft(const Jobs::MinionIncarnation & /*incarnation*/) override { ++calls; }
+    void minionLeft(const Jobs::MinionIncarnation & /*incarnation*/,
+                    std::function<void(bool confirmed)> confirmed) override
+    {
+        ++calls;
+        confirmed(true);
+    }
     void configure(const Wire::JobConfiguration & /*configuration*/,
                    std::function<void(const Wire::JobReply &)> /*answered*/) override
     {
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -67,8 +67,12 @@
     if (!accepts(order.fencingToken))
         return {OrderOutcome::StaleFencingToken, clock(now)};
     const auto found = runs.find(order.task);
-    if (found != runs.end() && found->second.run <= order.run)
-        end(order.task, RunEnd::Stopped);
+    if (found != runs.end() && found->second.run <= order.run) {
+        if (stopTime == Duration::zero())
+            end(order.task, RunEnd::Stopped);
+        else if (std::exchange(found->second.how, RunEnd::Stopped) != RunEnd::Stopped)
+            found->second.endsAt = std::min(found->second.endsAt, now + stopTime);
+    }
     auto &highest = highestEnded_[order.task];
     highest = std::max(highest, order.run);
     return {OrderOutcome::Done, clock(now)};
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -57,6 +57,7 @@
     bool hasOddRow = false; ///< its list of active runs has one row more, which can't be read
     std::vector<Pistachio::Jobs::EndedRun> strayEnds; ///< listed beside its own
     bool hidesProgress = false; ///< the progress in its rows can't be read
+    Duration stopTime{}; ///< how long a run works on after it is told to stop
     bool standsStill = false; ///< what starts there makes no progress
     std::map<Pistachio::Jobs::TaskName, int> finished; ///< times that a task ended done here
     RunObserver *observer = nullptr; ///< null: nobody
