--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -185,7 +185,9 @@
 {
     now_ = now;
     auto *minion = leading_ ? fleet_.find(incarnation.id) : nullptr;
-    const bool isMeant = minion && (incarnation.bornUnixMs == 0 || minion->report.incarnation == incarnation);
+    // A minion drains before it leaves. One that doesn't drain is a later incarnation than the one that has left.
+    const bool isMeant
+        = minion && (incarnation.bornUnixMs == 0 ? minion->report.draining : minion->report.incarnation == incarnation);
     ports_.logDecision(LogLevel::Info, isMeant ? "minion-leaves" : "minion-leave-ignored",
                        {{"minion", incarnation.id},
                         {"born", incarnation.bornUnixMs},
--- a/tests/auto/jobs/tst_runends.cpp
+++ b/tests/auto/jobs/tst_runends.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(endsBeyondTheFirstListAreAwaited);
     CPPUNIT_TEST(runsOfALeavingMinionWorkUntilItsLeaseEnds);
     CPPUNIT_TEST(runsOfALeavingMinionAreStopped);
+    CPPUNIT_TEST(lateLeaveOfAnEarlierIncarnationEndsNothing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +117,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.minions.at("b")->runs.size());
         assertNoViolations(cell);
     }
+
+    // Guards against starting the tasks of a minion elsewhere because of a deregistration of its earlier incarnation.
+    void lateLeaveOfAnEarlierIncarnationEndsNothing()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, longRun);
+        cell.run(1s);
+        minion.restart(cell.now().time);
+        cell.report(minion);
+        cell.run(1s);
+        cell.submit(job, 4, 1000, longRunning);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, minion.runs.size());
+        cell.addMinion("b", 4000, longRun);
+        cell.run(1s);
+        // The deregistration doesn't say which incarnation it is of.
+        cell.deregister({"a", 0});
+        cell.run(8s);
+        assertNoViolations(cell);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.starts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, minion.runs.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunEndsTest);
