--- a/src/libs/jobnode/schedulersettings.cpp
+++ b/src/libs/jobnode/schedulersettings.cpp
@@ -16,6 +16,7 @@
 {
     Jobs::SchedulerSettings result;
     result.lease = std::min(result.lease, settings.longestLease);
+    result.longestLease = settings.longestLease;
     result.stopTimeout = settings.stopTimeout;
     result.finishedRetention = settings.finishedReadable + readableMargin;
     result.reportInterval = settings.reportInterval;
--- a/src/libs/jobs/endproof.cpp
+++ b/src/libs/jobs/endproof.cpp
@@ -7,6 +7,11 @@
 namespace Pistachio::Jobs
 {
 
+EndProof EndProof::listed()
+{
+    return EndProof("listed");
+}
+
 std::optional<EndProof> EndProof::stopped(const TaskName &task, const Run &run, const LeaseAnswer &answer,
                                           TimePoint asked, Duration stopTimeout)
 {
@@ -19,6 +24,27 @@
     return EndProof("stopped");
 }
 
+std::optional<EndProof> EndProof::leaseOver(const Minion &minion, TimePoint now)
+{
+    return leaseOver(minion.leasesEnd(), now);
+}
+
+std::optional<EndProof> EndProof::leaseOver(TimePoint end, TimePoint now)
+{
+    return now >= end ? std::optional(EndProof("lease over")) : std::nullopt;
+}
+
+std::optional<EndProof> EndProof::neverOrdered(const Run &run)
+{
+    const bool isOrdered = run.attempts > 0 || run.phase == RunPhase::Adopted || run.isOfEarlierIncarnation;
+    return isOrdered ? std::nullopt : std::optional(EndProof("never ordered"));
+}
+
+std::optional<EndProof> EndProof::refused(const Run &run)
+{
+    return run.attempts <= 1 ? std::optional(EndProof("refused")) : std::nullopt;
+}
+
 bool isListedActive(const TaskName &task, const Run &run, const LeaseAnswer &answer)
 {
     return std::any_of(answer.active.begin(), answer.active.end(),
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -22,7 +22,7 @@
     const auto [first, last] = byAddress_.equal_range(report.address);
     for (auto entry = first; entry != last; ++entry) {
         const auto &incarnation = entry->second->report.incarnation;
-        if (incarnation.id == report.incarnation.id)
+        if (incarnation.id == report.incarnation.id || entry->second->isReplaced)
             continue;
         if (incarnation.bornUnixMs > report.incarnation.bornUnixMs)
             return ReportEffect::Stale;
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -1,6 +1,7 @@
 #include "jobs/jobscheduler.h"
 
 #include "jobs/demand.h"
+#include "jobs/endproof.h"
 #include "jobs/jobstore.h"
 #include "jobs/minionrecord.h"
 #include "jobs/schedulerports.h"
@@ -89,14 +90,8 @@
     if (!leading_)
         return;
     clearState();
-    for (const auto &[id, minion] : store_.minions()) {
-        fleet_.add(toReport(minion));
-        // An earlier leader may have granted a lease just before this leader took over.
-        auto &added = *fleet_.find(id);
-        added.lastReportAt = now_.time;
-        added.latestLeaseExpiry = now_.time
-            + Duration(static_cast<std::int64_t>(static_cast<double>(settings_.lease.count()) / minClockRate));
-    }
+    for (const auto &[id, minion] : store_.minions())
+        addMinion(toReport(minion));
     for (const auto &[id, job] : store_.jobs()) {
         adoptRuns(job);
         if (job.phase() == JobPhase::Active)
@@ -118,18 +113,22 @@
                 const auto &task = tasks[index];
                 if (task.state != TaskState::Assigned)
                     continue;
-                auto *minion = fleet_.find(MinionIncarnation{task.minion, task.minionBornUnixMs});
+                const TaskName name{{job.id(), occurrence, number}, index};
+                auto *minion = fleet_.find(task.minion);
                 if (!minion) {
-                    lostRuns_[{{job.id(), occurrence, number}, index}] = task.run;
+                    lostRuns_[name] = {task.run, now_.time + longestTime(settings_.lease)};
                     continue;
                 }
                 Run run;
                 run.run = task.run;
                 run.reserved = reservedBy(job.spec(number));
-                run.expected = expectedRunTime(job, {job.id(), occurrence, number});
+                run.expected = expectedRunTime(job, name.step);
                 run.phase = RunPhase::Adopted;
                 run.phaseSince = now_.time;
-                minion->add({{job.id(), occurrence, number}, index}, run);
+                if (minion == minionOf(task))
+                    minion->add(name, run);
+                else
+                    stopInLaterIncarnation(*minion, name, run);
             }
             stopPartOfGang(job, {job.id(), occurrence, number});
         }
@@ -153,8 +152,10 @@
         return;
     }
     for (const auto &incarnation : replaced) {
-        if (auto *minion = fleet_.find(incarnation))
-            markMinionLost(*minion, "another incarnation reports under its id or address");
+        if (auto *minion = fleet_.find(incarnation)) {
+            minion->isReplaced = incarnation.id != report.incarnation.id;
+            suspendMinion(*minion, "another minion or incarnation reports under its address or id");
+        }
     }
     if (effect == ReportEffect::Unchanged) {
         stored(true);
@@ -173,7 +174,8 @@
                         {"draining", report.draining}});
     Wire::JobCommand command;
     for (const auto &incarnation : replaced) {
-        if (incarnation.id != report.incarnation.id)
+        const auto *minion = fleet_.find(incarnation);
+        if (minion && minion->isReplaced && minion->runs.empty())
             command.add_gone_minions(incarnation.id);
     }
     *command.add_minions() = toWire(report);
@@ -323,8 +325,14 @@
 }
 
 void JobScheduler::proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run,
-                              int runEnd)
+                              int runEnd, const EndProof &proof)
 {
+    ports_.logDecision(LogLevel::Debug, "run-end-proposed",
+                       {{"task", task.toString()},
+                        {"run", run},
+                        {"minion", minion.report.incarnation.id},
+                        {"how", runEnd},
+                        {"proof", proof.name()}});
     auto &end = *command.add_ends();
     fill(*end.mutable_task(), task);
     end.set_run(run);
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -31,6 +31,7 @@
 namespace Pistachio::Jobs
 {
 
+class EndProof;
 class JobStore;
 class SchedulerPorts;
 struct Task;
@@ -144,9 +145,18 @@
     [[nodiscard]] TimePoint acceptedTime(const Job &job, std::uint32_t occurrence) const;
     void enqueueDueTasks();
     void removeFinishedJobs();
-    void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int runEnd);
-    /// Records that the runs of an incarnation that is removed or replaced are over.
-    void loseRunsOf(const Minion &minion);
+    void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int runEnd,
+                    const EndProof &proof);
+    /// Adds a minion that this leader has granted no lease; earlier leaders may have.
+    Minion &addMinion(MinionReport report);
+    /// Has a new incarnation stop the runs of the one before it.
+    void takeOverRuns(Minion &minion, const std::map<TaskName, Run> &earlier);
+    /// Has a minion that reports again stop the runs that were lost with it.
+    void takeOverLostRuns(Minion &minion);
+    void stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier);
+    /// Remembers the runs of a minion that is removed until its lease is over.
+    void keepRunsOf(const Minion &removed);
+    [[nodiscard]] bool isCurrentRun(const TaskName &task, const Run &run) const;
     void proposeLostRuns();
     void stopRunsOf(const Job &job);
     void stopRuns(const Job &job, const StepName &step);
@@ -166,7 +176,7 @@
     void recordContact(Minion &minion, OrderOutcome outcome);
     /// Records the answer to an order about a run in \p phase.
     template<class Order> AnsweredRun recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase);
-    void giveUpStart(Minion &minion, const TaskName &task, const Run &run);
+    void giveUpStart(Minion &minion, const TaskName &task, const Run &run, const EndProof &proof);
 
     // orderretries.cpp
     [[nodiscard]] Duration idleRenewalInterval() const;
@@ -186,6 +196,7 @@
     // leaseanswers.cpp
     /// \param isRecent whether the progress in the list is current
     void processActiveRun(Minion &minion, const ActiveRun &active, bool isRecent);
+    void forgetLaterIncarnations(Minion &minion) const;
     /// Proposes the ends that an answer lists or shows.
     void processEnds(Minion &minion, const LeaseAnswer &answer);
     void processEndedRun(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
@@ -195,7 +206,9 @@
     void stopUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint asked);
 
     // runorders.cpp
-    void markMinionLost(Minion &minion, std::string_view reason);
+    /// Grants a minion no more leases, as another one answers or reports in its place.
+    void suspendMinion(Minion &minion, std::string_view reason);
+    void endRunsOf(Minion &minion, const EndProof &proof);
     void expireLeases();
     /// Confirms deregistrations of minions that run nothing more, or after leaveLimit.
     void confirmLeaves();
@@ -267,8 +280,11 @@
     std::map<std::string, TimePoint> services_; ///< services that have had waiting tasks, with the time of the last one
     std::set<TaskName> movedTasks_; ///< moved off a slow minion; a task is moved at most once
     std::map<TaskName, std::uint32_t> preemptions_; ///< preemptions of each task of active jobs
-    std::map<TaskName, std::uint64_t>
-        lostRuns_; ///< assigned runs that no minion has; proposed until their end is stored
+    /// An assigned run whose minion isn't known any more.
+    struct LostRun {
+        std::uint64_t run = 0;
+        TimePoint leasesEnd{}; ///< it can't work later
+    };
     /// A deregistration that is not confirmed yet.
     struct PendingLeave {
         MinionIncarnation minion;
@@ -276,6 +292,7 @@
         std::function<void(bool)> confirmed;
     };
     std::vector<PendingLeave> pendingLeaves_;
+    std::map<TaskName, LostRun> lostRuns_; ///< proposed until their end is stored
     TimePoint lostRunsProposedAt_{};
     std::set<std::string> begunJobs_; ///< active jobs with a confirmed start
     bool planNeeded_ = true; ///< something changed since the last round
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -56,11 +56,12 @@
     recordContact(*minion, answer.outcome);
     const bool incarnationDiffers
         = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
-    if (answer.outcome == OrderOutcome::IncarnationMismatch || incarnationDiffers) {
-        markMinionLost(*minion, "another incarnation answers at its address");
-        return;
-    }
-    if (answer.outcome != OrderOutcome::Done) {
+    if (answer.outcome == OrderOutcome::IncarnationMismatch || incarnationDiffers)
+        suspendMinion(*minion, "another minion or incarnation answers at its address");
+    // The later incarnation may have got a repeated start, and the lease of this renewal.
+    if (incarnationDiffers)
+        minion->laterLeaseExpiry = now.time + longestTime(settings_.longestLease);
+    if (answer.outcome != OrderOutcome::Done || incarnationDiffers) {
         const bool isExpired = now.time > minion->latestLeaseExpiry;
         const auto delay = backoff_.delay(++minion->renewalFailures);
         minion->nextRenewal = now.time + (isExpired ? renewalRetryAfterExpiry : delay);
@@ -78,6 +79,7 @@
         minion->recordClock(now.time, *answer.clockMs);
     const bool first = !minion->leaseConfirmed;
     minion->leaseConfirmed = true;
+    forgetLaterIncarnations(*minion);
     minion->lastContactAt = now.time;
     minion->nextRenewal = now.time;
     minion->renewalFailures = 0;
@@ -94,6 +96,17 @@
     adjustThrottles(*minion);
 }
 
+/// What was sent before the renewal has reached this incarnation or nothing. Runs of an earlier one may have got a
+/// longer lease here than this leader has granted.
+void JobScheduler::forgetLaterIncarnations(Minion &minion) const
+{
+    const bool isAskedLater = minion.renewalSentAt + longestTime(settings_.longestLease) >= minion.laterLeaseExpiry;
+    const bool hasEarlierRun = std::any_of(minion.runs.begin(), minion.runs.end(),
+                                           [](const auto &entry) { return entry.second.isOfEarlierIncarnation; });
+    if (isAskedLater && !hasEarlierRun)
+        minion.laterLeaseExpiry = {};
+}
+
 void JobScheduler::processEnds(Minion &minion, const LeaseAnswer &answer)
 {
     Wire::JobCommand command;
@@ -206,23 +219,23 @@
     if (isKnown && !ended.checkpoint.empty())
         found->second.checkpoint = ended.checkpoint;
     if (isKnown || ended.end == RunEnd::Done)
-        proposeEnd(command, minion, ended.task, ended.run, toWire(ended.end));
+        proposeEnd(command, minion, ended.task, ended.run, toWire(ended.end), EndProof::listed());
 }
 
 void JobScheduler::endStoppedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint asked, Wire::JobCommand &command)
 {
-    std::vector<TaskName> over;
+    std::vector<std::pair<TaskName, EndProof>> over;
     for (const auto &[task, run] : minion.runs) {
-        if (EndProof::stopped(task, run, answer, asked, settings_.stopTimeout))
-            over.push_back(task);
+        if (const auto proof = EndProof::stopped(task, run, answer, asked, settings_.stopTimeout))
+            over.emplace_back(task, *proof);
     }
-    for (const auto &task : over) {
+    for (const auto &[task, proof] : over) {
         const auto run = minion.runs.at(task).run;
         ports_.logDecision(LogLevel::Info, "run-not-listed",
                            {{"task", task.toString()}, {"run", run}, {"minion", minion.report.incarnation.id}});
         const auto *job = store_.job(task.step.job);
         if (job && job->task(task))
-            proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED);
+            proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED, proof);
         else
             minion.remove(task);
     }
--- a/src/libs/jobs/minion.cpp
+++ b/src/libs/jobs/minion.cpp
@@ -5,6 +5,11 @@
 namespace Pistachio::Jobs
 {
 
+namespace
+{
+constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the network delay of the last order
+} // namespace
+
 std::string toString(OrderOutcome outcome)
 {
     switch (outcome) {
@@ -99,13 +104,28 @@
     return label.empty() || std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
 }
 
+Duration longestTime(Duration lease)
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(lease.count()) / minClockRate));
+}
+
+TimePoint Minion::leasesEnd() const
+{
+    return std::max(latestLeaseExpiry, laterLeaseExpiry) + leaseMargin;
+}
+
+void Minion::suspend()
+{
+    leaseConfirmed = false;
+    clockMs.reset();
+}
+
 std::optional<std::int64_t> Minion::extendLease(Duration lease)
 {
     if (!clockMs)
         return std::nullopt;
     // The minion read its clock at clockAt or earlier, so the lease ends by this time even on the slowest clock.
-    const double longest = static_cast<double>(lease.count()) / minClockRate;
-    latestLeaseExpiry = std::max(latestLeaseExpiry, clockAt + Duration(static_cast<std::int64_t>(longest)));
+    latestLeaseExpiry = std::max(latestLeaseExpiry, clockAt + longestTime(lease));
     return *clockMs + lease / 1ms;
 }
 
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -47,6 +47,7 @@
     TimePoint unansweredAt{}; ///< when the last order was given up without an answer
     bool stopConfirmed = false;
     bool isOrphan = false; ///< not the task's current run according to the store
+    bool isOfEarlierIncarnation = false; ///< assigned to an earlier incarnation; this one may have got its start
     bool isUnlisted = false; ///< was stopped because the minion's lists lack it
     std::string checkpoint;
     std::uint32_t percent = 0;
@@ -78,6 +79,7 @@
     TimePoint lastAnswerAt{}; ///< to any order
     TimePoint lastUnansweredAt{}; ///< when an order last timed out; reset by the next answer
     TimePoint latestLeaseExpiry{}; ///< all leases granted so far have expired by then, on the leader's clock
+    TimePoint laterLeaseExpiry{}; ///< likewise of what a later incarnation may have started; zero: nothing
     std::optional<std::int64_t> clockMs; ///< reading of the minion's clock, taken at clockAt or earlier
     TimePoint clockAt{};
 
@@ -89,6 +91,7 @@
     TimePoint lastReportAt{};
     bool removalProposed = false;
     bool isLeaving = false; ///< has deregistered
+    bool isReplaced = false; ///< another minion reports under its address
 
     /// Adds a run, replacing an earlier one of the task.
     Run &add(const TaskName &task, const Run &run);
@@ -101,6 +104,10 @@
     [[nodiscard]] std::uint32_t taskCount(const StepName &step) const;
     [[nodiscard]] bool hasLabel(const std::string &label) const;
 
+    /// \return when neither this incarnation nor a later one can run anything more that it was ordered to start.
+    [[nodiscard]] TimePoint leasesEnd() const;
+    /// Grants no more leases and starts until this incarnation answers a renewal.
+    void suspend();
     /// Extends the lease to \p lease after the last answer. Unanswered orders don't prolong it.
     /// \return the expiry on the minion's clock, or nothing if its clock is not known yet.
     std::optional<std::int64_t> extendLease(Duration lease);
@@ -116,4 +123,7 @@
 /// The lowest rate of a minion's clock relative to real time. Leases are assumed to last longer accordingly.
 constexpr double minClockRate = 0.98;
 
+/// \return the longest time for which a lease lasts on the slowest clock.
+[[nodiscard]] Duration longestTime(Duration lease);
+
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/orderretries.cpp
+++ b/src/libs/jobs/orderretries.cpp
@@ -1,5 +1,6 @@
 // Sends lease renewals when they are due, and repeats orders that were not confirmed.
 
+#include "jobs/endproof.h"
 #include "jobs/jobscheduler.h"
 
 #include <algorithm>
@@ -113,10 +114,11 @@
     const bool isUnconfirmed = isStarting || (run.phase == RunPhase::Stopping && !run.stopConfirmed);
     if (!isUnconfirmed || !isRetryDue(minion, run))
         return false;
+    const auto unordered = isStarting ? EndProof::neverOrdered(run) : std::nullopt;
     if (isStarting && run.attempts < maxStartAttempts && now_.time < run.phaseSince + settings_.startLimit)
         sendStart(minion, task, run);
-    else if (isStarting && run.attempts == 0)
-        giveUpStart(minion, task, run);
+    else if (unordered)
+        giveUpStart(minion, task, run, *unordered);
     else
         sendStop(minion, task, run);
     return true;
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -1,5 +1,6 @@
 // Sends orders to minions, handles the answers, and tracks leases.
 
+#include "jobs/endproof.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
 #include "jobs/schedulerports.h"
@@ -21,7 +22,6 @@
 constexpr Duration avoidAfterRefusal = 1s;
 constexpr Duration avoidAfterUnansweredStart = 500ms;
 constexpr int missingReports = 4; ///< before a minion is forgotten; counted from its last report and lease
-constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the network delay of the last order
 constexpr double throttleAbove = 0.85; ///< share of the target tail latency of a serving task
 constexpr double unthrottleBelow = 0.55;
 constexpr std::uint32_t minThrottlePercent = 5;
@@ -147,10 +147,12 @@
     switch (answer.outcome) {
     case OrderOutcome::Unanswered:
         minion->refusesUntil = std::max(minion->refusesUntil, now.time + avoidAfterUnansweredStart);
+        if (answer.mayReachLaterIncarnation)
+            minion->laterLeaseExpiry = now.time + longestTime(settings_.longestLease);
         return;
     case OrderOutcome::IncarnationMismatch:
-        markMinionLost(*minion, "another incarnation answers at its address");
-        return;
+        suspendMinion(*minion, "another minion answers at its address");
+        break;
     case OrderOutcome::LeaseTooShort:
         return;
     case OrderOutcome::StaleRun:
@@ -171,17 +173,16 @@
         break;
     }
     // An earlier, unanswered attempt may still be executed.
-    if (run.attempts > 1) {
+    if (const auto proof = EndProof::refused(run))
+        giveUpStart(*minion, order.task, run, *proof);
+    else
         sendStop(*minion, order.task, run);
-        return;
-    }
-    giveUpStart(*minion, order.task, run);
 }
 
-void JobScheduler::giveUpStart(Minion &minion, const TaskName &task, const Run &run)
+void JobScheduler::giveUpStart(Minion &minion, const TaskName &task, const Run &run, const EndProof &proof)
 {
     Wire::JobCommand command;
-    proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_NOT_STARTED);
+    proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_NOT_STARTED, proof);
     ports_.propose(std::move(command), {});
 }
 
@@ -193,10 +194,8 @@
         return;
     auto *minion = answered.minion;
     auto &run = *answered.run;
-    if (answer.outcome == OrderOutcome::IncarnationMismatch) {
-        markMinionLost(*minion, "another incarnation answers at its address");
-        return;
-    }
+    if (answer.outcome == OrderOutcome::IncarnationMismatch)
+        suspendMinion(*minion, "another minion answers at its address");
     if (answer.outcome == OrderOutcome::Done || answer.outcome == OrderOutcome::StaleRun) {
         run.stopConfirmed = true;
         run.phaseSince = now.time;
@@ -223,30 +222,41 @@
         found->second.throttlePercent = order.percent;
 }
 
-void JobScheduler::markMinionLost(Minion &minion, std::string_view reason)
+void JobScheduler::suspendMinion(Minion &minion, std::string_view reason)
+{
+    if (minion.leaseConfirmed) {
+        ports_.logDecision(LogLevel::Warning, "minion-suspended",
+                           {{"minion", minion.report.incarnation.id},
+                            {"address", minion.report.address},
+                            {"reason", reason},
+                            {"runs", minion.runs.size()}});
+    }
+    minion.suspend();
+}
+
+void JobScheduler::endRunsOf(Minion &minion, const EndProof &proof)
 {
     std::size_t lost = 0;
     Wire::JobCommand command;
     for (auto &[task, run] : minion.runs) {
         if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending)
             continue;
-        proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST);
+        proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST, proof);
         ports_.logDecision(LogLevel::Info, "run-lost",
                            {{"task", task.toString()},
                             {"run", run.run},
                             {"minion", minion.report.incarnation.id},
-                            {"reason", reason},
+                            {"reason", proof.name()},
                             {"running_ms", run.startedAt == TimePoint{} ? -1 : (now_.time - run.startedAt) / 1ms},
                             {"checkpoint", !run.checkpoint.empty()}});
         ++lost;
     }
-    minion.leaseConfirmed = false;
-    minion.clockMs.reset();
+    minion.suspend();
     ports_.logDecision(
         LogLevel::Warning, "minion-lost",
         {{"minion", minion.report.incarnation.id},
          {"address", minion.report.address},
-         {"reason", reason},
+         {"reason", proof.name()},
          {"runs", lost},
          {"silent_ms", minion.lastContactAt == TimePoint{} ? -1 : (now_.time - minion.lastContactAt) / 1ms}});
     if (lost > 0)
@@ -258,9 +268,10 @@
     const auto removalDelay = missingReports * settings_.reportInterval;
     std::vector<std::string> removable;
     for (auto &[id, minion] : fleet_.minions()) {
-        if (now_.time < minion.latestLeaseExpiry + leaseMargin)
+        const auto proof = EndProof::leaseOver(minion, now_.time);
+        if (!proof)
             continue;
-        if (!minion.leaseConfirmed
+        if (!minion.leaseConfirmed && minion.runs.empty()
             && now_.time > std::max(minion.lastReportAt, minion.latestLeaseExpiry) + removalDelay) {
             removable.push_back(id);
             continue;
@@ -271,7 +282,7 @@
         const bool isSuspect
             = runsSomething || (minion.leaseConfirmed && now_.time > minion.lastContactAt + settings_.lease);
         if (isSuspect && staysSilentAfterExpiry(minion))
-            markMinionLost(minion, "its lease has expired");
+            endRunsOf(minion, *proof);
     }
     for (const auto &id : removable)
         proposeMinionRemoval(id);
@@ -282,7 +293,7 @@
     if (minion.renewalOutstanding)
         return false;
     // Answers from before may have been lost, or may not have been read in time if this process is busy.
-    const auto expiredAt = minion.latestLeaseExpiry + leaseMargin;
+    const auto expiredAt = minion.leasesEnd();
     const bool wasAsked = minion.renewalSentAt >= expiredAt && minion.renewalFailures > 0;
     const bool isOverdue = now_.time >= expiredAt + settings_.lease;
     if (!wasAsked && !isOverdue)
--- a/src/libs/jobs/schedulersettings.h
+++ b/src/libs/jobs/schedulersettings.h
@@ -11,6 +11,7 @@
 struct SchedulerSettings {
     static constexpr Duration usualLease = 4000ms; ///< outlasts a restart of all control instances and the election
     Duration lease = usualLease; ///< a shorter one is renewed more often in proportion
+    Duration longestLease = 6000ms; ///< minions cut longer ones down to this
     Duration finishedRetention = 150s; ///< how long a finished job stays readable
     Duration reportInterval = 1500ms; ///< between two reports of a minion about itself
     Duration stopTimeout = 400ms; ///< upper bound on the time a stop takes; what is being stopped uses capacity
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -1,5 +1,7 @@
 // Reactions of the scheduler to changes in the job store.
 
+#include "jobs/demand.h"
+#include "jobs/endproof.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
 #include "jobs/minionrecord.h"
@@ -29,10 +31,12 @@
     if (known) {
         known->report.draining = known->report.draining || report.draining;
     } else {
-        if (const auto *replaced = fleet_.find(minion.id()))
-            loseRunsOf(*replaced);
-        fleet_.add(std::move(report));
-        fleet_.find(minion.id())->lastReportAt = now_.time;
+        const auto *replaced = fleet_.find(minion.id());
+        const auto earlier = replaced ? *replaced : Minion();
+        auto &added = addMinion(std::move(report));
+        added.latestLeaseExpiry = std::max(added.latestLeaseExpiry, earlier.latestLeaseExpiry);
+        takeOverRuns(added, earlier.runs);
+        takeOverLostRuns(added);
         advice_.removeMinion(minion.id());
     }
     planNeeded_ = true;
@@ -48,18 +52,71 @@
     if (!leading_)
         return;
     if (const auto *removed = fleet_.find(minion))
-        loseRunsOf(*removed);
+        keepRunsOf(*removed);
     fleet_.remove(minion);
     advice_.removeMinion(minion);
 }
 
-void JobScheduler::loseRunsOf(const Minion &minion)
+bool JobScheduler::isCurrentRun(const TaskName &task, const Run &run) const
 {
-    for (const auto &[task, run] : minion.runs) {
-        const auto *job = store_.job(task.step.job);
-        const auto *record = job ? job->task(task) : nullptr;
-        if (record && record->state == TaskState::Assigned && record->run == run.run)
-            lostRuns_[task] = run.run;
+    const auto *job = store_.job(task.step.job);
+    const auto *record = job ? job->task(task) : nullptr;
+    return record && record->state == TaskState::Assigned && record->run == run.run;
+}
+
+Minion &JobScheduler::addMinion(MinionReport report)
+{
+    const auto id = report.incarnation.id;
+    fleet_.add(std::move(report));
+    auto &added = *fleet_.find(id);
+    added.lastReportAt = now_.time;
+    added.latestLeaseExpiry = now_.time + longestTime(settings_.lease);
+    return added;
+}
+
+void JobScheduler::takeOverRuns(Minion &minion, const std::map<TaskName, Run> &earlier)
+{
+    for (const auto &[task, run] : earlier) {
+        if (isCurrentRun(task, run))
+            stopInLaterIncarnation(minion, task, run);
+    }
+}
+
+void JobScheduler::takeOverLostRuns(Minion &minion)
+{
+    std::erase_if(lostRuns_, [this, &minion](const auto &entry) {
+        const auto &[task, lost] = entry;
+        Run run;
+        run.run = lost.run;
+        if (!isCurrentRun(task, run) || store_.job(task.step.job)->task(task)->minion != minion.report.incarnation.id)
+            return false;
+        run.reserved = reservedBy(store_.job(task.step.job)->spec(task.step.step));
+        stopInLaterIncarnation(minion, task, run);
+        return true;
+    });
+}
+
+/// A repeated start may have reached the later incarnation, or reach it yet; after the stop it is refused there.
+void JobScheduler::stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier)
+{
+    Run run;
+    run.run = earlier.run;
+    run.reserved = earlier.reserved;
+    run.spareMilliCores = earlier.spareMilliCores;
+    run.checkpoint = earlier.checkpoint;
+    run.expected = earlier.expected;
+    run.isOfEarlierIncarnation = true;
+    run.isUnlisted = true;
+    run.phase = RunPhase::Adopted;
+    minion.laterLeaseExpiry = now_.time + longestTime(settings_.longestLease);
+    sendStop(minion, task, minion.add(task, run));
+}
+
+void JobScheduler::keepRunsOf(const Minion &removed)
+{
+    for (const auto &[task, run] : removed.runs) {
+        if (isCurrentRun(task, run))
+            lostRuns_[task] = {run.run, removed.leasesEnd()};
     }
 }
 
@@ -70,16 +127,20 @@
     lostRunsProposedAt_ = now_.time;
     Wire::JobCommand command;
     for (auto entry = lostRuns_.begin(); entry != lostRuns_.end();) {
-        const auto &[task, run] = *entry;
+        const auto &[task, lost] = *entry;
         const auto *job = store_.job(task.step.job);
         const auto *record = job ? job->task(task) : nullptr;
-        if (!record || record->state != TaskState::Assigned || record->run != run) {
+        if (!record || record->state != TaskState::Assigned || record->run != lost.run) {
             entry = lostRuns_.erase(entry);
             continue;
         }
+        if (!EndProof::leaseOver(lost.leasesEnd, now_.time)) {
+            ++entry;
+            continue;
+        }
         auto &end = *command.add_ends();
         fill(*end.mutable_task(), task);
-        end.set_run(run);
+        end.set_run(lost.run);
         end.set_how(Wire::JOB_RUN_END_LOST);
         ++entry;
     }
@@ -172,19 +233,19 @@
     auto *minion = leading_ ? minionOf(*job.task(task)) : nullptr;
     const auto found = minion ? minion->runs.find(task) : std::map<TaskName, Run>::iterator();
     if (!minion || found == minion->runs.end() || found->second.run != run) {
-        // The minion was removed or replaced while the assignment was being committed.
+        // The minion was removed or replaced while the assignment was being committed; no start was sent.
         if (leading_)
-            lostRuns_[task] = run;
+            lostRuns_[task] = {run, now_.time};
         return;
     }
     if (found->second.phase != RunPhase::Proposed)
         return;
     found->second.phase = RunPhase::Starting;
     found->second.phaseSince = now_.time;
-    if (minion->isLeaving)
-        giveUpStart(*minion, task, found->second);
-    else
+    if (!minion->isLeaving)
         sendStart(*minion, task, found->second);
+    else if (const auto proof = EndProof::neverOrdered(found->second))
+        giveUpStart(*minion, task, found->second, *proof);
 }
 
 void JobScheduler::assignmentDropped(const Wire::JobAssignment &assignment)
--- a/src/libs/transport/httpclient.cpp
+++ b/src/libs/transport/httpclient.cpp
@@ -37,6 +37,7 @@
     Timer connectTimer;
     HttpConnectionPointer connection;
     bool written = false;
+    bool isConnectionNew = false;
     bool isExtended = false; ///< its time was up once while a response was waiting to be read
     bool isStarved = false; ///< waits for a connection that another call uses
 
@@ -48,7 +49,12 @@
             function(std::move(result));
     }
 
-    void fail(ErrorCode code, std::string text) { complete(CallError{failure(code, std::move(text)), written}); }
+    void fail(ErrorCode code, std::string text)
+    {
+        CallError error{failure(code, std::move(text)), written};
+        error.newConnection = written && isConnectionNew;
+        complete(std::move(error));
+    }
 };
 
 using CallPointer = std::shared_ptr<HttpCall>;
@@ -173,6 +179,7 @@
             write(call);
             return true;
         }
+        call->isConnectionNew = true;
         call->connection = connections_.add();
         if (call->connection)
             connect(call);
--- a/src/libs/transport/message.h
+++ b/src/libs/transport/message.h
@@ -49,6 +49,9 @@
     bool written = true;
     /// Nothing listens at the peer's address.
     bool refused = false;
+    /// The request was written to a connection that was opened for it, so that a process may have got it that has begun
+    /// since the last call to this peer.
+    bool newConnection = false;
 };
 
 /// The complete response, or why there is none. A truncated response is an error.
--- a/tests/auto/jobs/controlfaults.cpp
+++ b/tests/auto/jobs/controlfaults.cpp
@@ -1,5 +1,6 @@
 // Loss and change of the leader, and minions that end, in a simulated cell.
 
+#include "jobs/minionrecord.h"
 #include "simulatedcell.h"
 
 using namespace Pistachio;
@@ -108,3 +109,10 @@
     command.add_gone_minions(id);
     commit(command);
 }
+
+void SimulatedCell::storeReport(const SimulatedMinion &minion)
+{
+    Wire::JobCommand command;
+    *command.add_minions() = toWire(minion.report);
+    commit(command);
+}
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -253,7 +253,8 @@
     startLog.push_back(std::to_string(now_.time_since_epoch() / 1ms) + ' ' + order.task.toString() + " run "
                        + std::to_string(order.run) + " on " + order.minion.id);
     if (const auto fault = startFault ? startFault(order) : std::nullopt) {
-        const OrderAnswer answer{*fault, std::nullopt};
+        OrderAnswer answer{*fault, std::nullopt};
+        answer.mayReachLaterIncarnation = *fault == OrderOutcome::Unanswered;
         scheduleForLeader(*fault == OrderOutcome::Unanswered ? orderTimeout : 2 * networkDelay,
                           [this, order, answer] { scheduler_->startAnswered(now(), order, answer); });
         return;
@@ -262,9 +263,14 @@
     const bool lost = chance(lostAnswers);
     if (late || lost)
         scheduleForLeader(orderTimeout, [this, order] { scheduler_->startAnswered(now(), order, {}); });
+    // An order that is carried out late was read by the incarnation of now, and ends with it.
+    const auto *reader = reachableMinion(order.address);
+    const auto reads = reader ? reader->report.incarnation : MinionIncarnation();
     schedule(late ? Duration(2s + std::chrono::milliseconds(random_.below(10'000))) : networkDelay,
-             [this, order, late, lost] {
+             [this, order, late, lost, reads] {
                  auto *minion = reachableMinion(order.address);
+                 if (minion && late && minion->report.incarnation != reads)
+                     return;
                  if (!minion) {
                      if (!late && !lost)
                          scheduleForLeader(orderTimeout,
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -65,6 +65,8 @@
     void destroy(SimulatedMinion &minion);
     /// The store forgets the minion, as after its removal.
     void removeFromStore(const std::string &id);
+    /// The store records what the minion says of itself, as if an earlier leader had proposed it.
+    void storeReport(const SimulatedMinion &minion);
     /// Sets the service of all queues.
     void configure(const std::string &service);
 
--- a/tests/auto/jobs/tst_runends.cpp
+++ b/tests/auto/jobs/tst_runends.cpp
@@ -2,7 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <string>
+#include <utility>
 
 using namespace Pistachio;
 using namespace Pistachio::Jobs;
@@ -43,8 +45,41 @@
     CPPUNIT_TEST(runsOfALeavingMinionWorkUntilItsLeaseEnds);
     CPPUNIT_TEST(runsOfALeavingMinionAreStopped);
     CPPUNIT_TEST(lateLeaveOfAnEarlierIncarnationEndsNothing);
+    CPPUNIT_TEST(repeatedStartInALaterIncarnationIsStopped);
+    CPPUNIT_TEST(newLeaderStopsRunsInALaterIncarnation);
+    CPPUNIT_TEST(startOnANewConnectionMayWorkInALaterIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Has minion "a" crash as a start arrives, and its next incarnation, which hasn't reported, carry out the repeated
+    /// one. Minion "b" has room as well.
+    static SimulatedMinion &startInLaterIncarnation(SimulatedCell &cell)
+    {
+        auto &minion = cell.addMinion("a", 4000, longRun);
+        minion.stopTime = SchedulerSettings().stopTimeout;
+        cell.run(1s);
+        bool hasCrashed = false;
+        cell.startFault = [&](const StartOrder &order) -> std::optional<OrderOutcome> {
+            if (!std::exchange(hasCrashed, true)) {
+                minion.restart(cell.now().time);
+                minion.isCut = true;
+                return OrderOutcome::Unanswered;
+            }
+            if (order.minion.id != "a" || !minion.runs.empty())
+                return std::nullopt;
+            minion.start(cell.now().time, order);
+            return OrderOutcome::Unanswered;
+        };
+        cell.submit(job, 1, 1000, longRunning);
+        cell.run(200ms);
+        cell.addMinion("b", 4000, longRun);
+        for (int steps = 0; steps < 200 && minion.runs.empty(); ++steps)
+            cell.run(10ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, minion.runs.size());
+        cell.startFault = {};
+        minion.isCut = false;
+        return minion;
+    }
+
 public:
     // Guards against starting tasks again that have ended done, as their ends are not among the first that are listed.
     void endsBeyondTheFirstListAreAwaited()
@@ -139,6 +174,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.starts);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, minion.runs.size());
     }
+
+    // Guards against a task that works in the next incarnation of its minion, which a repeated start has reached, and
+    // elsewhere.
+    void repeatedStartInALaterIncarnationIsStopped()
+    {
+        SimulatedCell cell(1);
+        auto &minion = startInLaterIncarnation(cell);
+        ++minion.report.sequence;
+        cell.report(minion);
+        cell.run(3s);
+        assertNoViolations(cell);
+        CPPUNIT_ASSERT(!cell.firstMinionRunning(job).empty());
+    }
+
+    // Guards against a new leader that finds a task assigned to an earlier incarnation, and doesn't ask the later one.
+    void newLeaderStopsRunsInALaterIncarnation()
+    {
+        SimulatedCell cell(1);
+        const auto &minion = startInLaterIncarnation(cell);
+        cell.loseLeader(SimulatedCell::Proposals::Lost);
+        cell.storeReport(minion);
+        cell.electLeader(SimulatedCell::StoreOrigin::Log);
+        cell.run(3s);
+        assertNoViolations(cell);
+        CPPUNIT_ASSERT(!cell.firstMinionRunning(job).empty());
+    }
+
+    // Guards against taking the end of a lease for the end of a run that the next incarnation may have got: its own
+    // lease ends later.
+    void startOnANewConnectionMayWorkInALaterIncarnation()
+    {
+        SimulatedCell cell(1);
+        startInLaterIncarnation(cell).isCut = true;
+        cell.run(15s);
+        assertNoViolations(cell);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.firstMinionRunning(job));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunEndsTest);
--- a/tests/auto/platform/scriptedminion.h
+++ b/tests/auto/platform/scriptedminion.h
@@ -20,7 +20,10 @@
         : server(loop, {},
                  [this](Pistachio::Transport::Request received, const Pistachio::Transport::Responder &responder) {
                      request = std::move(received);
-                     responder.respond(answer);
+                     if (answersNothing)
+                         unanswered.push_back(responder);
+                     else
+                         responder.respond(answer);
                  })
         , logger("test", "test", "warning", logFile)
         , port(server.listen({"127.0.0.1", 0}).value())
@@ -69,6 +72,8 @@
     Pistachio::Transport::HttpServer server;
     Pistachio::Transport::Request request;
     Pistachio::Transport::Response answer;
+    bool answersNothing = false;
+    std::vector<Pistachio::Transport::Responder> unanswered; ///< keeps requests open
     Pistachio::Logging::Logger logger;
     std::uint16_t port;
     Pistachio::Platform::PlatformClient client;
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(refusalsAreToldApart);
     CPPUNIT_TEST(listsAreDecoded);
     CPPUNIT_TEST(fullListOfEndsIsNotTheWhole);
+    CPPUNIT_TEST(lostStartIsToldFromOneOnANewConnection);
     CPPUNIT_TEST(unreadableListsAreNoAnswer);
     CPPUNIT_TEST(closeAnswersWhatIsUnderWay);
     CPPUNIT_TEST(adviceIsAwaitedUpToItsLimit);
@@ -131,6 +132,24 @@
         CPPUNIT_ASSERT(!minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, 7}).areEndsComplete);
     }
 
+    // A later incarnation can get only what is written to a new connection; waiting for it each time would cost
+    // seconds.
+    void lostStartIsToldFromOneOnANewConnection()
+    {
+        ScriptedMinion minion;
+        minion.answersNothing = true;
+        const auto onNew = minion.start(order(minion.address()));
+        CPPUNIT_ASSERT(onNew.outcome == OrderOutcome::Unanswered);
+        CPPUNIT_ASSERT(onNew.mayReachLaterIncarnation);
+        minion.answersNothing = false;
+        minion.answer = reply(200, {{"clockMs", 1}});
+        CPPUNIT_ASSERT(minion.start(order(minion.address())).outcome == OrderOutcome::Done);
+        minion.answersNothing = true;
+        const auto onOpen = minion.start(order(minion.address()));
+        CPPUNIT_ASSERT(onOpen.outcome == OrderOutcome::Unanswered);
+        CPPUNIT_ASSERT(!onOpen.mayReachLaterIncarnation);
+    }
+
     // A list that is read in part would show tasks as gone that still run.
     void unreadableListsAreNoAnswer()
     {
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 constexpr std::size_t endsPerAnswer = 500;
+constexpr Duration longestLease = 6s; ///< longer ones are cut down to it
 } // namespace
 
 SimulatedMinion::SimulatedMinion(MinionReport minionReport, Duration runTime, double clockRate)
@@ -25,6 +26,11 @@
     return static_cast<std::int64_t>(static_cast<double>((now - born_).count()) / 1000.0 * clockRate_);
 }
 
+void SimulatedMinion::extendLease(TimePoint now, std::int64_t expiresAtMs)
+{
+    leaseUntil_ = std::max(leaseUntil_, std::min(expiresAtMs, clock(now) + longestLease / 1ms));
+}
+
 bool SimulatedMinion::accepts(std::uint64_t fencingToken)
 {
     if (fencingToken < fencingToken_)
@@ -35,14 +41,14 @@
 
 OrderAnswer SimulatedMinion::start(TimePoint now, const StartOrder &order)
 {
-    if (order.minion != report.incarnation)
+    if (order.minion.id != report.incarnation.id)
         return {OrderOutcome::IncarnationMismatch, std::nullopt};
     if (!accepts(order.fencingToken))
         return {OrderOutcome::StaleFencingToken, clock(now)};
     const auto found = runs.find(order.task);
     if (found != runs.end() && found->second.run == order.run)
         return {OrderOutcome::Done, clock(now)};
-    leaseUntil_ = std::max(leaseUntil_, order.leaseExpiresAtMs);
+    extendLease(now, order.leaseExpiresAtMs);
     if (order.leaseExpiresAtMs <= clock(now))
         return {OrderOutcome::LeaseTooShort, clock(now)};
     if (found != runs.end() || order.run <= highestEnded_[order.task])
@@ -62,7 +68,7 @@
 
 OrderAnswer SimulatedMinion::stop(TimePoint now, const StopOrder &order)
 {
-    if (order.minion != report.incarnation)
+    if (order.minion.id != report.incarnation.id)
         return {OrderOutcome::IncarnationMismatch, std::nullopt};
     if (!accepts(order.fencingToken))
         return {OrderOutcome::StaleFencingToken, clock(now)};
@@ -83,14 +89,14 @@
 {
     LeaseAnswer refused;
     refused.clockMs = clock(now);
-    if (order.minion != report.incarnation || !accepts(order.fencingToken)) {
-        refused.outcome
-            = order.minion != report.incarnation ? OrderOutcome::IncarnationMismatch : OrderOutcome::StaleFencingToken;
+    if (order.minion.id != report.incarnation.id || !accepts(order.fencingToken)) {
+        refused.outcome = order.minion.id != report.incarnation.id ? OrderOutcome::IncarnationMismatch
+                                                                   : OrderOutcome::StaleFencingToken;
         answer(refused);
         return;
     }
     if (order.leaseExpiresAtMs)
-        leaseUntil_ = std::max(leaseUntil_, *order.leaseExpiresAtMs);
+        extendLease(now, *order.leaseExpiresAtMs);
     if (observer != nullptr)
         observer->endsAcknowledged(report.incarnation.id, order.acknowledgedEnd);
     std::erase_if(ended_, [&order](const EndedRun &item) { return item.number <= order.acknowledgedEnd; });
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -69,6 +69,7 @@
     void end(const Pistachio::Jobs::TaskName &task, Pistachio::Jobs::RunEnd how);
     [[nodiscard]] Pistachio::Jobs::LeaseAnswer lists(TimePoint now) const;
     [[nodiscard]] std::uint32_t percent(TimePoint now, const Work &work) const;
+    void extendLease(TimePoint now, std::int64_t expiresAtMs);
     [[nodiscard]] bool accepts(std::uint64_t fencingToken);
 
     Duration runTime_;
