--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -22,8 +22,6 @@
 constexpr Duration planInterval = 200ms; ///< replans without changes, as tickets expire and minions become usable again
 constexpr Duration backlogInterval = 15ms; ///< between rounds with a backlog; saves processor time but delays starts
 
-constexpr Duration leaveLimit = 750ms; ///< minions repeat a deregistration that isn't confirmed within a second
-
 constexpr Duration longRunningTime = 24h; ///< expected for tasks that run until their job is cancelled
 
 } // namespace
@@ -135,95 +133,6 @@
     }
 }
 
-void JobScheduler::minionReported(const EventTime &now, const MinionReport &report,
-                                  const std::function<void(bool)> &stored)
-{
-    now_ = now;
-    std::vector<MinionIncarnation> replaced;
-    const auto effect = fleet_.report(report, replaced);
-    if (auto *known = effect == ReportEffect::Stale ? nullptr : fleet_.find(report.incarnation))
-        known->lastReportAt = now.time;
-    if (effect == ReportEffect::Stale) {
-        ports_.logDecision(LogLevel::Info, "minion-report-stale",
-                           {{"minion", report.incarnation.id},
-                            {"born", report.incarnation.bornUnixMs},
-                            {"sequence", report.sequence}});
-        stored(true);
-        return;
-    }
-    for (const auto &incarnation : replaced) {
-        if (auto *minion = fleet_.find(incarnation)) {
-            minion->isReplaced = incarnation.id != report.incarnation.id;
-            suspendMinion(*minion, "another minion or incarnation reports under its address or id");
-        }
-    }
-    if (effect == ReportEffect::Unchanged) {
-        stored(true);
-        return;
-    }
-    auto &waiting = reportsToStore_[report.incarnation.id];
-    waiting.push_back(stored);
-    if (waiting.size() > 1 && replaced.empty() && !report.draining)
-        return;
-    ports_.logDecision(LogLevel::Info, "minion-reported",
-                       {{"minion", report.incarnation.id},
-                        {"born", report.incarnation.bornUnixMs},
-                        {"address", report.address},
-                        {"service", report.service},
-                        {"sequence", report.sequence},
-                        {"draining", report.draining}});
-    Wire::JobCommand command;
-    for (const auto &incarnation : replaced) {
-        const auto *minion = fleet_.find(incarnation);
-        if (minion && minion->isReplaced && minion->runs.empty())
-            command.add_gone_minions(incarnation.id);
-    }
-    *command.add_minions() = toWire(report);
-    ports_.propose(std::move(command), {});
-}
-
-void JobScheduler::minionLeft(const EventTime &now, const MinionIncarnation &incarnation,
-                              std::function<void(bool)> confirmed)
-{
-    now_ = now;
-    auto *minion = leading_ ? fleet_.find(incarnation.id) : nullptr;
-    // A minion drains before it leaves. One that doesn't drain is a later incarnation than the one that has left.
-    const bool isMeant
-        = minion && (incarnation.bornUnixMs == 0 ? minion->report.draining : minion->report.incarnation == incarnation);
-    ports_.logDecision(LogLevel::Info, isMeant ? "minion-leaves" : "minion-leave-ignored",
-                       {{"minion", incarnation.id},
-                        {"born", incarnation.bornUnixMs},
-                        {"known", minion ? minion->report.incarnation.bornUnixMs : 0},
-                        {"runs", minion ? minion->runs.size() : 0}});
-    if (!isMeant) {
-        confirmed(leading_);
-        return;
-    }
-    minion->report.draining = true;
-    minion->isLeaving = true;
-    for (auto &[task, run] : minion->runs)
-        sendStop(*minion, task, run);
-    pendingLeaves_.push_back({minion->report.incarnation, now.time, std::move(confirmed)});
-    confirmLeaves();
-}
-
-/// Whether the confirmation arrives isn't known, so what still runs there is waited for like on a silent minion.
-void JobScheduler::confirmLeaves()
-{
-    for (auto leave = pendingLeaves_.begin(); leave != pendingLeaves_.end();) {
-        const auto *minion = fleet_.find(leave->minion);
-        const bool isOver = !minion || minion->runs.empty();
-        if (!isOver && now_.time < leave->since + leaveLimit) {
-            ++leave;
-            continue;
-        }
-        if (minion && isOver)
-            proposeMinionRemoval(leave->minion.id);
-        leave->confirmed(true);
-        leave = pendingLeaves_.erase(leave);
-    }
-}
-
 TimePoint JobScheduler::acceptedTime(const Job &job, std::uint32_t occurrence) const
 {
     const auto due = job.dueUnixMs(occurrence);
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -147,17 +147,6 @@
     void removeFinishedJobs();
     void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int runEnd,
                     const EndProof &proof);
-    /// Adds a minion that this leader has granted no lease; earlier leaders may have.
-    Minion &addMinion(MinionReport report);
-    /// Has a new incarnation stop the runs of the one before it.
-    void takeOverRuns(Minion &minion, const std::map<TaskName, Run> &earlier);
-    /// Has a minion that reports again stop the runs that were lost with it.
-    void takeOverLostRuns(Minion &minion);
-    void stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier);
-    /// Remembers the runs of a minion that is removed until its lease is over.
-    void keepRunsOf(const Minion &removed);
-    [[nodiscard]] bool isCurrentRun(const TaskName &task, const Run &run) const;
-    void proposeLostRuns();
     void stopRunsOf(const Job &job);
     void stopRuns(const Job &job, const StepName &step);
     /// Stops the runs of a gang of which a member has ended, in case the earlier leader didn't.
@@ -206,6 +195,20 @@
     void stopUnlistedRuns(Minion &minion, const LeaseAnswer &answer, TimePoint asked);
 
     // runorders.cpp
+    void adjustThrottles(Minion &minion);
+
+    // minionlifecycle.cpp
+    /// Adds a minion that this leader has granted no lease; earlier leaders may have.
+    Minion &addMinion(MinionReport report);
+    /// Has a new incarnation stop the runs of the one before it.
+    void takeOverRuns(Minion &minion, const std::map<TaskName, Run> &earlier);
+    /// Has a minion that reports again stop the runs that were lost with it.
+    void takeOverLostRuns(Minion &minion);
+    void stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier);
+    /// Remembers the runs of a minion that is removed until its lease is over.
+    void keepRunsOf(const Minion &removed);
+    [[nodiscard]] bool isCurrentRun(const TaskName &task, const Run &run) const;
+    void proposeLostRuns();
     /// Grants a minion no more leases, as another one answers or reports in its place.
     void suspendMinion(Minion &minion, std::string_view reason);
     void endRunsOf(Minion &minion, const EndProof &proof);
@@ -216,7 +219,6 @@
     /// \return whether it has been asked and didn't answer.
     bool staysSilentAfterExpiry(Minion &minion);
     void proposeMinionRemoval(const std::string &id);
-    void adjustThrottles(Minion &minion);
 
     // slowminions.cpp
     [[nodiscard]] bool isSpeedMeaningful(const Minion &minion, const TaskName &task, const Run &run) const;
--- /dev/null
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -0,0 +1,342 @@
+// Minions over time: their reports, new incarnations, departures and losses, and what becomes of their runs.
+
+#include "jobs/demand.h"
+#include "jobs/endproof.h"
+#include "jobs/jobscheduler.h"
+#include "jobs/jobstore.h"
+#include "jobs/minionrecord.h"
+#include "jobs/schedulerports.h"
+
+#include <jobs.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Pistachio::Jobs
+{
+
+using Logging::LogLevel;
+
+namespace
+{
+
+constexpr Duration leaveLimit = 750ms; ///< minions repeat a deregistration that isn't confirmed within a second
+constexpr Duration lostRunRetry = 200ms; ///< several times a commit
+constexpr int missingReports = 4; ///< before a minion is forgotten; counted from its last report and lease
+
+} // namespace
+
+void JobScheduler::minionReported(const EventTime &now, const MinionReport &report,
+                                  const std::function<void(bool)> &stored)
+{
+    now_ = now;
+    std::vector<MinionIncarnation> replaced;
+    const auto effect = fleet_.report(report, replaced);
+    if (auto *known = effect == ReportEffect::Stale ? nullptr : fleet_.find(report.incarnation))
+        known->lastReportAt = now.time;
+    if (effect == ReportEffect::Stale) {
+        ports_.logDecision(LogLevel::Info, "minion-report-stale",
+                           {{"minion", report.incarnation.id},
+                            {"born", report.incarnation.bornUnixMs},
+                            {"sequence", report.sequence}});
+        stored(true);
+        return;
+    }
+    for (const auto &incarnation : replaced) {
+        if (auto *minion = fleet_.find(incarnation)) {
+            minion->isReplaced = incarnation.id != report.incarnation.id;
+            suspendMinion(*minion, "another minion or incarnation reports under its address or id");
+        }
+    }
+    if (effect == ReportEffect::Unchanged) {
+        stored(true);
+        return;
+    }
+    auto &waiting = reportsToStore_[report.incarnation.id];
+    waiting.push_back(stored);
+    if (waiting.size() > 1 && replaced.empty() && !report.draining)
+        return;
+    ports_.logDecision(LogLevel::Info, "minion-reported",
+                       {{"minion", report.incarnation.id},
+                        {"born", report.incarnation.bornUnixMs},
+                        {"address", report.address},
+                        {"service", report.service},
+                        {"sequence", report.sequence},
+                        {"draining", report.draining}});
+    Wire::JobCommand command;
+    for (const auto &incarnation : replaced) {
+        const auto *minion = fleet_.find(incarnation);
+        if (minion && minion->isReplaced && minion->runs.empty())
+            command.add_gone_minions(incarnation.id);
+    }
+    *command.add_minions() = toWire(report);
+    ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::minionRecorded(const Wire::JobMinion &minion)
+{
+    if (!leading_)
+        return;
+    auto report = toReport(minion);
+    auto *known = fleet_.find(report.incarnation);
+    if (known) {
+        known->report.draining = known->report.draining || report.draining;
+    } else {
+        const auto *replaced = fleet_.find(minion.id());
+        const auto earlier = replaced ? *replaced : Minion();
+        auto &added = addMinion(std::move(report));
+        added.latestLeaseExpiry = std::max(added.latestLeaseExpiry, earlier.latestLeaseExpiry);
+        takeOverRuns(added, earlier.runs);
+        takeOverLostRuns(added);
+        advice_.removeMinion(minion.id());
+    }
+    planNeeded_ = true;
+    const auto waiting = reportsToStore_.extract(minion.id());
+    if (waiting.empty())
+        return;
+    for (const auto &stored : waiting.mapped())
+        stored(true);
+}
+
+Minion &JobScheduler::addMinion(MinionReport report)
+{
+    const auto id = report.incarnation.id;
+    fleet_.add(std::move(report));
+    auto &added = *fleet_.find(id);
+    added.lastReportAt = now_.time;
+    added.latestLeaseExpiry = now_.time + longestTime(settings_.lease);
+    return added;
+}
+
+void JobScheduler::takeOverRuns(Minion &minion, const std::map<TaskName, Run> &earlier)
+{
+    for (const auto &[task, run] : earlier) {
+        if (isCurrentRun(task, run))
+            stopInLaterIncarnation(minion, task, run);
+    }
+}
+
+void JobScheduler::takeOverLostRuns(Minion &minion)
+{
+    std::erase_if(lostRuns_, [this, &minion](const auto &entry) {
+        const auto &[task, lost] = entry;
+        Run run;
+        run.run = lost.run;
+        if (!isCurrentRun(task, run) || store_.job(task.step.job)->task(task)->minion != minion.report.incarnation.id)
+            return false;
+        run.reserved = reservedBy(store_.job(task.step.job)->spec(task.step.step));
+        stopInLaterIncarnation(minion, task, run);
+        return true;
+    });
+}
+
+/// A repeated start may have reached the later incarnation, or reach it yet; after the stop it is refused there.
+void JobScheduler::stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier)
+{
+    Run run;
+    run.run = earlier.run;
+    run.reserved = earlier.reserved;
+    run.spareMilliCores = earlier.spareMilliCores;
+    run.checkpoint = earlier.checkpoint;
+    run.expected = earlier.expected;
+    run.isOfEarlierIncarnation = true;
+    run.isUnlisted = true;
+    run.phase = RunPhase::Adopted;
+    minion.laterLeaseExpiry = now_.time + longestTime(settings_.longestLease);
+    sendStop(minion, task, minion.add(task, run));
+}
+
+void JobScheduler::minionLeft(const EventTime &now, const MinionIncarnation &incarnation,
+                              std::function<void(bool)> confirmed)
+{
+    now_ = now;
+    auto *minion = leading_ ? fleet_.find(incarnation.id) : nullptr;
+    // A minion drains before it leaves. One that doesn't drain is a later incarnation than the one that has left.
+    const bool isMeant
+        = minion && (incarnation.bornUnixMs == 0 ? minion->report.draining : minion->report.incarnation == incarnation);
+    ports_.logDecision(LogLevel::Info, isMeant ? "minion-leaves" : "minion-leave-ignored",
+                       {{"minion", incarnation.id},
+                        {"born", incarnation.bornUnixMs},
+                        {"known", minion ? minion->report.incarnation.bornUnixMs : 0},
+                        {"runs", minion ? minion->runs.size() : 0}});
+    if (!isMeant) {
+        confirmed(leading_);
+        return;
+    }
+    minion->report.draining = true;
+    minion->isLeaving = true;
+    for (auto &[task, run] : minion->runs)
+        sendStop(*minion, task, run);
+    pendingLeaves_.push_back({minion->report.incarnation, now.time, std::move(confirmed)});
+    confirmLeaves();
+}
+
+/// Whether the confirmation arrives isn't known, so what still runs there is waited for like on a silent minion.
+void JobScheduler::confirmLeaves()
+{
+    for (auto leave = pendingLeaves_.begin(); leave != pendingLeaves_.end();) {
+        const auto *minion = fleet_.find(leave->minion);
+        const bool isOver = !minion || minion->runs.empty();
+        if (!isOver && now_.time < leave->since + leaveLimit) {
+            ++leave;
+            continue;
+        }
+        if (minion && isOver)
+            proposeMinionRemoval(leave->minion.id);
+        leave->confirmed(true);
+        leave = pendingLeaves_.erase(leave);
+    }
+}
+
+void JobScheduler::suspendMinion(Minion &minion, std::string_view reason)
+{
+    if (minion.leaseConfirmed) {
+        ports_.logDecision(LogLevel::Warning, "minion-suspended",
+                           {{"minion", minion.report.incarnation.id},
+                            {"address", minion.report.address},
+                            {"reason", reason},
+                            {"runs", minion.runs.size()}});
+    }
+    minion.suspend();
+}
+
+void JobScheduler::expireLeases()
+{
+    const auto removalDelay = missingReports * settings_.reportInterval;
+    std::vector<std::string> removable;
+    for (auto &[id, minion] : fleet_.minions()) {
+        const auto proof = EndProof::leaseOver(minion, now_.time);
+        if (!proof)
+            continue;
+        if (!minion.leaseConfirmed && minion.runs.empty()
+            && now_.time > std::max(minion.lastReportAt, minion.latestLeaseExpiry) + removalDelay) {
+            removable.push_back(id);
+            continue;
+        }
+        const bool runsSomething = std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto &entry) {
+            return entry.second.phase != RunPhase::Proposed && entry.second.phase != RunPhase::Ending;
+        });
+        const bool isSuspect
+            = runsSomething || (minion.leaseConfirmed && now_.time > minion.lastContactAt + settings_.lease);
+        if (isSuspect && staysSilentAfterExpiry(minion))
+            endRunsOf(minion, *proof);
+    }
+    for (const auto &id : removable)
+        proposeMinionRemoval(id);
+}
+
+bool JobScheduler::staysSilentAfterExpiry(Minion &minion)
+{
+    if (minion.renewalOutstanding)
+        return false;
+    // Answers from before may have been lost, or may not have been read in time if this process is busy.
+    const auto expiredAt = minion.leasesEnd();
+    const bool wasAsked = minion.renewalSentAt >= expiredAt && minion.renewalFailures > 0;
+    const bool isOverdue = now_.time >= expiredAt + settings_.lease;
+    if (!wasAsked && !isOverdue)
+        sendLeaseRenewal(minion, Duration::zero());
+    return wasAsked || isOverdue;
+}
+
+void JobScheduler::endRunsOf(Minion &minion, const EndProof &proof)
+{
+    std::size_t lost = 0;
+    Wire::JobCommand command;
+    for (auto &[task, run] : minion.runs) {
+        if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending)
+            continue;
+        proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST, proof);
+        ports_.logDecision(LogLevel::Info, "run-lost",
+                           {{"task", task.toString()},
+                            {"run", run.run},
+                            {"minion", minion.report.incarnation.id},
+                            {"reason", proof.name()},
+                            {"running_ms", run.startedAt == TimePoint{} ? -1 : (now_.time - run.startedAt) / 1ms},
+                            {"checkpoint", !run.checkpoint.empty()}});
+        ++lost;
+    }
+    minion.suspend();
+    ports_.logDecision(
+        LogLevel::Warning, "minion-lost",
+        {{"minion", minion.report.incarnation.id},
+         {"address", minion.report.address},
+         {"reason", proof.name()},
+         {"runs", lost},
+         {"silent_ms", minion.lastContactAt == TimePoint{} ? -1 : (now_.time - minion.lastContactAt) / 1ms}});
+    if (lost > 0)
+        ports_.propose(std::move(command), {});
+}
+
+void JobScheduler::proposeMinionRemoval(const std::string &id)
+{
+    auto *minion = fleet_.find(id);
+    if (!minion || minion->removalProposed)
+        return;
+    minion->removalProposed = true;
+    ports_.logDecision(
+        LogLevel::Info, "minion-forgotten",
+        {{"minion", id}, {"address", minion->report.address}, {"silent_ms", (now_.time - minion->lastReportAt) / 1ms}});
+    Wire::JobCommand command;
+    command.add_gone_minions(id);
+    ports_.propose(std::move(command), [this, id](bool applied) {
+        if (auto *known = applied ? nullptr : fleet_.find(id))
+            known->removalProposed = false;
+    });
+}
+
+void JobScheduler::minionRemoved(const std::string &minion)
+{
+    if (!leading_)
+        return;
+    if (const auto *removed = fleet_.find(minion))
+        keepRunsOf(*removed);
+    fleet_.remove(minion);
+    advice_.removeMinion(minion);
+}
+
+void JobScheduler::keepRunsOf(const Minion &removed)
+{
+    for (const auto &[task, run] : removed.runs) {
+        if (isCurrentRun(task, run))
+            lostRuns_[task] = {run.run, removed.leasesEnd()};
+    }
+}
+
+bool JobScheduler::isCurrentRun(const TaskName &task, const Run &run) const
+{
+    const auto *job = store_.job(task.step.job);
+    const auto *record = job ? job->task(task) : nullptr;
+    return record && record->state == TaskState::Assigned && record->run == run.run;
+}
+
+void JobScheduler::proposeLostRuns()
+{
+    if (lostRuns_.empty() || now_.time < lostRunsProposedAt_ + lostRunRetry)
+        return;
+    lostRunsProposedAt_ = now_.time;
+    Wire::JobCommand command;
+    for (auto entry = lostRuns_.begin(); entry != lostRuns_.end();) {
+        const auto &[task, lost] = *entry;
+        const auto *job = store_.job(task.step.job);
+        const auto *record = job ? job->task(task) : nullptr;
+        if (!record || record->state != TaskState::Assigned || record->run != lost.run) {
+            entry = lostRuns_.erase(entry);
+            continue;
+        }
+        if (!EndProof::leaseOver(lost.leasesEnd, now_.time)) {
+            ++entry;
+            continue;
+        }
+        auto &end = *command.add_ends();
+        fill(*end.mutable_task(), task);
+        end.set_run(lost.run);
+        end.set_how(Wire::JOB_RUN_END_LOST);
+        ++entry;
+    }
+    if (command.ends_size() == 0)
+        return;
+    ports_.logDecision(LogLevel::Info, "runs-without-minion", {{"runs", command.ends_size()}});
+    ports_.propose(std::move(command), {});
+}
+
+} // namespace Pistachio::Jobs
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -1,4 +1,4 @@
-// Sends orders to minions, handles the answers, and tracks leases.
+// Sends orders to minions and handles the answers.
 
 #include "jobs/endproof.h"
 #include "jobs/jobscheduler.h"
@@ -21,7 +21,6 @@
 constexpr Duration maxLossGap = 1s; ///< a minion that answers again within it was responsive; only the answer was lost
 constexpr Duration avoidAfterRefusal = 1s;
 constexpr Duration avoidAfterUnansweredStart = 500ms;
-constexpr int missingReports = 4; ///< before a minion is forgotten; counted from its last report and lease
 constexpr double throttleAbove = 0.85; ///< share of the target tail latency of a serving task
 constexpr double unthrottleBelow = 0.55;
 constexpr std::uint32_t minThrottlePercent = 5;
@@ -222,102 +221,6 @@
         found->second.throttlePercent = order.percent;
 }
 
-void JobScheduler::suspendMinion(Minion &minion, std::string_view reason)
-{
-    if (minion.leaseConfirmed) {
-        ports_.logDecision(LogLevel::Warning, "minion-suspended",
-                           {{"minion", minion.report.incarnation.id},
-                            {"address", minion.report.address},
-                            {"reason", reason},
-                            {"runs", minion.runs.size()}});
-    }
-    minion.suspend();
-}
-
-void JobScheduler::endRunsOf(Minion &minion, const EndProof &proof)
-{
-    std::size_t lost = 0;
-    Wire::JobCommand command;
-    for (auto &[task, run] : minion.runs) {
-        if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending)
-            continue;
-        proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST, proof);
-        ports_.logDecision(LogLevel::Info, "run-lost",
-                           {{"task", task.toString()},
-                            {"run", run.run},
-                            {"minion", minion.report.incarnation.id},
-                            {"reason", proof.name()},
-                            {"running_ms", run.startedAt == TimePoint{} ? -1 : (now_.time - run.startedAt) / 1ms},
-                            {"checkpoint", !run.checkpoint.empty()}});
-        ++lost;
-    }
-    minion.suspend();
-    ports_.logDecision(
-        LogLevel::Warning, "minion-lost",
-        {{"minion", minion.report.incarnation.id},
-         {"address", minion.report.address},
-         {"reason", proof.name()},
-         {"runs", lost},
-         {"silent_ms", minion.lastContactAt == TimePoint{} ? -1 : (now_.time - minion.lastContactAt) / 1ms}});
-    if (lost > 0)
-        ports_.propose(std::move(command), {});
-}
-
-void JobScheduler::expireLeases()
-{
-    const auto removalDelay = missingReports * settings_.reportInterval;
-    std::vector<std::string> removable;
-    for (auto &[id, minion] : fleet_.minions()) {
-        const auto proof = EndProof::leaseOver(minion, now_.time);
-        if (!proof)
-            continue;
-        if (!minion.leaseConfirmed && minion.runs.empty()
-            && now_.time > std::max(minion.lastReportAt, minion.latestLeaseExpiry) + removalDelay) {
-            removable.push_back(id);
-            continue;
-        }
-        const bool runsSomething = std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto &entry) {
-            return entry.second.phase != RunPhase::Proposed && entry.second.phase != RunPhase::Ending;
-        });
-        const bool isSuspect
-            = runsSomething || (minion.leaseConfirmed && now_.time > minion.lastContactAt + settings_.lease);
-        if (isSuspect && staysSilentAfterExpiry(minion))
-            endRunsOf(minion, *proof);
-    }
-    for (const auto &id : removable)
-        proposeMinionRemoval(id);
-}
-
-bool JobScheduler::staysSilentAfterExpiry(Minion &minion)
-{
-    if (minion.renewalOutstanding)
-        return false;
-    // Answers from before may have been lost, or may not have been read in time if this process is busy.
-    const auto expiredAt = minion.leasesEnd();
-    const bool wasAsked = minion.renewalSentAt >= expiredAt && minion.renewalFailures > 0;
-    const bool isOverdue = now_.time >= expiredAt + settings_.lease;
-    if (!wasAsked && !isOverdue)
-        sendLeaseRenewal(minion, Duration::zero());
-    return wasAsked || isOverdue;
-}
-
-void JobScheduler::proposeMinionRemoval(const std::string &id)
-{
-    auto *minion = fleet_.find(id);
-    if (!minion || minion->removalProposed)
-        return;
-    minion->removalProposed = true;
-    ports_.logDecision(
-        LogLevel::Info, "minion-forgotten",
-        {{"minion", id}, {"address", minion->report.address}, {"silent_ms", (now_.time - minion->lastReportAt) / 1ms}});
-    Wire::JobCommand command;
-    command.add_gone_minions(id);
-    ports_.propose(std::move(command), [this, id](bool applied) {
-        if (auto *known = applied ? nullptr : fleet_.find(id))
-            known->removalProposed = false;
-    });
-}
-
 void JobScheduler::adjustThrottles(Minion &minion)
 {
     if (minion.spareMilliCoresUsed() == 0)
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -1,10 +1,8 @@
 // Reactions of the scheduler to changes in the job store.
 
-#include "jobs/demand.h"
 #include "jobs/endproof.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
-#include "jobs/minionrecord.h"
 #include "jobs/schedulerports.h"
 
 #include <jobs.pb.h>
@@ -17,139 +15,6 @@
 
 using Logging::LogLevel;
 
-namespace
-{
-constexpr Duration lostRunRetry = 200ms; ///< several times a commit
-} // namespace
-
-void JobScheduler::minionRecorded(const Wire::JobMinion &minion)
-{
-    if (!leading_)
-        return;
-    auto report = toReport(minion);
-    auto *known = fleet_.find(report.incarnation);
-    if (known) {
-        known->report.draining = known->report.draining || report.draining;
-    } else {
-        const auto *replaced = fleet_.find(minion.id());
-        const auto earlier = replaced ? *replaced : Minion();
-        auto &added = addMinion(std::move(report));
-        added.latestLeaseExpiry = std::max(added.latestLeaseExpiry, earlier.latestLeaseExpiry);
-        takeOverRuns(added, earlier.runs);
-        takeOverLostRuns(added);
-        advice_.removeMinion(minion.id());
-    }
-    planNeeded_ = true;
-    const auto waiting = reportsToStore_.extract(minion.id());
-    if (waiting.empty())
-        return;
-    for (const auto &stored : waiting.mapped())
-        stored(true);
-}
-
-void JobScheduler::minionRemoved(const std::string &minion)
-{
-    if (!leading_)
-        return;
-    if (const auto *removed = fleet_.find(minion))
-        keepRunsOf(*removed);
-    fleet_.remove(minion);
-    advice_.removeMinion(minion);
-}
-
-bool JobScheduler::isCurrentRun(const TaskName &task, const Run &run) const
-{
-    const auto *job = store_.job(task.step.job);
-    const auto *record = job ? job->task(task) : nullptr;
-    return record && record->state == TaskState::Assigned && record->run == run.run;
-}
-
-Minion &JobScheduler::addMinion(MinionReport report)
-{
-    const auto id = report.incarnation.id;
-    fleet_.add(std::move(report));
-    auto &added = *fleet_.find(id);
-    added.lastReportAt = now_.time;
-    added.latestLeaseExpiry = now_.time + longestTime(settings_.lease);
-    return added;
-}
-
-void JobScheduler::takeOverRuns(Minion &minion, const std::map<TaskName, Run> &earlier)
-{
-    for (const auto &[task, run] : earlier) {
-        if (isCurrentRun(task, run))
-            stopInLaterIncarnation(minion, task, run);
-    }
-}
-
-void JobScheduler::takeOverLostRuns(Minion &minion)
-{
-    std::erase_if(lostRuns_, [this, &minion](const auto &entry) {
-        const auto &[task, lost] = entry;
-        Run run;
-        run.run = lost.run;
-        if (!isCurrentRun(task, run) || store_.job(task.step.job)->task(task)->minion != minion.report.incarnation.id)
-            return false;
-        run.reserved = reservedBy(store_.job(task.step.job)->spec(task.step.step));
-        stopInLaterIncarnation(minion, task, run);
-        return true;
-    });
-}
-
-/// A repeated start may have reached the later incarnation, or reach it yet; after the stop it is refused there.
-void JobScheduler::stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier)
-{
-    Run run;
-    run.run = earlier.run;
-    run.reserved = earlier.reserved;
-    run.spareMilliCores = earlier.spareMilliCores;
-    run.checkpoint = earlier.checkpoint;
-    run.expected = earlier.expected;
-    run.isOfEarlierIncarnation = true;
-    run.isUnlisted = true;
-    run.phase = RunPhase::Adopted;
-    minion.laterLeaseExpiry = now_.time + longestTime(settings_.longestLease);
-    sendStop(minion, task, minion.add(task, run));
-}
-
-void JobScheduler::keepRunsOf(const Minion &removed)
-{
-    for (const auto &[task, run] : removed.runs) {
-        if (isCurrentRun(task, run))
-            lostRuns_[task] = {run.run, removed.leasesEnd()};
-    }
-}
-
-void JobScheduler::proposeLostRuns()
-{
-    if (lostRuns_.empty() || now_.time < lostRunsProposedAt_ + lostRunRetry)
-        return;
-    lostRunsProposedAt_ = now_.time;
-    Wire::JobCommand command;
-    for (auto entry = lostRuns_.begin(); entry != lostRuns_.end();) {
-        const auto &[task, lost] = *entry;
-        const auto *job = store_.job(task.step.job);
-        const auto *record = job ? job->task(task) : nullptr;
-        if (!record || record->state != TaskState::Assigned || record->run != lost.run) {
-            entry = lostRuns_.erase(entry);
-            continue;
-        }
-        if (!EndProof::leaseOver(lost.leasesEnd, now_.time)) {
-            ++entry;
-            continue;
-        }
-        auto &end = *command.add_ends();
-        fill(*end.mutable_task(), task);
-        end.set_run(lost.run);
-        end.set_how(Wire::JOB_RUN_END_LOST);
-        ++entry;
-    }
-    if (command.ends_size() == 0)
-        return;
-    ports_.logDecision(LogLevel::Info, "runs-without-minion", {{"runs", command.ends_size()}});
-    ports_.propose(std::move(command), {});
-}
-
 void JobScheduler::configurationChanged()
 {
     planNeeded_ = true;
