Keep a silent minion only while it has runs that the store knows

The end of a run whose job the store has forgotten meanwhile is never reported back, so such a minion would have stayed for good. Now only runs that the store has assigned keep it.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -207,7 +207,9 @@
     void stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier);
     /// Remembers the runs of a minion that is removed until its lease is over.
     void keepRunsOf(const Minion &removed);
+    /// \return whether the store has the task assigned with this run.
     [[nodiscard]] bool isCurrentRun(const TaskName &task, const Run &run) const;
+    [[nodiscard]] bool hasCurrentRun(const Minion &minion) const;
     void proposeLostRuns();
     /// Grants a minion no more leases, as another one answers or reports in its place.
     void suspendMinion(Minion &minion, std::string_view reason);
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -66,7 +66,7 @@
     Wire::JobCommand command;
     for (const auto &incarnation : replaced) {
         const auto *minion = fleet_.find(incarnation);
-        if (minion && minion->isReplaced && minion->runs.empty())
+        if (minion && minion->isReplaced && !hasCurrentRun(*minion))
             command.add_gone_minions(incarnation.id);
     }
     *command.add_minions() = toWire(report);
@@ -208,7 +208,7 @@
         const auto proof = EndProof::leaseOver(minion, now_.time);
         if (!proof)
             continue;
-        if (!minion.leaseConfirmed && minion.runs.empty()
+        if (!minion.leaseConfirmed && !hasCurrentRun(minion)
             && now_.time > std::max(minion.lastReportAt, minion.latestLeaseExpiry) + removalDelay) {
             removable.push_back(id);
             continue;
@@ -309,6 +309,12 @@
     return record && record->state == TaskState::Assigned && record->run == run.run;
 }
 
+bool JobScheduler::hasCurrentRun(const Minion &minion) const
+{
+    return std::any_of(minion.runs.begin(), minion.runs.end(),
+                       [this](const auto &entry) { return isCurrentRun(entry.first, entry.second); });
+}
+
 void JobScheduler::proposeLostRuns()
 {
     if (lostRuns_.empty() || now_.time < lostRunsProposedAt_ + lostRunRetry)
