--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -20,6 +20,13 @@
 constexpr Duration relayLimit = 700ms;
 constexpr Duration retryDelay = 50ms;
 constexpr Duration confirmedLimit = 800ms; ///< a few announcements are missing by then
+
+/// \return whether the verdict says that nothing was done.
+bool isRefusal(Wire::JobVerdict verdict)
+{
+    return verdict == Wire::JOB_VERDICT_UNAVAILABLE || verdict == Wire::JOB_VERDICT_NO_SUCH_QUEUE
+        || verdict == Wire::JOB_VERDICT_INVALID;
+}
 } // namespace
 
 struct CallerCalls::Attempt {
@@ -171,8 +178,8 @@
         relayedAt_ = EventLoop::now();
     else
         leaderConfirmed(ip);
-    // An earlier attempt may have got through where this one did not.
-    if (reply.verdict() == Wire::JOB_VERDICT_UNAVAILABLE && attempt->mayHaveTakenEffect)
+    // An earlier attempt may have got through where this one did not, such as before the queue was removed.
+    if (isRefusal(reply.verdict()) && attempt->mayHaveTakenEffect)
         reply.set_verdict(Wire::JOB_VERDICT_UNKNOWN);
     finish(attempt, reply);
 }
--- a/src/libs/jobnode/jobcalls.cpp
+++ b/src/libs/jobnode/jobcalls.cpp
@@ -80,7 +80,7 @@
     }
     const auto *queue = store_.queueAt(call.host(), call.path());
     if (!queue) {
-        answered(reply(Wire::JOB_VERDICT_NO_SUCH_QUEUE, "no queue at " + call.host() + call.path()));
+        refuse(call, reply(Wire::JOB_VERDICT_NO_SUCH_QUEUE, "no queue at " + call.host() + call.path()), answered);
         return;
     }
     const auto key = Jobs::JobStore::queueKey(*queue);
@@ -90,7 +90,7 @@
         return;
     }
     if (!isJobId(id)) {
-        answered(reply(Wire::JOB_VERDICT_INVALID, "not a job id of 16 hexadecimal digits: '" + id + "'"));
+        refuse(call, reply(Wire::JOB_VERDICT_INVALID, "not a job id of 16 hexadecimal digits: '" + id + "'"), answered);
         return;
     }
     Wire::JobCommand command;
@@ -119,6 +119,25 @@
     propose(now, command, answered);
 }
 
+/// A job that an earlier call has handed in runs, though its queue has been removed since. A refusal would tell its
+/// caller that it doesn't.
+void JobCalls::refuse(const Wire::JobCall &call, const Wire::JobReply &refusal, const Answered &answered) const
+{
+    if (call.has_submission() && holdsJobAt(call.host(), call.path()))
+        answered(reply(Wire::JOB_VERDICT_UNKNOWN, "the job is held, but its queue is not in force any more"));
+    else
+        answered(refusal);
+}
+
+bool JobCalls::holdsJobAt(const std::string &host, const std::string &path) const
+{
+    if (path.size() < idLength)
+        return false;
+    const auto idStart = path.size() - idLength;
+    const auto *job = store_.job(path.substr(idStart));
+    return job && job->submission().queue() == host + path.substr(0, idStart);
+}
+
 void JobCalls::read(const std::string &queueKey, const std::string &id, const Answered &answered) const
 {
     auto result = reply(Wire::JOB_VERDICT_ACCEPTED);
--- a/src/libs/jobnode/jobcalls.h
+++ b/src/libs/jobnode/jobcalls.h
@@ -46,6 +46,10 @@
     [[nodiscard]] Wire::JobReply notLeader() const;
 
 private:
+    /// Answers UNKNOWN in place of \p refusal if the call hands in a job that is held.
+    void refuse(const Wire::JobCall &call, const Wire::JobReply &refusal, const Answered &answered) const;
+    /// \return whether a job is held that was handed in at the path, whatever queues are in force.
+    [[nodiscard]] bool holdsJobAt(const std::string &host, const std::string &path) const;
     void read(const std::string &queueKey, const std::string &id, const Answered &answered) const;
 
     const Jobs::JobStore &store_;
--- a/tests/auto/jobnode/fakeleader.h
+++ b/tests/auto/jobnode/fakeleader.h
@@ -6,6 +6,7 @@
 #include <jobs.pb.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
                         reply.add_controls(otherControl);
                 } else {
                     ++calls;
+                    reply.set_verdict(callVerdict.value_or(verdict));
                 }
                 if (!isSilent)
                     responder.respond({200, {}, reply.SerializeAsString()});
@@ -39,6 +41,7 @@
     }
 
     Pistachio::Wire::JobVerdict verdict = Pistachio::Wire::JOB_VERDICT_ACCEPTED;
+    std::optional<Pistachio::Wire::JobVerdict> callVerdict; ///< of callers' requests, where it differs
     std::vector<std::string> relays;
     std::string otherLeader;
     std::string otherControl;
--- a/tests/auto/jobnode/tst_jobcontrol.cpp
+++ b/tests/auto/jobnode/tst_jobcontrol.cpp
@@ -68,6 +68,47 @@
     return settings;
 }
 
+Settings::JobSettings leadingSettings(const std::string &folder)
+{
+    auto settings = settingsOf("127.0.0.1", folder);
+    settings.seeds = {{"127.0.0.1", 1}};
+    settings.bootstrap = true;
+    settings.toleratedLosses = 0;
+    return settings;
+}
+
+const Settings::JobSettings &withPort(Settings::JobSettings &settings, std::uint16_t port)
+{
+    settings.internalPort = port;
+    return settings;
+}
+
+/// A control instance at 127.0.0.1 that leads alone, and the way to it.
+class LeadingControl
+{
+public:
+    LeadingControl()
+        : settings(leadingSettings(folder.path))
+        , runtime("test", settings)
+        , portHolder(runtime.loop(), "127.0.0.6", 0)
+        , control(withPort(settings, portHolder.port), runtime, minions, advice)
+        , peers(runtime.loop(), settings.internalPort, "", nullptr)
+    {
+        CPPUNIT_ASSERT(control.open());
+        while (!control.canAnswer())
+            runtime.loop().runFor(10ms);
+    }
+
+    TemporaryFolder folder;
+    Settings::JobSettings settings;
+    NodeRuntime runtime;
+    const FakeLeader portHolder;
+    NoAdvice advice;
+    NoMinions minions;
+    JobControl control;
+    Peers peers;
+};
+
 } // namespace
 
 class JobControlTest : public CppUnit::TestFixture
@@ -80,6 +121,7 @@
     CPPUNIT_TEST(instanceBehindATranslatedAddressTakesPart);
     CPPUNIT_TEST(stoppedVoterHandsOver);
     CPPUNIT_TEST(oddAnnouncementsTakePart);
+    CPPUNIT_TEST(heldJobIsNotRefusedForItsQueue);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -225,20 +267,9 @@
     // One without an id replaced the leader's own adviser; the others became members and relays that no one can reach.
     void oddAnnouncementsTakePart()
     {
-        TemporaryFolder folder;
-        auto settings = settingsOf("127.0.0.1", folder.path);
-        settings.seeds = {{"127.0.0.1", 1}};
-        settings.bootstrap = true;
-        NodeRuntime runtime("test", settings);
-        const FakeLeader portHolder(runtime.loop(), "127.0.0.6", 0);
-        settings.internalPort = portHolder.port;
-        NoAdvice advice;
-        NoMinions minions;
-        JobControl control(settings, runtime, minions, advice);
-        CPPUNIT_ASSERT(control.open());
-        while (!control.canAnswer())
-            runtime.loop().runFor(10ms);
-        Peers peers(runtime.loop(), settings.internalPort, "", nullptr);
+        LeadingControl leading;
+        auto &runtime = leading.runtime;
+        auto &peers = leading.peers;
         for (const auto &odd :
              {std::string(), std::string("~1"), std::string("10.0.0.999"), std::string("10.0.0.1:99999~1"),
               std::string("name"), std::string(1'000'000, '9'), "10.0.0.1~" + std::string(1'000'000, '9')}) {
@@ -252,7 +283,62 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), reply.entries(0));
     }
 
+    // A job that is held was answered with "no such queue" when it was handed in again after its queue was removed.
+    void heldJobIsNotRefusedForItsQueue()
+    {
+        LeadingControl leading;
+        auto &runtime = leading.runtime;
+        auto &peers = leading.peers;
+        auto &control = leading.control;
+        const std::string held = "/q/0000000000000001";
+        configure(runtime, control, "/q/");
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{submit(runtime, peers, held)});
+        configure(runtime, control, "/other/");
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNKNOWN}, int{submit(runtime, peers, held)});
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_NO_SUCH_QUEUE}, int{submit(runtime, peers, "/q/0000000000000002")});
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_NO_SUCH_QUEUE}, int{submit(runtime, peers, "/z/0000000000000001")});
+        configure(runtime, control, "/");
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNKNOWN}, int{submit(runtime, peers, held)});
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_INVALID}, int{submit(runtime, peers, "/q/0000000000000002")});
+        configure(runtime, control, "/q/");
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{submit(runtime, peers, held)});
+    }
+
 private:
+    /// Puts a configuration in force that has one queue at \p prefix.
+    void configure(NodeRuntime &runtime, JobControl &control, const std::string &prefix)
+    {
+        Wire::JobConfiguration configuration;
+        configuration.set_version(++version_);
+        configuration.set_document("as sent");
+        configuration.add_services()->set_name("s");
+        auto &queue = *configuration.add_queues();
+        queue.set_host("h");
+        queue.set_path_prefix(prefix);
+        queue.set_service("s");
+        std::optional<Wire::JobVerdict> verdict;
+        control.configure(configuration, [&](const Wire::JobReply &reply) { verdict = reply.verdict(); });
+        while (!verdict)
+            runtime.loop().runFor(5ms);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{*verdict});
+    }
+
+    static Wire::JobVerdict submit(NodeRuntime &runtime, Peers &peers, const std::string &path)
+    {
+        Wire::JobCall call;
+        call.set_host("h");
+        call.set_path(path);
+        call.mutable_submission()->add_steps()->set_tasks(1);
+        std::optional<Wire::JobReply> reply;
+        peers.call("127.0.0.1", "/jobs/call", call.SerializeAsString(), 3s, [&](const Transport::CallResult &result) {
+            reply.emplace();
+            CPPUNIT_ASSERT(result && reply->ParseFromString(result.value().body));
+        });
+        while (!reply)
+            runtime.loop().runFor(5ms);
+        return reply->verdict();
+    }
+
     static Transport::Response join(NodeRuntime &runtime, Peers &peers, const std::string &instance, bool isEntry)
     {
         Wire::JobJoin join;
@@ -266,6 +352,8 @@
             runtime.loop().runFor(5ms);
         return *response;
     }
+
+    std::uint64_t version_ = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobControlTest);
--- a/tests/auto/jobnode/tst_jobentry.cpp
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(leaderWithoutConfigurationRefusesAtOnce);
     CPPUNIT_TEST(silentLeaderGetsNoJob);
     CPPUNIT_TEST(jobInDoubtIsNotRefused);
+    CPPUNIT_TEST(jobInDoubtIsNotRefusedForItsQueue);
     CPPUNIT_TEST(entryFindsALeaderThatIsNoSeed);
     CPPUNIT_TEST(newSeedsAreAsked);
     CPPUNIT_TEST(otherEntryRelays);
@@ -131,6 +132,22 @@
         CPPUNIT_ASSERT_EQUAL(2, fixture.leader.calls);
     }
 
+    // The caller of a job that runs was told that there is no such queue, as it was removed while the answer was lost.
+    void jobInDoubtIsNotRefusedForItsQueue()
+    {
+        for (const auto refusal : {Wire::JOB_VERDICT_NO_SUCH_QUEUE, Wire::JOB_VERDICT_INVALID}) {
+            Fixture fixture;
+            CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+            fixture.leader.isSilent = true;
+            const auto timer = fixture.runtime.loop().callAfter(500ms, [&fixture, refusal] {
+                fixture.leader.isSilent = false;
+                fixture.leader.callVerdict = refusal;
+            });
+            CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNKNOWN}, int{fixture.submit()});
+            CPPUNIT_ASSERT(fixture.leader.calls > 2);
+        }
+    }
+
     // An entry whose seeds were all replaced asked them for ever once its leader was gone.
     void entryFindsALeaderThatIsNoSeed()
     {
