Write the commit index of a round behind its entries

What callers could see: after a loss of power that tears the last write of a follower, it could start with a commit index that covers entries which the write was to replace, apply them, and acknowledge them to the leader, so that accepted work could be lost.

Cause: LogStore::append wrote the new hard state, with its commit index, before the entries of the same round. A write that is torn behind the hard state leaves the new index beside the old entries.

Fix: in a round with entries the hard state before them keeps the last commit index, and a second record behind them raises it. Whatever part of the write is left, the index covers only entries that are there. The term and the vote still come first, and a hard state that doesn't change isn't written.

The test cuts the last write at each byte.

--- a/src/libs/storage/logstore.cpp
+++ b/src/libs/storage/logstore.cpp
@@ -208,11 +208,18 @@
     if (size_ >= segmentBytes_) {
         BOOST_OUTCOME_TRYV(guard(startSegment(hardState_, nullptr)));
     }
+    const HardState last = hardState.value_or(hardState_);
+    HardState first = last;
+    // A torn write must not commit the entries that it was to replace, so their commit index follows the new ones.
+    if (!entries.empty())
+        first.commit = hardState_.commit;
     std::string bytes;
-    if (hardState)
-        putRecord(bytes, Internal::RecordType::HardState, Internal::encodeHardState(*hardState));
+    if (first != hardState_)
+        putRecord(bytes, Internal::RecordType::HardState, Internal::encodeHardState(first));
     for (const Entry &entry : entries)
         putRecord(bytes, Internal::RecordType::Entry, Internal::encodeEntry(entry));
+    if (last != first)
+        putRecord(bytes, Internal::RecordType::HardState, Internal::encodeHardState(last));
     const auto written = file_->append(bytes);
     if (!written) {
         // A part may have been written, which must not precede what is written next.
@@ -220,7 +227,7 @@
         return guard(written);
     }
     size_ += bytes.size();
-    hardState_ = hardState.value_or(hardState_);
+    hardState_ = last;
     for (const Entry &entry : entries)
         segments_.back().lastIndex = std::max(segments_.back().lastIndex, entry.index);
     return success();
--- a/tests/auto/storage/tst_storage.cpp
+++ b/tests/auto/storage/tst_storage.cpp
@@ -183,6 +183,7 @@
     CPPUNIT_TEST(everyPrefixGivesAnEarlierState);
     CPPUNIT_TEST(everyFlippedByteIsFoundOrCutOff);
     CPPUNIT_TEST(crashesLoseOnlyWhatWasNotSynced);
+    CPPUNIT_TEST(tornWriteCommitsNoReplacedEntry);
     CPPUNIT_TEST(failedSyncIsNeverRetried);
     CPPUNIT_TEST(fullDiskChangesNothing);
     CPPUNIT_TEST(compactionRemovesSegments);
@@ -267,6 +268,36 @@
         CPPUNIT_ASSERT(crashes > 1000 && fullDisks > 1000);
     }
 
+    // Guards against applying replaced entries after a loss of power, and against losing the commit index.
+    void tornWriteCommitsNoReplacedEntry()
+    {
+        MemoryFileSystem files;
+        auto opened = LogStore::open(files, folder, "cell/control-1").value();
+        std::vector<Entry> entries;
+        for (LogIndex index = 1; index <= 5; ++index)
+            entries.push_back(entryAt(index, 1));
+        CPPUNIT_ASSERT(opened.store->append(HardState{1, {}, 2}, entries));
+        CPPUNIT_ASSERT(opened.store->sync());
+        const std::string path = folder + "/log-0000000000000001";
+        const std::size_t durable = files.files.at(path)->bytes.size();
+        const std::vector later{entryAt(3, 2), entryAt(4, 2), entryAt(5, 2)};
+        CPPUNIT_ASSERT(opened.store->append(HardState{2, {}, 5}, later));
+        const std::size_t whole = files.files.at(path)->bytes.size();
+        for (std::size_t size = durable; size <= whole; ++size) {
+            MemoryFileSystem torn;
+            copyFiles(files, torn);
+            torn.files.at(path)->bytes.resize(size);
+            const RestoredState restored = LogStore::open(torn, folder, "cell/control-1").value().state;
+            for (const Entry &entry : restored.entries) {
+                const bool isReplaced = entry.index > 2 && entry.term == 1;
+                CPPUNIT_ASSERT_MESSAGE("cut at byte " + std::to_string(size - durable) + " of "
+                                           + std::to_string(whole - durable),
+                                       !isReplaced || entry.index > restored.hardState.commit);
+            }
+            CPPUNIT_ASSERT(size < whole || restored.hardState.commit == 5);
+        }
+    }
+
     // Guards against a second sync that succeeds although the first one lost the data.
     void failedSyncIsNeverRetried()
     {
