Let the soak's advice leave each step two minions

The stand-in of the advice service denied a minion by a hash of step and minion, each on its own, so now and then it denied a step on all of them.

The stand-in now knows all minions and allows the denied ones with the highest hash until two are allowed, which have room for the largest gang of the workload (four tasks of at most 3200 of 8000 millicores). All other verdicts are as before, and the check of the ledger stays as it is.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -24,6 +24,20 @@
 constexpr Duration slowLink = 120ms;
 constexpr std::int64_t minionMilliCores = 8000;
 constexpr std::uint16_t minionPort = 7500;
+constexpr std::size_t fewestAdvised = 2; ///< minions that have room for the largest gang of the workload
+
+std::string minionName(std::size_t index)
+{
+    return "minion-" + std::to_string(index);
+}
+
+std::vector<std::string> minionNames(std::size_t count)
+{
+    std::vector<std::string> names;
+    for (std::size_t index = 0; index < count; ++index)
+        names.push_back(minionName(index));
+    return names;
+}
 
 } // namespace
 
@@ -35,7 +49,7 @@
     , longRunningWatch_([this](const std::string &text) { violated(text); })
     , cell_(loop_, size_, std::move(folder), network, [this](const std::string &text) { violated(text); })
     , workload_(loop_, cell_, ledger_, seed, [this](const std::string &text) { violated(text); })
-    , advice_(loop_, Workload::ticketValidity)
+    , advice_(loop_, Workload::ticketValidity, minionNames(size_.minions), fewestAdvised)
     , gangs_([this](const Jobs::StepName &step) { return workload_.gangSize(step); })
 {
     if (const auto port = advice_.listen({network + ".1.1", Cell::advicePort}); !port)
@@ -50,7 +64,7 @@
     };
     for (std::size_t index = 0; index < size_.minions; ++index) {
         Jobs::MinionReport report;
-        report.incarnation = {"minion-" + std::to_string(index), 1'700'000'000'000};
+        report.incarnation = {minionName(index), 1'700'000'000'000};
         report.address = network + ".4." + std::to_string(index + 1) + ':' + std::to_string(minionPort);
         report.service = Workload::service;
         report.zone = "z";
--- a/tests/standins/platform/adviceserver.cpp
+++ b/tests/standins/platform/adviceserver.cpp
@@ -5,9 +5,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <functional>
 #include <sstream>
+#include <utility>
 
 namespace Pistachio::Standin
 {
@@ -19,11 +21,15 @@
 {
 
 constexpr char separator = '/';
+constexpr std::size_t deniedShare = 4; ///< one minion of so many is denied
 
 } // namespace
 
-AdviceServer::AdviceServer(EventLoop &loop, Duration validity)
+AdviceServer::AdviceServer(EventLoop &loop, Duration validity, std::vector<std::string> minions,
+                           std::size_t fewestAllowed)
     : validity_(validity)
+    , minions_(std::move(minions))
+    , fewestAllowed_(fewestAllowed)
     , server_(loop, {},
               [this](const Transport::Request &request, const auto &responder) { answer(request, responder); })
 {
@@ -34,16 +40,33 @@
     return server_.listen(endpoint);
 }
 
-bool AdviceServer::allows(const std::string &step, const std::string &minion)
+std::set<std::string> AdviceServer::allowedMinions(const std::string &step) const
 {
-    return std::hash<std::string>{}(step + separator + minion) % 4 != 0;
+    std::set<std::string> allowed;
+    std::vector<std::pair<std::size_t, std::string>> denied;
+    for (const auto &minion : minions_) {
+        auto pair = step;
+        pair += separator;
+        pair += minion;
+        const auto hash = std::hash<std::string>{}(pair);
+        if (hash % deniedShare != 0)
+            allowed.insert(minion);
+        else
+            denied.emplace_back(hash, minion);
+    }
+    std::sort(denied.begin(), denied.end());
+    while (allowed.size() < fewestAllowed_ && !denied.empty()) {
+        allowed.insert(std::move(denied.back().second));
+        denied.pop_back();
+    }
+    return allowed;
 }
 
 bool AdviceServer::isValid(const Jobs::StepName &step, const std::string &minion, const std::string &ticket) const
 {
     const auto name = Platform::formatStep(step);
     const auto prefix = name + separator + minion + separator;
-    if (!ticket.starts_with(prefix) || !allows(name, minion))
+    if (!ticket.starts_with(prefix) || !allowedMinions(name).contains(minion))
         return false;
     Duration::rep issued = 0;
     const auto *end = ticket.data() + ticket.size();
@@ -65,10 +88,11 @@
     }
     Platform::JsonFields fields(body.value());
     const auto step = fields.text("stepIndex");
+    const auto allowed = allowedMinions(step);
     json approved = json::array();
     for (const auto &worker : fields.array("workers")) {
         const auto minion = worker.get<std::string>();
-        if (!allows(step, minion))
+        if (!allowed.contains(minion))
             continue;
         std::ostringstream ticket;
         ticket << step << separator << minion << separator << EventLoop::now().time_since_epoch().count();
