--- a/src/libs/jobs/advicecache.cpp
+++ b/src/libs/jobs/advicecache.cpp
@@ -35,6 +35,8 @@
     if (found == steps_.end())
         return;
     auto &known = found->second;
+    if (known.answeredAt == TimePoint{})
+        known.answeredAt = now;
     for (const auto &row : approved)
         known.approved[row.minion] = {row.ticket, now + validity};
     for (const auto &minion : std::exchange(known.requestedMinions, {})) {
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -66,6 +66,7 @@
     durations_.clearSteps();
     preemptions_.clear();
     lostRuns_.clear();
+    timeSpent_.clear();
 }
 
 void JobScheduler::loseLeadership()
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -9,6 +9,7 @@
 #include "jobs/retrybackoff.h"
 #include "jobs/schedulersettings.h"
 #include "jobs/speedtable.h"
+#include "jobs/timespent.h"
 #include "jobs/workqueue.h"
 
 #include <cstdint>
@@ -147,6 +148,7 @@
     void removeFinishedJobs();
     void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int runEnd,
                     const EndProof &proof);
+    void addTimeSpent(const Job &job, const StepName &step, const Run &run);
     void stopRunsOf(const Job &job);
     void stopRuns(const Job &job, const StepName &step);
     /// Stops the runs of a gang of which a member has ended, in case the earlier leader didn't.
@@ -298,6 +300,7 @@
     std::vector<PendingLeave> pendingLeaves_;
     std::map<TaskName, LostRun> lostRuns_; ///< proposed until their end is stored
     TimePoint lostRunsProposedAt_{};
+    std::map<std::string, TimeSpent> timeSpent_; ///< by active jobs, in steps that this leader has seen end
     std::set<std::string> begunJobs_; ///< active jobs with a confirmed start
     bool planNeeded_ = true; ///< something changed since the last round
     TimePoint lastPlan_{};
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -39,6 +39,9 @@
     std::int64_t spareMilliCores = 0; ///< used but not reserved
     RunPhase phase = RunPhase::Proposed;
     TimePoint phaseSince{};
+    TimePoint readyAt{}; ///< when its task began to wait; zero if an earlier leader assigned it
+    TimePoint plannedAt{}; ///< when the assignment was proposed
+    TimePoint orderedAt{}; ///< when the assignment was committed
     TimePoint lastOrderAt{};
     bool orderOutstanding = false;
     std::uint32_t attempts = 0; ///< starts that the minion may have seen
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -230,6 +230,8 @@
     planned.reserved = reservedBy(step);
     planned.spareMilliCores = step.uses_spare_cores() ? step.milli_cores() : 0;
     planned.phaseSince = now_.time;
+    planned.plannedAt = now_.time;
+    planned.readyAt = queue_.readySince(task.step).value_or(now_.time);
     planned.expected = expectedRunTime(job, task.step);
     minion.add(task, planned);
     reservations_.consume(minion.report.incarnation.id, planned.reserved);
--- a/src/libs/jobs/stepadvice.h
+++ b/src/libs/jobs/stepadvice.h
@@ -20,6 +20,7 @@
     std::map<std::string, Ticket> approved; ///< by minion
     std::set<std::string> denied;
     std::vector<std::string> requestedMinions; ///< minions named in the outstanding request
+    TimePoint answeredAt{}; ///< when a request was first answered
     TimePoint failedAt{}; ///< when a request last failed
 
     /// \return whether the minion has a ticket that is valid at least until \p until.
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -47,11 +47,28 @@
             advice_.removeStep({job.id(), occurrence, number});
     }
     stopRunsOf(job);
+    const auto entry = timeSpent_.extract(job.id());
+    const auto spent = entry.empty() ? TimeSpent() : entry.mapped();
     ports_.logDecision(LogLevel::Info, "job-ended",
                        {{"job", job.id()},
                         {"queue", job.submission().queue()},
                         {"phase", static_cast<int>(job.phase())},
-                        {"age_ms", now_.unixMs - job.submission().accepted_unix_ms()}});
+                        {"age_ms", now_.unixMs - job.submission().accepted_unix_ms()},
+                        {"advice_ms", spent.advice / 1ms},
+                        {"queue_ms", spent.queue / 1ms},
+                        {"assignment_ms", spent.assignment / 1ms},
+                        {"start_ms", spent.start / 1ms},
+                        {"run_ms", spent.run / 1ms},
+                        {"expected_run_ms", spent.expectedRun / 1ms},
+                        {"end_ms", spent.end / 1ms}});
+}
+
+/// Counts the run of the task that ended last in its step, as the next step waited for it.
+void JobScheduler::addTimeSpent(const Job &job, const StepName &step, const Run &run)
+{
+    if (!job.step(step.occurrence, step.step)->isDone())
+        return;
+    timeSpent_[job.id()] += timeSpent(run, advice_.adviceFor(step).answeredAt, now_.time);
 }
 
 void JobScheduler::stopRunsOf(const Job &job)
@@ -107,6 +124,7 @@
         return;
     found->second.phase = RunPhase::Starting;
     found->second.phaseSince = now_.time;
+    found->second.orderedAt = now_.time;
     if (!minion->isLeaving)
         sendStart(*minion, task, found->second);
     else if (const auto proof = EndProof::neverOrdered(found->second))
@@ -155,9 +173,11 @@
         const auto found = minion ? minion->runs.find(name) : std::map<TaskName, Run>::iterator();
         if (!minion || found == minion->runs.end())
             continue;
-        if (found->second.run == end.run() && found->second.phase == RunPhase::Ending)
+        if (found->second.run == end.run() && found->second.phase == RunPhase::Ending) {
+            if (changed && end.how() == Wire::JOB_RUN_END_DONE)
+                addTimeSpent(job, name.step, found->second);
             minion->remove(name);
-        else if (changed && end.how() == Wire::JOB_RUN_END_DONE && !step.long_running())
+        } else if (changed && end.how() == Wire::JOB_RUN_END_DONE && !step.long_running())
             sendStop(*minion, name, found->second);
     }
     if (!changed || job.phase() != JobPhase::Active)
--- a/src/libs/jobs/workqueue.cpp
+++ b/src/libs/jobs/workqueue.cpp
@@ -99,6 +99,12 @@
         entry = steps_.erase(entry);
 }
 
+std::optional<TimePoint> WorkQueue::readySince(const StepName &step) const
+{
+    const auto found = steps_.find(step);
+    return found == steps_.end() ? std::nullopt : std::optional(found->second.readySince);
+}
+
 bool WorkQueue::isWaiting(const TaskName &task) const
 {
     const auto found = steps_.find(task.step);
--- a/src/libs/jobs/workqueue.h
+++ b/src/libs/jobs/workqueue.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -59,6 +60,8 @@
     void clear() { steps_.clear(); }
 
     [[nodiscard]] const std::map<StepName, WaitingStep> &steps() const { return steps_; }
+    /// \return since when a step waits, or nothing if it doesn't.
+    [[nodiscard]] std::optional<TimePoint> readySince(const StepName &step) const;
     [[nodiscard]] bool isWaiting(const TaskName &task) const;
 
     /// \return the waiting steps of a service in the order in which they are placed: long-running, on time, late,
