Ask a minion again that still reports before its tasks run elsewhere

Callers saw a task run again although its first run had ended done: the leader missed all answers of a minion for a lease, gave it up after a single question and placed its tasks elsewhere. The minion was alive and listed the ends later.

A minion that reports again within a report interval before the end of its lease, or later, can't have been gone since its last answer. It is now asked again, with the usual backoff, for half a lease more. A minion that doesn't report is given up after one question as before, and one of which only reports arrive once the time is over.

tasksOfAReportingMinionAreNotRunAgain failed before ("Expected: 0, Actual: 4" runs lost); reportingMinionThatCannotBeAskedIsGivenUp guards the bound and passes before and after.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -217,7 +217,7 @@
     void expireLeases();
     /// Confirms deregistrations of minions that run nothing more, or after leaveLimit.
     void confirmLeaves();
-    /// Asks a minion once more what became of its runs after its lease has expired.
+    /// Asks a minion what became of its runs after its lease has expired: once, or again while it still reports.
     /// \return whether it has been asked and didn't answer.
     bool staysSilentAfterExpiry(Minion &minion);
     void proposeMinionRemoval(const std::string &id);
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -22,7 +22,7 @@
 constexpr Duration maxAnswerDelay = 400ms; ///< beyond the wait of a renewal; the client times out earlier
 constexpr std::uint32_t failuresBeforeAvoiding = 3;
 constexpr Duration avoidAfterFailures = 8s;
-constexpr Duration renewalRetryAfterExpiry = 1s; ///< of a minion whose lease has expired
+constexpr Duration renewalRetryAfterExpiry = 1s; ///< of a minion without runs whose lease has expired
 constexpr Duration unlistedLimit = 1s; ///< of a run that may be among those that a minion's list lacks
 
 Wire::JobRunEnd toWire(RunEnd end)
@@ -62,7 +62,7 @@
     if (incarnationDiffers)
         minion->laterLeaseExpiry = now.time + longestTime(settings_.longestLease);
     if (answer.outcome != OrderOutcome::Done || incarnationDiffers) {
-        const bool isExpired = now.time > minion->latestLeaseExpiry;
+        const bool isExpired = now.time > minion->latestLeaseExpiry && minion->runs.empty();
         const auto delay = backoff_.delay(++minion->renewalFailures);
         minion->nextRenewal = now.time + (isExpired ? renewalRetryAfterExpiry : delay);
         if (answer.outcome == OrderOutcome::NotSent) {
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -235,7 +235,10 @@
     const bool isOverdue = now_.time >= expiredAt + settings_.lease;
     if (!wasAsked && !isOverdue)
         sendLeaseRenewal(minion, Duration::zero());
-    return wasAsked || isOverdue;
+    // A minion that still reports has only been missed, and what it has done can be had by asking it again.
+    const bool reports = minion.lastReportAt + settings_.reportInterval >= expiredAt;
+    const bool isWaitedFor = reports && now_.time < expiredAt + settings_.lease / 2;
+    return isOverdue || (wasAsked && !isWaitedFor);
 }
 
 void JobScheduler::endRunsOf(Minion &minion, const EndProof &proof)
--- a/tests/auto/jobs/tst_silentminions.cpp
+++ b/tests/auto/jobs/tst_silentminions.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace Pistachio;
@@ -35,10 +36,35 @@
 {
     CPPUNIT_TEST_SUITE(SilentMinionsTest);
     CPPUNIT_TEST(reachableMinionIsNotLost);
+    CPPUNIT_TEST(tasksOfAReportingMinionAreNotRunAgain);
+    CPPUNIT_TEST(reportingMinionThatCannotBeAskedIsGivenUp);
     CPPUNIT_TEST(leaseIsRenewedWhileEndsAreCommitted);
     CPPUNIT_TEST(failedProposalLeavesOtherEndsAlone);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Starts four tasks on minion "a", whose reports alone arrive from then on. Minion "b" has room as well.
+    static SimulatedMinion &startTasksOnMinionThatOnlyReports(SimulatedCell &cell)
+    {
+        auto &silent = cell.addMinion("a", 4000, 1500ms);
+        cell.run(1s);
+        cell.submit(job, 4, 1000, estimate(1500ms));
+        cell.run(500ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, silent.runs.size());
+        cell.addMinion("b", 4000, 1500ms);
+        silent.isCut = true;
+        return silent;
+    }
+
+    static void runWithReports(SimulatedCell &cell, SimulatedMinion &minion, Duration span)
+    {
+        constexpr Duration between = 500ms;
+        for (auto left = span; left > Duration::zero(); left -= between) {
+            cell.run(std::min(left, between));
+            ++minion.report.sequence;
+            cell.report(minion);
+        }
+    }
+
 public:
     // A minion whose answers were missed for a lease had its ended tasks run again elsewhere, though it could be asked.
     void reachableMinionIsNotLost()
@@ -66,6 +92,34 @@
         }
     }
 
+    // The tasks of a minion that answered no question for a lease ran again elsewhere, though it went on to report.
+    void tasksOfAReportingMinionAreNotRunAgain()
+    {
+        for (Duration silence = 4s; silence <= 5200ms; silence += 25ms) {
+            SimulatedCell cell(static_cast<std::uint64_t>(silence.count()));
+            auto &silent = startTasksOnMinionThatOnlyReports(cell);
+            runWithReports(cell, silent, silence);
+            silent.isCut = false;
+            cell.run(6s);
+            CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["run-lost"]);
+            CPPUNIT_ASSERT(cell.phase(job) == JobPhase::Completed);
+            for (std::uint32_t index = 0; index < 4; ++index)
+                CPPUNIT_ASSERT_EQUAL(1, timesFinished(cell, {{job, 0, 0}, index}));
+        }
+    }
+
+    // Guards against waiting for a minion for good of which only the reports arrive.
+    void reportingMinionThatCannotBeAskedIsGivenUp()
+    {
+        constexpr Duration leaseQuestionsAndStart = 7500ms;
+        SimulatedCell cell(1);
+        auto &silent = startTasksOnMinionThatOnlyReports(cell);
+        runWithReports(cell, silent, leaseQuestionsAndStart);
+        CPPUNIT_ASSERT_EQUAL(4, cell.eventCounts["run-lost"]);
+        cell.run(2s);
+        CPPUNIT_ASSERT(cell.phase(job) == JobPhase::Completed);
+    }
+
     // The lease lapsed while the leader waited for a slow disk, and all that ran there was killed.
     void leaseIsRenewedWhileEndsAreCommitted()
     {
