Don't take the lateness of the own loop for a silent peer

Callers of HttpClient got "no response in time" from peers that had answered at once: a late loop sends the request late, and handles what has arrived after the timer of the call. The leader, with 150 ms for an order, could so miss minions that were alive; each failure also closes the connection, so that the next order needs more rounds.

If the timer of a call is late itself, the peer now has its time from the sending of the request on, and what was read already is handled first; a response or an accepted connection that waits in the socket counts as before the limit. On a loop that is in time nothing changes, and a silent peer is still given up on a late one.

--- a/src/libs/transport/httpclient.cpp
+++ b/src/libs/transport/httpclient.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <poll.h>
+
 #include <algorithm>
 #include <deque>
 #include <list>
@@ -24,7 +26,8 @@
 using namespace Internal;
 using boost::system::error_code;
 
-constexpr Duration unreadResponseGrace = 50ms;
+constexpr Duration unhandledEventGrace = 50ms; ///< to handle what has already arrived
+constexpr Duration toleratedLateness = 10ms; ///< of the loop; beyond it, it may have sent the request late
 
 /// A call from its start to its completion.
 struct HttpCall {
@@ -38,7 +41,9 @@
     HttpConnectionPointer connection;
     bool written = false;
     bool isConnectionNew = false;
-    bool isExtended = false; ///< its time was up once while a response was waiting to be read
+    Duration timeout{};
+    TimePoint writtenAt{};
+    std::optional<TimePoint> extendedUntil; ///< its time was up once when this process was behind
     bool isStarved = false; ///< waits for a connection that another call uses
 
     void complete(CallResult result)
@@ -104,6 +109,7 @@
             call->message.set(Http::field::host, endpoint.toString());
         call->message.body() = std::move(request.body);
         call->message.prepare_payload();
+        call->timeout = timeout;
         startTimer(call, timeout);
         if (calls.active.size() >= limits_.connectionsPerEndpoint) {
             calls.waiting.push_back(std::move(call));
@@ -207,16 +213,48 @@
     }
 
     /// While this process is behind, a response may have arrived that was not read yet.
-    bool hasUnreadResponse(const CallPointer &call) const
+    static bool hasUnreadResponse(const CallPointer &call)
     {
         error_code error;
-        return call->written && call->connection && call->connection->socket.available(error) > 0 && !error;
+        return call->written && call->connection->socket.available(error) > 0 && !error;
+    }
+
+    /// Likewise the peer may have accepted the connection.
+    static bool hasUnusedConnection(const CallPointer &call)
+    {
+        if (call->written || !call->connection->socket.is_open())
+            return false;
+        pollfd descriptor{call->connection->socket.native_handle(), POLLOUT, 0};
+        return ::poll(&descriptor, 1, 0) > 0;
+    }
+
+    /// \return how much longer to wait for a call whose time is up, as this process and not the peer was late.
+    static Duration extension(const CallPointer &call)
+    {
+        if (!call->connection)
+            return Duration::zero();
+        const auto now = EventLoop::now();
+        const bool isFirst = !call->extendedUntil;
+        if (isFirst)
+            call->extendedUntil = now + call->timeout;
+        const bool isLate = now >= call->deadline + toleratedLateness;
+        if (isLate)
+            *call->extendedUntil += now - call->deadline;
+        const auto most = std::max(*call->extendedUntil - now, Duration::zero());
+        if (hasUnreadResponse(call) || hasUnusedConnection(call))
+            return std::min(unhandledEventGrace, most);
+        if (!isLate || !call->written)
+            return Duration::zero();
+        // What has been read already may wait to be handled.
+        const auto shortest = isFirst ? unhandledEventGrace : Duration::zero();
+        return std::min(std::max(call->writtenAt + call->timeout - now, shortest), most);
     }
 
     void timedOut(const CallPointer &call)
     {
-        if (!std::exchange(call->isExtended, true) && hasUnreadResponse(call))
-            startTimer(call, unreadResponseGrace);
+        const auto more = extension(call);
+        if (more > Duration::zero())
+            startTimer(call, more);
         else if (call->isStarved)
             finish(call, ErrorCode::Capacity, "no connection became free in time");
         else
@@ -231,7 +269,10 @@
             finish(call, endpoint.error().code, endpoint.error().message);
             return;
         }
-        call->connectTimer = loop_.callAfter(limits_.connectTimeout, [connection] { closeSocket(connection->socket); });
+        call->connectTimer = loop_.callAfter(limits_.connectTimeout, [call] {
+            if (!hasUnusedConnection(call))
+                closeSocket(call->connection->socket);
+        });
         connection->socket.async_connect(
             endpoint.value(), [self = shared_from_this(), call, connection](const error_code &error) {
                 call->connectTimer.cancel();
@@ -251,6 +292,7 @@
     void write(const CallPointer &call)
     {
         call->written = true;
+        call->writtenAt = EventLoop::now();
         const auto connection = call->connection;
         Http::async_write(connection->socket, call->message,
                           [self = shared_from_this(), call, connection](const error_code &error, std::size_t size) {
--- a/src/libs/transport/httpclient.h
+++ b/src/libs/transport/httpclient.h
@@ -39,7 +39,8 @@
     /// To be called on the loop's thread.
     /// \param endpoint the server
     /// \param request what to send
-    /// \param timeout from this call to the last byte of the response
+    /// \param timeout from this call to the last byte of the response. If this process is late itself, the peer still
+    /// has this time from the sending of the request on.
     /// \param completion gets the response or the failure
     void call(const Endpoint &endpoint, Request request, Duration timeout, CallCompletion completion);
 
