Ignore answers to orders of an earlier leadership

A process that lost the leadership and gained it again took a minion's answer to a renewal of before for one of now. It held the minion's lease for confirmed, though the minion didn't know the new fencing token and still obeyed others, and sent it starts; a renewal under way counted as answered, and lists asked for before a stop as asked for after it.

Answers now count only if their order carries the fencing token of this leadership. What they would have told is asked again, since a new leader asks each minion.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -157,6 +157,12 @@
     /// Lets a run go on whose end is not stored.
     void revertEnd(const Wire::JobEnd &end);
 
+    /// \return whether this leadership sent the order; an earlier one of this process knew other orders and leases.
+    template<class Order> [[nodiscard]] bool isOrdered(const Order &order) const
+    {
+        return leading_ && order.fencingToken == fencingToken_;
+    }
+
     // runorders.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
     void sendStop(Minion &minion, const TaskName &task, Run &run);
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -49,7 +49,7 @@
 void JobScheduler::leaseAnswered(const EventTime &now, const LeaseOrder &order, const LeaseAnswer &answer)
 {
     now_ = now;
-    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+    auto *minion = isOrdered(order) ? fleet_.find(order.minion) : nullptr;
     if (!minion)
         return;
     minion->renewalOutstanding = false;
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -101,7 +101,7 @@
 template<class Order>
 JobScheduler::AnsweredRun JobScheduler::recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase)
 {
-    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+    auto *minion = isOrdered(order) ? fleet_.find(order.minion) : nullptr;
     if (!minion)
         return {};
     recordContact(*minion, answer.outcome);
@@ -212,7 +212,7 @@
 void JobScheduler::throttleAnswered(const EventTime &now, const ThrottleOrder &order, const OrderAnswer &answer)
 {
     now_ = now;
-    auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+    auto *minion = isOrdered(order) ? fleet_.find(order.minion) : nullptr;
     const auto found = minion ? minion->runs.find(order.task) : std::map<TaskName, Run>::iterator();
     if (!minion || found == minion->runs.end() || found->second.run != order.run)
         return;
