Count the wait for a later incarnation from the last lease that it may have

What callers could see: a task whose minion started anew after its clock was set back never ran again, since the leader waited without end.

Cause: each answer of another incarnation began the longest lease anew, also when the renewal carried no lease and nothing else had been granted. The reports of an incarnation with an earlier birth are stale, so nothing else ended the wait.

Fix: the wait begins anew only after the known incarnation was confirmed, with a renewal that carried a lease, or if none was under way.

--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -56,10 +56,12 @@
     recordContact(*minion, answer.outcome);
     const bool incarnationDiffers
         = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
+    // The later incarnation may have got a repeated start, and the lease of this renewal.
+    const bool mayHaveLease
+        = minion->leaseConfirmed || order.leaseExpiresAtMs || minion->laterLeaseExpiry == TimePoint{};
     if (answer.outcome == OrderOutcome::IncarnationMismatch || incarnationDiffers)
         suspendMinion(*minion, "another minion or incarnation answers at its address");
-    // The later incarnation may have got a repeated start, and the lease of this renewal.
-    if (incarnationDiffers)
+    if (incarnationDiffers && mayHaveLease)
         minion->laterLeaseExpiry = now.time + longestTime(settings_.longestLease);
     if (answer.outcome != OrderOutcome::Done || incarnationDiffers) {
         const bool isExpired = now.time > minion->latestLeaseExpiry;
--- a/tests/auto/jobs/tst_runends.cpp
+++ b/tests/auto/jobs/tst_runends.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(repeatedStartInALaterIncarnationIsStopped);
     CPPUNIT_TEST(newLeaderStopsRunsInALaterIncarnation);
     CPPUNIT_TEST(startOnANewConnectionMayWorkInALaterIncarnation);
+    CPPUNIT_TEST(incarnationWithAnEarlierBirthIsNotAwaitedForever);
     CPPUNIT_TEST_SUITE_END();
 
     /// Has minion "a" crash as a start arrives, and its next incarnation, which hasn't reported, carry out the repeated
@@ -211,6 +212,29 @@
         assertNoViolations(cell);
         CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.firstMinionRunning(job));
     }
+
+    // Guards against waiting without end for the runs of a minion that has started anew after its clock was set back.
+    void incarnationWithAnEarlierBirthIsNotAwaitedForever()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, longRun);
+        const auto firstBirth = minion.report.incarnation.bornUnixMs;
+        minion.restart(cell.now().time);
+        cell.report(minion);
+        cell.run(1s);
+        cell.submit(job, 1, 1000, longRunning);
+        cell.run(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, minion.runs.size());
+        cell.addMinion("b", 4000, longRun);
+        minion.isCut = true;
+        cell.run(2s);
+        minion.isCut = false;
+        minion.restart(cell.now().time);
+        minion.report.incarnation.bornUnixMs = firstBirth;
+        cell.run(15s);
+        assertNoViolations(cell);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.firstMinionRunning(job));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunEndsTest);
