Log what a gang waits for

A gang that has waited for 2 s is now logged as gang-waits, every 2 s and at most one gang in 100 ms: up to four members that don't wait, with run, minion and phase, and how many minions are reserved, approved, usable and have room.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -251,6 +251,13 @@
     bool askAdvice(const StepName &name, const Job &job);
     void prefetchAdvice(const Job &job, const StepName &name);
 
+    // waitinggangs.cpp
+    /// Reports a gang that has waited for long, every few seconds.
+    void reportWaitingGang(const WaitingEntry &entry, const Job &job);
+    /// \return the runs of a gang's members that don't wait, up to a few, for the log.
+    [[nodiscard]] std::string membersNotWaiting(const WaitingEntry &entry, const Job &job);
+    [[nodiscard]] std::string describeRun(const TaskName &name, const Task &task);
+
     // reservations.cpp
     /// \return whether the step fits on the minion once all but its long-running tasks have ended.
     [[nodiscard]] bool canBecomeFree(const Minion &minion, const StepName &name,
@@ -302,6 +309,7 @@
     bool planNeeded_ = true; ///< something changed since the last round
     TimePoint lastPlan_{};
     TimePoint lastFullPlan_{};
+    TimePoint lastGangReport_{};
     bool isFullRound_ = true;
     bool hasBacklog_ = false; ///< the last round left many steps waiting
 };
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -70,6 +70,8 @@
         const bool isGang = step.gang();
         const bool canFit = demandOf(step).fitsIn(step.long_running() ? bounds.maxFreeForLongRunning : bounds.maxFree);
         const bool placed = canFit && (isGang ? placeGang(*entry, *job, command) : placeStep(*entry, *job, command));
+        if (isGang && !placed)
+            reportWaitingGang(*entry, *job);
         // A gang whose last run has not fully ended can't be placed yet.
         if (placed || (isGang && entry->second.tasks.size() < step.tasks()))
             continue;
--- a/src/libs/jobs/workqueue.cpp
+++ b/src/libs/jobs/workqueue.cpp
@@ -76,6 +76,13 @@
         found->second.deadlines = deadlines;
 }
 
+void WorkQueue::setReported(const StepName &step, TimePoint now)
+{
+    const auto found = steps_.find(step);
+    if (found != steps_.end())
+        found->second.reportedAt = now;
+}
+
 void WorkQueue::updateServices(const std::function<std::string(const std::string &job)> &serviceOf)
 {
     for (auto &[step, waiting] : steps_)
--- a/src/libs/jobs/workqueue.h
+++ b/src/libs/jobs/workqueue.h
@@ -36,6 +36,7 @@
 struct WaitingStep {
     std::set<std::uint32_t> tasks;
     TimePoint readySince{};
+    TimePoint reportedAt{}; ///< when the log last told of its wait
     StartDeadlines deadlines;
     bool isLongRunning = false; ///< its tasks serve continuously, so they are placed before all others
     std::string service;
@@ -52,6 +53,8 @@
 
     /// Replaces the deadlines of a step, if it waits.
     void update(const StepName &step, const StartDeadlines &deadlines);
+    /// Records that the log has told of the wait of a step.
+    void setReported(const StepName &step, TimePoint now);
     /// \param serviceOf the service whose minions run the tasks of a job
     void updateServices(const std::function<std::string(const std::string &job)> &serviceOf);
     void remove(const TaskName &task);
