Report a call that was never written as unsent

A call that waited behind others to its endpoint until its time was up, or that found the queue full, failed as if the server hadn't answered. For a start order that cost an attempt, and in the end a stop and two round trips more before the task ran again; for a renewal it counted as a question to the minion that it never got. Such a call now fails with Capacity, as one without a connection does, which the scheduler takes for not sent.

callBehindAnotherToItsEndpointFailsUnsent checks it; by reading, the old code ended such a call with Timeout.

--- a/src/libs/transport/httpclient.cpp
+++ b/src/libs/transport/httpclient.cpp
@@ -1,20 +1,17 @@
 #include "transport/httpclient.h"
 
 #include "transport/eventloopcontext.h"
+#include "transport/httpcall.h"
 #include "transport/httpconnectionpool.h"
 #include "transport/httpconversion.h"
 
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <poll.h>
-
 #include <algorithm>
 #include <deque>
 #include <list>
 #include <map>
-#include <optional>
 #include <utility>
 
 namespace Pistachio::Transport
@@ -26,42 +23,6 @@
 using namespace Internal;
 using boost::system::error_code;
 
-constexpr Duration unhandledEventGrace = 50ms; ///< to handle what has already arrived
-constexpr Duration toleratedLateness = 10ms; ///< of the loop; beyond it, it may have sent the request late
-
-/// A call from its start to its completion.
-struct HttpCall {
-    Endpoint endpoint;
-    Http::request<Http::string_body> message;
-    std::optional<Http::response_parser<Http::string_body>> parser;
-    CallCompletion completion;
-    TimePoint deadline{};
-    Timer timer;
-    Timer connectTimer;
-    HttpConnectionPointer connection;
-    bool written = false;
-    bool isConnectionNew = false;
-    Duration timeout{};
-    TimePoint writtenAt{};
-    std::optional<TimePoint> extendedUntil; ///< its time was up once when this process was behind
-    bool isStarved = false; ///< waits for a connection that another call uses
-
-    void complete(CallResult result)
-    {
-        timer.cancel();
-        connectTimer.cancel();
-        if (const auto function = std::exchange(completion, nullptr))
-            function(std::move(result));
-    }
-
-    void fail(ErrorCode code, std::string text)
-    {
-        CallError error{failure(code, std::move(text)), written};
-        error.newConnection = written && isConnectionNew;
-        complete(std::move(error));
-    }
-};
-
 using CallPointer = std::shared_ptr<HttpCall>;
 
 struct EndpointCalls {
@@ -98,7 +59,7 @@
         call->completion = std::move(completion);
         auto &calls = calls_[endpoint];
         if (calls.waiting.size() >= limits_.queuedPerEndpoint) {
-            call->fail(ErrorCode::Unavailable, "too many calls wait for " + endpoint.toString());
+            call->fail(ErrorCode::Capacity, "too many calls wait for " + endpoint.toString());
             return;
         }
         call->message.method_string(request.method);
@@ -212,50 +173,12 @@
             std::erase(starved_, call);
     }
 
-    /// While this process is behind, a response may have arrived that was not read yet.
-    static bool hasUnreadResponse(const CallPointer &call)
-    {
-        error_code error;
-        return call->written && call->connection->socket.available(error) > 0 && !error;
-    }
-
-    /// Likewise the peer may have accepted the connection.
-    static bool hasUnusedConnection(const CallPointer &call)
-    {
-        if (call->written || !call->connection->socket.is_open())
-            return false;
-        pollfd descriptor{call->connection->socket.native_handle(), POLLOUT, 0};
-        return ::poll(&descriptor, 1, 0) > 0;
-    }
-
-    /// \return how much longer to wait for a call whose time is up, as this process and not the peer was late.
-    static Duration extension(const CallPointer &call)
-    {
-        if (!call->connection)
-            return Duration::zero();
-        const auto now = EventLoop::now();
-        const bool isFirst = !call->extendedUntil;
-        if (isFirst)
-            call->extendedUntil = now + call->timeout;
-        const bool isLate = now >= call->deadline + toleratedLateness;
-        if (isLate)
-            *call->extendedUntil += now - call->deadline;
-        const auto most = std::max(*call->extendedUntil - now, Duration::zero());
-        if (hasUnreadResponse(call) || hasUnusedConnection(call))
-            return std::min(unhandledEventGrace, most);
-        if (!isLate || !call->written)
-            return Duration::zero();
-        // What has been read already may wait to be handled.
-        const auto shortest = isFirst ? unhandledEventGrace : Duration::zero();
-        return std::min(std::max(call->writtenAt + call->timeout - now, shortest), most);
-    }
-
     void timedOut(const CallPointer &call)
     {
-        const auto more = extension(call);
+        const auto more = call->extension(EventLoop::now());
         if (more > Duration::zero())
             startTimer(call, more);
-        else if (call->isStarved)
+        else if (!call->connection)
             finish(call, ErrorCode::Capacity, "no connection became free in time");
         else
             finish(call, ErrorCode::Timeout, "no response in time");
@@ -270,7 +193,7 @@
             return;
         }
         call->connectTimer = loop_.callAfter(limits_.connectTimeout, [call] {
-            if (!hasUnusedConnection(call))
+            if (!call->hasAcceptedConnection())
                 closeSocket(call->connection->socket);
         });
         connection->socket.async_connect(
--- a/src/libs/transport/httpclient.h
+++ b/src/libs/transport/httpclient.h
@@ -40,7 +40,7 @@
     /// \param endpoint the server
     /// \param request what to send
     /// \param timeout from this call to the last byte of the response. If this process is late itself, the peer still
-    /// has this time from the sending of the request on.
+    /// has this time from the sending of the request on, and the whole is at most twice this time and the lateness.
     /// \param completion gets the response or the failure
     void call(const Endpoint &endpoint, Request request, Duration timeout, CallCompletion completion);
 
--- a/tests/auto/transport/tst_connectionlimits.cpp
+++ b/tests/auto/transport/tst_connectionlimits.cpp
@@ -8,6 +8,7 @@
 #include <sys/resource.h>
 
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -79,6 +80,7 @@
     CPPUNIT_TEST(idleLongestIsClosedFirst);
     CPPUNIT_TEST(idleConnectionsEndWithoutAnotherCall);
     CPPUNIT_TEST(callWithoutAConnectionFailsUnsent);
+    CPPUNIT_TEST(callBehindAnotherToItsEndpointFailsUnsent);
     CPPUNIT_TEST(overdueCallIsNotSentAfterAPause);
     CPPUNIT_TEST(waitingCallsGetConnectionsInOrder);
     CPPUNIT_TEST(shortageOfDescriptorsIsALocalFailure);
@@ -177,6 +179,22 @@
         CPPUNIT_ASSERT(runUntil(loop_, [&] { return answers_ == 1; }));
     }
 
+    // Guards against a call that was never written being taken for one that the server did not answer.
+    void callBehindAnotherToItsEndpointFailsUnsent()
+    {
+        ServerGroup servers(loop_, 1);
+        servers.holds = true;
+        HttpClientLimits limits;
+        limits.connectionsPerEndpoint = 1;
+        HttpClient client(loop_, limits);
+        call(client, servers.endpoints.front());
+        std::optional<CallResult> result;
+        client.call(servers.endpoints.front(), {}, 50ms, [&](CallResult answer) { result = std::move(answer); });
+        CPPUNIT_ASSERT(runUntil(loop_, [&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(result->has_error() && !result->error().written);
+        CPPUNIT_ASSERT(result->error().error.code == ErrorCode::Capacity);
+    }
+
     // A process that had been paused sent an order that had waited for a connection, although its time was over.
     void overdueCallIsNotSentAfterAPause()
     {
--- a/tests/auto/transport/tst_lateloop.cpp
+++ b/tests/auto/transport/tst_lateloop.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <thread>
 
 using namespace Pistachio;
