Choose tickets that outlive the commit of the assignment

A refused start costs another commit and often another request for advice. The margin now follows the time that commits take (mean and deviation), at most a quarter of the validity, so that tickets from two requests in a row can be used together.

ticketsOutliveSlowCommits failed with the fixed margin (virtual time, commits of 250 ms: 'Expected: 0, Actual: 1' refused starts); slowCommitsDontKeepTasksFromStarting guards the cap.

--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -58,6 +58,7 @@
     fleet_.clear();
     queue_.clear();
     advice_.clear();
+    ticketMargin_.clear();
     futureTasks_.clear();
     finishedJobs_.clear();
     begunJobs_.clear();
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -9,6 +9,7 @@
 #include "jobs/retrybackoff.h"
 #include "jobs/schedulersettings.h"
 #include "jobs/speedtable.h"
+#include "jobs/ticketmargin.h"
 #include "jobs/timespent.h"
 #include "jobs/workqueue.h"
 
@@ -248,6 +249,8 @@
     [[nodiscard]] bool isUsable(const Minion &minion, bool isLongRunning) const;
     [[nodiscard]] std::optional<StepRequirements> requirementsOf(const Job &job, const StepName &name) const;
     [[nodiscard]] static bool isEligible(const Minion &minion, const StepRequirements &requirements);
+    /// \return until when a ticket has to be valid for a start that is planned now.
+    [[nodiscard]] TimePoint ticketNeededUntil(const Wire::JobQueue &queue) const;
     /// \return the bounds for a service, which rule out most steps under load without a look at each minion.
     [[nodiscard]] CapacityBounds capacityBounds(const std::string &service) const;
     /// \return the usable minions that may run the step, and have \p tickets if the queue needs advice.
@@ -285,6 +288,7 @@
     Fleet fleet_;
     WorkQueue queue_;
     AdviceCache advice_;
+    TicketMargin ticketMargin_;
     AnswerLossDetector answerLosses_;
     RetryBackoff backoff_{0};
     std::string renewalCursor_; ///< the minion that was visited last for renewals
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -20,7 +20,6 @@
 {
 
 constexpr Duration maxContactAge = 2500ms; ///< a minion that has not answered for this long gets no new tasks
-constexpr Duration ticketMargin = 150ms; ///< covers the commit of the assignment and the network delay to the minion
 constexpr Duration adviceRetryDelay = 300ms;
 constexpr Duration tightSlack = 1500ms; ///< with less slack, a fast minion is preferred to a full one
 constexpr double tightSlownessWeight = 2; ///< relative to the share of the minion that stays free
@@ -147,6 +146,11 @@
     return StepRequirements{*queue, step, demandOf(step)};
 }
 
+TimePoint JobScheduler::ticketNeededUntil(const Wire::JobQueue &queue) const
+{
+    return now_.time + ticketMargin_.current(std::chrono::milliseconds(queue.ticket_validity_ms()));
+}
+
 bool JobScheduler::isEligible(const Minion &minion, const StepRequirements &requirements)
 {
     return requirements.demand.fitsIn(minion.capacity()) && minion.report.service == requirements.queue.service()
@@ -167,7 +171,7 @@
             consider(minion);
         return result;
     }
-    const auto until = now_.time + ticketMargin;
+    const auto until = ticketNeededUntil(requirements.queue);
     for (const auto &[id, ticket] : advice_.adviceFor(name).approved) {
         if (tickets == Tickets::Valid && ticket.validUntil < until)
             continue;
@@ -348,11 +352,12 @@
     const auto &known = advice_.adviceFor(name);
     if (!known.requestedMinions.empty() || now_.time < known.failedAt + adviceRetryDelay)
         return false;
+    const auto ticketsUntil = ticketNeededUntil(requirements->queue);
     // Minions with enough free capacity first; among them, those already approved.
     std::vector<std::tuple<bool, bool, std::int64_t, std::string_view>> candidates;
     for (const auto &[id, minion] : fleet_.minions()) {
         if (!isUsable(minion, requirements->step.long_running()) || !isEligible(minion, *requirements)
-            || known.denied.contains(id) || known.hasTicket(id, now_.time + ticketMargin))
+            || known.denied.contains(id) || known.hasTicket(id, ticketsUntil))
             continue;
         candidates.emplace_back(!fits(minion, requirements->step, name), !known.approved.contains(id),
                                 -minion.freeCapacity().milliCores, id);
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -125,6 +125,7 @@
     found->second.phase = RunPhase::Starting;
     found->second.phaseSince = now_.time;
     found->second.orderedAt = now_.time;
+    ticketMargin_.recordCommit(now_.time - found->second.plannedAt);
     if (!minion->isLeaving)
         sendStart(*minion, task, found->second);
     else if (const auto proof = EndProof::neverOrdered(found->second))
