Log what led to an end that no minion has listed

The lines couldn't tell why a run was taken for ended when it hadn't been listed: the proof was logged for debugging only, the reason of a stop not at all, and renewals only when they failed, unsent ones never. Now each such end is one line run-end-concluded: the proof, the reason of the stop, starts, times since it was started, listed and heard of, how long the leases are over, and the last six renewals of the minion (sent, wait, lease until, acknowledged and seen end, outcome and when).

The events run-end-proposed (debug) and run-not-listed are gone; run-end-concluded takes their place. proposeEnd no longer builds fields that aren't logged.

--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -86,7 +86,9 @@
 
 void JobControl::scheduleTick()
 {
-    d_->tickTimer = d_->runtime.loop().callAfter(d_->scheduler.isLeading() ? leaderTick : followerTick, [this] {
+    const auto interval = d_->scheduler.isLeading() ? leaderTick : followerTick;
+    d_->tickTimer = d_->runtime.loop().callAfter(interval, [this, due = EventLoop::now() + interval] {
+        d_->loopLateness.record(due, EventLoop::now());
         tick();
         scheduleTick();
     });
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -9,6 +9,7 @@
 #include "jobnode/jobcalls.h"
 #include "jobnode/jobcontrol.h"
 #include "jobnode/jobgroup.h"
+#include "jobnode/looplateness.h"
 #include "jobnode/minionclient.h"
 #include "jobnode/noderuntime.h"
 #include "jobnode/peers.h"
@@ -51,6 +52,7 @@
         , scheduler(store, owner, schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
         , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
+        , loopLateness(nodeRuntime.logger(), nodeRuntime.metrics())
         , server(nodeRuntime.loop(), serverLimits(jobSettings),
                  [this](const Transport::Request &request, const Transport::Responder &responder) {
                      internalCalls->handle(request, responder);
@@ -77,6 +79,7 @@
     Jobs::JobScheduler scheduler;
     AdviserPool advisers;
     GroupReport groupReport;
+    LoopLateness loopLateness;
     std::unique_ptr<InternalCalls> internalCalls; ///< outlives the group, whose proposals end in it
     std::unique_ptr<JobGroup> group;
     std::unique_ptr<GroupMembership> membership;
--- a/src/libs/jobs/endproof.cpp
+++ b/src/libs/jobs/endproof.cpp
@@ -7,9 +7,19 @@
 namespace Pistachio::Jobs
 {
 
+namespace
+{
+constexpr std::string_view listedName = "listed";
+} // namespace
+
 EndProof EndProof::listed()
 {
-    return EndProof("listed");
+    return EndProof(listedName);
+}
+
+bool EndProof::isListed() const
+{
+    return name_ == listedName;
 }
 
 std::optional<EndProof> EndProof::stopped(const TaskName &task, const Run &run, const LeaseAnswer &answer,
--- a/src/libs/jobs/endproof.h
+++ b/src/libs/jobs/endproof.h
@@ -40,6 +40,7 @@
     /// The only order to start the run was refused.
     [[nodiscard]] static std::optional<EndProof> refused(const Run &run);
 
+    [[nodiscard]] bool isListed() const;
     /// \return a name for the log.
     [[nodiscard]] std::string_view name() const { return name_; }
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -238,12 +238,8 @@
 void JobScheduler::proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run,
                               int runEnd, const EndProof &proof)
 {
-    ports_.logDecision(LogLevel::Debug, "run-end-proposed",
-                       {{"task", task.toString()},
-                        {"run", run},
-                        {"minion", minion.report.incarnation.id},
-                        {"how", runEnd},
-                        {"proof", proof.name()}});
+    if (!proof.isListed())
+        logConcludedEnd(minion, task, run, proof);
     auto &end = *command.add_ends();
     fill(*end.mutable_task(), task);
     end.set_run(run);
@@ -258,6 +254,26 @@
     found->second.phaseSince = now_.time;
 }
 
+void JobScheduler::logConcludedEnd(const Minion &minion, const TaskName &task, std::uint64_t run, const EndProof &proof)
+{
+    const auto found = minion.runs.find(task);
+    const auto known = found != minion.runs.end() && found->second.run == run ? found->second : Run();
+    const auto age = [this](TimePoint time) { return time == TimePoint{} ? -1 : (now_.time - time) / 1ms; };
+    ports_.logDecision(LogLevel::Info, "run-end-concluded",
+                       {{"task", task.toString()},
+                        {"run", run},
+                        {"minion", minion.report.incarnation.id},
+                        {"proof", proof.name()},
+                        {"stop_reason", toString(known.stopReason)},
+                        {"starts", known.attempts},
+                        {"started_ms", age(known.startedAt)},
+                        {"listed_ms", age(known.listedAt)},
+                        {"phase_ms", age(known.phaseSince)},
+                        {"silent_ms", age(minion.lastContactAt)},
+                        {"lease_over_ms", age(minion.leasesEnd())},
+                        {"renewals", minion.renewals.toString(now_.time)}});
+}
+
 void JobScheduler::proposalFailed(const EventTime &now, const Wire::JobCommand &command)
 {
     now_ = now;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -149,9 +149,11 @@
     void removeFinishedJobs();
     void proposeEnd(Wire::JobCommand &command, Minion &minion, const TaskName &task, std::uint64_t run, int runEnd,
                     const EndProof &proof);
+    /// Logs an end that the minion hasn't listed, with what led to it.
+    void logConcludedEnd(const Minion &minion, const TaskName &task, std::uint64_t run, const EndProof &proof);
     void addTimeSpent(const Job &job, const StepName &step, const Run &run);
     void stopRunsOf(const Job &job);
-    void stopRuns(const Job &job, const StepName &step);
+    void stopRuns(const Job &job, const StepName &step, StopReason reason);
     /// Stops the runs of a gang of which a member has ended, in case the earlier leader didn't.
     void stopPartOfGang(const Job &job, const StepName &step);
     Minion *minionOf(const Task &task);
@@ -168,7 +170,7 @@
 
     // runorders.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
-    void sendStop(Minion &minion, const TaskName &task, Run &run);
+    void sendStop(Minion &minion, const TaskName &task, Run &run, StopReason reason);
     void sendLeaseRenewal(Minion &minion, Duration wait);
     /// Records whether a minion answered an order.
     void recordContact(Minion &minion, OrderOutcome outcome);
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -54,6 +54,8 @@
         return;
     minion->renewalOutstanding = false;
     recordContact(*minion, answer.outcome);
+    minion->renewals.answered(now.time, answer.outcome,
+                              answer.ended.empty() ? minion->seenEnd : answer.ended.back().number);
     const bool incarnationDiffers
         = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
     // The later incarnation may have got a repeated start, and the lease of this renewal.
@@ -157,7 +159,7 @@
         ports_.logDecision(
             LogLevel::Warning, "orphan-run",
             {{"task", active.task.toString()}, {"run", active.run}, {"minion", minion.report.incarnation.id}});
-        sendStop(minion, active.task, found->second);
+        sendStop(minion, active.task, found->second, StopReason::Orphan);
         return;
     }
     auto &run = found->second;
@@ -177,7 +179,7 @@
         run.startedAt = now_.time;
         run.progressAt = now_.time;
         if (job && job->phase() != JobPhase::Active)
-            sendStop(minion, active.task, run);
+            sendStop(minion, active.task, run, StopReason::JobEnded);
     }
 }
 
@@ -233,8 +235,6 @@
     }
     for (const auto &[task, proof] : over) {
         const auto run = minion.runs.at(task).run;
-        ports_.logDecision(LogLevel::Info, "run-not-listed",
-                           {{"task", task.toString()}, {"run", run}, {"minion", minion.report.incarnation.id}});
         const auto *job = store_.job(task.step.job);
         if (job && job->task(task))
             proposeEnd(command, minion, task, run, Wire::JOB_RUN_END_NOT_STARTED, proof);
@@ -255,7 +255,7 @@
         if (!isAbsent(task, run, answer) && !isOverdue)
             continue;
         run.isUnlisted = true;
-        sendStop(minion, task, run);
+        sendStop(minion, task, run, StopReason::Unlisted);
     }
 }
 
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 #include "jobs/orders.h"
+#include "jobs/renewalhistory.h"
+#include "jobs/stopreason.h"
 
 #include <cstdint>
 #include <map>
@@ -49,6 +51,7 @@
     TimePoint retryAt{}; ///< of an order that was not confirmed
     TimePoint unansweredAt{}; ///< when the last order was given up without an answer
     bool stopConfirmed = false;
+    StopReason stopReason = StopReason::None;
     bool isOrphan = false; ///< not the task's current run according to the store
     bool isOfEarlierIncarnation = false; ///< assigned to an earlier incarnation; this one may have got its start
     bool isUnlisted = false; ///< was stopped because the minion's lists lack it
@@ -74,6 +77,7 @@
     TimePoint renewalSentAt{};
     TimePoint nextRenewal{};
     std::uint32_t renewalFailures = 0; ///< in a row
+    RenewalHistory renewals;
     bool endsProposed = false; ///< the next renewal waits until they are committed
     std::uint64_t acknowledgedEnd = 0;
     std::uint64_t seenEnd = 0;
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -143,7 +143,7 @@
     run.isUnlisted = true;
     run.phase = RunPhase::Adopted;
     minion.laterLeaseExpiry = now_.time + longestTime(settings_.longestLease);
-    sendStop(minion, task, minion.add(task, run));
+    sendStop(minion, task, minion.add(task, run), StopReason::EarlierIncarnation);
 }
 
 void JobScheduler::minionLeft(const EventTime &now, const MinionIncarnation &incarnation,
@@ -166,7 +166,7 @@
     minion->report.draining = true;
     minion->isLeaving = true;
     for (auto &[task, run] : minion->runs)
-        sendStop(*minion, task, run);
+        sendStop(*minion, task, run, StopReason::MinionLeaves);
     pendingLeaves_.push_back({minion->report.incarnation, now.time, std::move(confirmed)});
     confirmLeaves();
 }
@@ -236,9 +236,9 @@
     if (!wasAsked && !isOverdue)
         sendLeaseRenewal(minion, Duration::zero());
     // A minion that still reports has only been missed, and what it has done can be had by asking it again.
-    const bool reports = minion.lastReportAt + settings_.reportInterval >= expiredAt;
-    const bool isWaitedFor = reports && now_.time < expiredAt + settings_.lease / 2;
-    return isOverdue || (wasAsked && !isWaitedFor);
+    const bool isAlive = minion.lastReportAt + settings_.reportInterval >= expiredAt;
+    const bool mayBeAskedAgain = isAlive && now_.time < expiredAt + settings_.lease / 2;
+    return isOverdue || (wasAsked && !mayBeAskedAgain);
 }
 
 void JobScheduler::endRunsOf(Minion &minion, const EndProof &proof)
--- a/src/libs/jobs/orderretries.cpp
+++ b/src/libs/jobs/orderretries.cpp
@@ -120,7 +120,7 @@
     else if (unordered)
         giveUpStart(minion, task, run, *unordered);
     else
-        sendStop(minion, task, run);
+        sendStop(minion, task, run, StopReason::StartNotConfirmed);
     return true;
 }
 
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -98,7 +98,7 @@
                             {"percent", run->percent},
                             {"for", entry.first.toString()},
                             {"slack_ms", (entry.second.deadlines.latestStart - now_.time) / 1ms}});
-        sendStop(minion, task, *run);
+        sendStop(minion, task, *run, StopReason::Preempted);
     }
 }
 
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -55,12 +55,13 @@
     ports_.start(order);
 }
 
-void JobScheduler::sendStop(Minion &minion, const TaskName &task, Run &run)
+void JobScheduler::sendStop(Minion &minion, const TaskName &task, Run &run, StopReason reason)
 {
     if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending || run.stopConfirmed)
         return;
     if (run.phase != RunPhase::Stopping) {
         run.phase = RunPhase::Stopping;
+        run.stopReason = reason;
         run.phaseSince = now_.time;
         run.failures = 0;
     }
@@ -81,6 +82,7 @@
     order.fencingToken = fencingToken_;
     minion.renewalOutstanding = true;
     minion.renewalSentAt = now_.time;
+    minion.renewals.sent(now_.time, order);
     ports_.renewLease(order);
 }
 
@@ -156,7 +158,7 @@
         return;
     case OrderOutcome::StaleRun:
         // The run has already ended there or was stopped; the next lease answer shows which.
-        sendStop(*minion, order.task, run);
+        sendStop(*minion, order.task, run, StopReason::StartNotConfirmed);
         return;
     case OrderOutcome::TicketRejected:
         advice_.invalidateTicket(order.task.step, order.minion.id);
@@ -175,7 +177,7 @@
     if (const auto proof = EndProof::refused(run))
         giveUpStart(*minion, order.task, run, *proof);
     else
-        sendStop(*minion, order.task, run);
+        sendStop(*minion, order.task, run, StopReason::StartNotConfirmed);
 }
 
 void JobScheduler::giveUpStart(Minion &minion, const TaskName &task, const Run &run, const EndProof &proof)
--- a/src/libs/jobs/slowminions.cpp
+++ b/src/libs/jobs/slowminions.cpp
@@ -157,7 +157,7 @@
                         {"speed_percent", std::lround(*run.speed * 100)},
                         {"percent", run.percent},
                         {"running_ms", (now_.time - run.startedAt) / 1ms}});
-    sendStop(minion, task, run);
+    sendStop(minion, task, run, StopReason::Moved);
 }
 
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/storeevents.cpp
+++ b/src/libs/jobs/storeevents.cpp
@@ -77,18 +77,18 @@
         return;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences(); ++occurrence) {
         for (std::uint32_t number = 0; number < job.stepsPerOccurrence(); ++number)
-            stopRuns(job, {job.id(), occurrence, number});
+            stopRuns(job, {job.id(), occurrence, number}, StopReason::JobEnded);
     }
 }
 
-void JobScheduler::stopRuns(const Job &job, const StepName &step)
+void JobScheduler::stopRuns(const Job &job, const StepName &step, StopReason reason)
 {
     const auto &tasks = job.step(step.occurrence, step.step)->tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         auto *minion = tasks[index].state == TaskState::Assigned ? minionOf(tasks[index]) : nullptr;
         const auto found = minion ? minion->runs.find({step, index}) : std::map<TaskName, Run>::iterator();
         if (minion && found != minion->runs.end())
-            sendStop(*minion, found->first, found->second);
+            sendStop(*minion, found->first, found->second, reason);
     }
 }
 
@@ -100,7 +100,7 @@
     const bool isWhole
         = std::none_of(tasks.begin(), tasks.end(), [](const Task &task) { return task.state == TaskState::Waiting; });
     if (!isWhole)
-        stopRuns(job, step);
+        stopRuns(job, step, StopReason::GangIncomplete);
 }
 
 Minion *JobScheduler::minionOf(const Task &task)
@@ -179,7 +179,7 @@
                 addTimeSpent(job, name.step, found->second);
             minion->remove(name);
         } else if (changed && end.how() == Wire::JOB_RUN_END_DONE && !step.long_running())
-            sendStop(*minion, name, found->second);
+            sendStop(*minion, name, found->second, StopReason::TaskDone);
     }
     if (!changed || job.phase() != JobPhase::Active)
         return;
@@ -202,7 +202,7 @@
         enqueue(job, name);
     // The other members of a gang can't work without this one.
     if (step.gang())
-        stopRuns(job, name.step);
+        stopRuns(job, name.step, StopReason::GangIncomplete);
 }
 
 } // namespace Pistachio::Jobs
