Repeat a failed renewal at once while ends are being committed

A minion's lease ran out though the minion could be reached, and its tasks were killed or ran again elsewhere. While ends of a minion are being committed, or a run is being stopped that its lists lack, the next renewal waits for half a lease. It did so after a failed renewal too, so that a lease had two tries; and after an answer that came late in the lease, though the renewal that would extend it was still to be sent.

Found by a reader of the trace.

--- a/src/libs/jobs/orderretries.cpp
+++ b/src/libs/jobs/orderretries.cpp
@@ -62,12 +62,12 @@
 }
 
 /// The next renewal waits, as long as the lease allows, for the commit of ends, to acknowledge them, and for the stop
-/// of runs that the lists lack, to show that it is over.
+/// of runs that the lists lack, to show that it is over. One that follows a failed renewal doesn't wait.
 bool JobScheduler::isRenewalDue(const Minion &minion) const
 {
     if (minion.renewalOutstanding || now_.time < minion.nextRenewal)
         return false;
-    const bool mayWait = now_.time < minion.renewalSentAt + settings_.lease / 2;
+    const bool mayWait = minion.renewalFailures == 0 && now_.time + settings_.lease / 2 < minion.latestLeaseExpiry;
     return !mayWait || !(minion.endsProposed || hasUnlistedRun(minion, false));
 }
 
--- a/tests/auto/jobs/tst_silentminions.cpp
+++ b/tests/auto/jobs/tst_silentminions.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(tasksOfAReportingMinionAreNotRunAgain);
     CPPUNIT_TEST(reportingMinionThatCannotBeAskedIsGivenUp);
     CPPUNIT_TEST(leaseIsRenewedWhileEndsAreCommitted);
+    CPPUNIT_TEST(failedRenewalIsRepeatedWhileEndsAreCommitted);
     CPPUNIT_TEST(failedProposalLeavesOtherEndsAlone);
     CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +144,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, minion.runs.size());
     }
 
+    // A lost answer cost the lease, as the next renewal waited for ends that were being committed.
+    void failedRenewalIsRepeatedWhileEndsAreCommitted()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, 1500ms);
+        cell.run(1s);
+        minion.longRunningRun = [](const TaskName &task, std::uint64_t) {
+            return task.step.job == otherJob ? std::optional(SimulatedMinion::LongRunningRun{60s, RunEnd::Failed})
+                                             : std::nullopt;
+        };
+        cell.submit(otherJob, 1, 1000, [](Wire::JobStep &step) { step.set_long_running(true); });
+        cell.submit(job, 1, 1000, estimate(1500ms));
+        cell.run(1s);
+        cell.commitDelay = 9s;
+        cell.run(700ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, minion.runs.size());
+        cell.run(1s);
+        minion.isCut = true;
+        cell.run(1500ms);
+        minion.isCut = false;
+        cell.run(4s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, minion.runs.size());
+        CPPUNIT_ASSERT_EQUAL(0, cell.eventCounts["run-lost"]);
+    }
+
     // The failure of one proposal let the leader acknowledge ends of other minions before they were stored.
     void failedProposalLeavesOtherEndsAlone()
     {
