Look a minion's ticket and reservation up without its id

A round looked minions up by their ids for each ticket of each waiting step, sorted the ends of their runs once a step, copied the waiting tasks of steps that nothing fits for, and went over the whole fleet for each request for advice and for the bounds of each service.

A ticket now points to its minion, reservations are kept by minion, the fleet lists the minions of a service, what doesn't fit is left out first, and a request for advice walks through the minions and what is known of them side by side.

--- a/src/libs/jobs/advicecache.cpp
+++ b/src/libs/jobs/advicecache.cpp
@@ -1,5 +1,8 @@
 #include "jobs/advicecache.h"
 
+#include "jobs/fleet.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace Pistachio::Jobs
@@ -17,10 +20,10 @@
     const auto found = steps_.find(step);
     if (found == steps_.end())
         return std::nullopt;
-    const auto entry = found->second.approved.find(minion);
-    if (entry == found->second.approved.end() || entry->second.validUntil < until)
+    const auto *ticket = found->second.ticketFor(minion);
+    if (!ticket || ticket->validUntil < until)
         return std::nullopt;
-    return entry->second.text;
+    return ticket->text;
 }
 
 void AdviceCache::recordRequest(const AdviceRequest &request)
@@ -29,7 +32,7 @@
 }
 
 void AdviceCache::recordAnswer(TimePoint now, Duration validity, const StepName &step,
-                               std::span<const ApprovedMinion> approved)
+                               std::span<const ApprovedMinion> approved, Fleet &fleet)
 {
     const auto found = steps_.find(step);
     if (found == steps_.end())
@@ -37,10 +40,15 @@
     auto &known = found->second;
     if (known.answeredAt == TimePoint{})
         known.answeredAt = now;
-    for (const auto &row : approved)
-        known.approved[row.minion] = {row.ticket, now + validity};
+    for (const auto &row : approved) {
+        auto ticket = std::ranges::lower_bound(known.approved, row.minion, {}, &StepAdvice::Ticket::minionId);
+        if (ticket == known.approved.end() || ticket->minionId != row.minion)
+            ticket = known.approved.insert(ticket, {row.minion, fleet.find(row.minion), {}, {}});
+        ticket->text = row.ticket;
+        ticket->validUntil = now + validity;
+    }
     for (const auto &minion : std::exchange(known.requestedMinions, {})) {
-        if (!known.approved.contains(minion))
+        if (!known.ticketFor(minion))
             known.denied.insert(minion);
     }
 }
@@ -59,15 +67,16 @@
     const auto found = steps_.find(step);
     if (found == steps_.end())
         return;
-    const auto entry = found->second.approved.find(minion);
-    if (entry != found->second.approved.end())
-        entry->second.validUntil = {};
+    for (auto &ticket : found->second.approved) {
+        if (ticket.minionId == minion)
+            ticket.validUntil = {};
+    }
 }
 
 void AdviceCache::removeMinion(const std::string &minion)
 {
     for (auto &[step, known] : steps_) {
-        known.approved.erase(minion);
+        std::erase_if(known.approved, [&minion](const auto &ticket) { return ticket.minionId == minion; });
         known.denied.erase(minion);
     }
 }
--- a/src/libs/jobs/advicecache.h
+++ b/src/libs/jobs/advicecache.h
@@ -12,6 +12,8 @@
 namespace Pistachio::Jobs
 {
 
+class Fleet;
+
 /// Caches the advice service's answers on which minions may run a step. Approvals and denials stay valid for as long as
 /// the step exists; tickets expire and are requested again.
 class AdviceCache
@@ -25,12 +27,15 @@
                                                     TimePoint until) const;
 
     void recordRequest(const AdviceRequest &request);
-    void recordAnswer(TimePoint now, Duration validity, const StepName &step, std::span<const ApprovedMinion> approved);
+    /// \param fleet the minions that the answer can name
+    void recordAnswer(TimePoint now, Duration validity, const StepName &step, std::span<const ApprovedMinion> approved,
+                      Fleet &fleet);
     void recordFailure(TimePoint now, const StepName &step);
 
     /// Marks a ticket as expired after a minion has rejected it.
     void invalidateTicket(const StepName &step, const std::string &minion);
     void removeStep(const StepName &step) { steps_.erase(step); }
+    /// To be called before the minion is removed from the fleet, and for a new incarnation under its id.
     void removeMinion(const std::string &minion);
     void clear() { steps_.clear(); }
 
--- a/src/libs/jobs/capacityreservations.cpp
+++ b/src/libs/jobs/capacityreservations.cpp
@@ -1,8 +1,6 @@
 #include "jobs/capacityreservations.h"
 
 #include <algorithm>
-#include <utility>
-#include <vector>
 
 namespace Pistachio::Jobs
 {
@@ -30,13 +28,15 @@
 CapacityReservations::expectedFit(const Minion &minion, const ResourceAmounts &demand, TimePoint now)
 {
     auto available = minion.freeCapacity();
-    std::vector<std::pair<TimePoint, ResourceAmounts>> ends;
-    for (const auto &[task, run] : minion.runs)
-        ends.emplace_back(expectedEnd(run, now), run.reserved);
-    std::sort(ends.begin(), ends.end(), [](const auto &left, const auto &right) { return left.first < right.first; });
+    ends_.clear();
+    if (!demand.fitsIn(available)) {
+        for (const auto &[task, run] : minion.runs)
+            ends_.emplace_back(expectedEnd(run, now), run.reserved);
+    }
+    std::ranges::sort(ends_, {}, [](const auto &end) { return end.first; });
     auto at = now;
-    for (auto next = ends.begin(); !demand.fitsIn(available); ++next) {
-        if (next == ends.end())
+    for (auto next = ends_.begin(); !demand.fitsIn(available); ++next) {
+        if (next == ends_.end())
             return std::nullopt;
         at = next->first;
         available += next->second;
@@ -45,15 +45,15 @@
     return ExpectedFit{at, available};
 }
 
-bool CapacityReservations::allows(const std::string &minion, const ResourceAmounts &demand) const
+bool CapacityReservations::allows(const Minion &minion, const ResourceAmounts &demand) const
 {
-    const auto found = reservations_.find(minion);
+    const auto found = reservations_.find(&minion);
     return found == reservations_.end() || demand.fitsIn(found->second.remaining);
 }
 
-void CapacityReservations::consume(const std::string &minion, const ResourceAmounts &demand)
+void CapacityReservations::consume(const Minion &minion, const ResourceAmounts &demand)
 {
-    const auto found = reservations_.find(minion);
+    const auto found = reservations_.find(&minion);
     if (found != reservations_.end())
         found->second.remaining -= demand;
 }
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -6,6 +6,16 @@
 namespace Pistachio::Jobs
 {
 
+namespace
+{
+
+const std::string &idOf(const Minion *minion)
+{
+    return minion->report.incarnation.id;
+}
+
+} // namespace
+
 ReportEffect Fleet::report(const MinionReport &report, std::vector<MinionIncarnation> &replaced)
 {
     const auto known = minions_.find(report.incarnation.id);
@@ -34,9 +44,15 @@
     auto updated = report;
     // Draining is final: a later report does not undo it.
     updated.draining = report.draining || known->second.report.draining;
-    removeAddress(known->second);
-    known->second.report = std::move(updated);
-    byAddress_.emplace(known->second.report.address, &known->second);
+    auto &minion = known->second;
+    const bool changesService = minion.report.service != updated.service;
+    removeAddress(minion);
+    if (changesService)
+        removeFromService(minion);
+    minion.report = std::move(updated);
+    byAddress_.emplace(minion.report.address, &minion);
+    if (changesService)
+        addToService(minion);
     return leaves ? ReportEffect::Changed : ReportEffect::Unchanged;
 }
 
@@ -62,10 +78,12 @@
 {
     auto &minion = minions_[report.incarnation.id];
     removeAddress(minion);
+    removeFromService(minion);
     minion = Minion();
     minion.report = std::move(report);
     byId_[minion.report.incarnation.id] = &minion;
     byAddress_.emplace(minion.report.address, &minion);
+    addToService(minion);
 }
 
 void Fleet::remove(const std::string &id)
@@ -74,6 +92,7 @@
     if (found == minions_.end())
         return;
     removeAddress(found->second);
+    removeFromService(found->second);
     byId_.erase(id);
     minions_.erase(found);
 }
@@ -82,9 +101,30 @@
 {
     byId_.clear();
     byAddress_.clear();
+    byService_.clear();
     minions_.clear();
 }
 
+std::span<Minion *const> Fleet::minionsOf(const std::string &service) const
+{
+    const auto found = byService_.find(service);
+    return found == byService_.end() ? std::span<Minion *const>() : found->second;
+}
+
+void Fleet::addToService(Minion &minion)
+{
+    auto &minions = byService_[minion.report.service];
+    const auto &id = minion.report.incarnation.id;
+    minions.insert(std::ranges::lower_bound(minions, id, {}, idOf), &minion);
+}
+
+void Fleet::removeFromService(const Minion &minion)
+{
+    const auto found = byService_.find(minion.report.service);
+    if (found != byService_.end())
+        std::erase(found->second, &minion);
+}
+
 void Fleet::removeAddress(const Minion &minion)
 {
     const auto [first, last] = byAddress_.equal_range(minion.report.address);
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -3,6 +3,7 @@
 #include "jobs/minion.h"
 
 #include <map>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,16 +35,22 @@
     void remove(const std::string &id);
     void clear();
 
+    /// \return the minions that report \p service, by id.
+    [[nodiscard]] std::span<Minion *const> minionsOf(const std::string &service) const;
+
     [[nodiscard]] std::map<std::string, Minion> &minions() { return minions_; }
     [[nodiscard]] const std::map<std::string, Minion> &minions() const { return minions_; }
 
 private:
     void removeAddress(const Minion &minion);
+    void addToService(Minion &minion);
+    void removeFromService(const Minion &minion);
 
     std::map<std::string, Minion> minions_;
     // Reports and planning look up hundreds of minions per round, so lookups are hashed.
     std::unordered_map<std::string, Minion *> byId_;
     std::unordered_multimap<std::string, Minion *> byAddress_;
+    std::map<std::string, std::vector<Minion *>> byService_; ///< sorted by id
 };
 
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -135,6 +135,11 @@
         Known, ///< may start once the ticket is renewed
     };
 
+    enum class Room {
+        Now, ///< a task of the step fits at present
+        Later, ///< it may fit once runs have ended
+    };
+
     // jobscheduler.cpp and storeevents.cpp
     /// Forgets what is not in the store; what was learnt about minions and run times stays.
     void clearState();
@@ -257,7 +262,7 @@
     [[nodiscard]] CapacityBounds capacityBounds(const std::string &service) const;
     /// \return the usable minions that may run the step, and have \p tickets if the queue needs advice.
     [[nodiscard]] std::vector<Minion *> eligibleMinions(const StepName &name, const StepRequirements &requirements,
-                                                        Tickets tickets);
+                                                        Tickets tickets, Room room);
     [[nodiscard]] bool fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const;
     Minion *bestMinion(std::span<Minion *const> minions, const StepRequirements &requirements, const TaskName &task,
                        const std::string &rack);
@@ -300,7 +305,6 @@
     std::map<std::string, std::vector<std::function<void(bool)>>> reportsToStore_; ///< callbacks by minion id
     std::map<std::int64_t, std::vector<TaskName>> futureTasks_; ///< tasks of occurrences that are not due, by due time
     std::map<TimePoint, std::vector<std::string>> finishedJobs_; ///< job ids by the time of their removal
-    std::set<std::string> reservedMinions_; ///< minions reserved for gangs and long-running tasks in this round
     CapacityReservations reservations_;
     std::map<std::string, TimePoint> services_; ///< services that have had waiting tasks, with the time of the last one
     std::set<TaskName> movedTasks_; ///< moved off a slow minion; a task is moved at most once
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -293,8 +293,8 @@
         return;
     if (const auto *removed = fleet_.find(minion))
         keepRunsOf(*removed);
-    fleet_.remove(minion);
     advice_.removeMinion(minion);
+    fleet_.remove(minion);
 }
 
 void JobScheduler::keepRunsOf(const Minion &removed)
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -44,7 +44,6 @@
         lastFullPlan_ = now_.time;
     Wire::JobCommand command;
     for (const auto &[service, since] : services_) {
-        reservedMinions_.clear();
         reservations_.clear();
         planService(service, command);
     }
@@ -99,15 +98,15 @@
         raise(bound.accelerators, value.accelerators);
     };
     const auto lower = [](std::int64_t &bound, std::int64_t value) { bound = std::min(bound, value); };
-    for (const auto &[id, minion] : fleet_.minions()) {
-        if (minion.report.service != service || !isUsable(minion, true))
+    for (const auto *minion : fleet_.minionsOf(service)) {
+        if (!isUsable(*minion, true))
             continue;
-        const auto available = minion.freeCapacity();
+        const auto available = minion->freeCapacity();
         raiseAll(bounds.maxFreeForLongRunning, available);
-        if (!isUsable(minion, false))
+        if (!isUsable(*minion, false))
             continue;
         raiseAll(bounds.maxFree, available);
-        const auto capacity = minion.capacity();
+        const auto capacity = minion->capacity();
         lower(bounds.minCapacity.milliCores, capacity.milliCores);
         lower(bounds.minCapacity.memoryMb, capacity.memoryMb);
         lower(bounds.minCapacity.accelerators, capacity.accelerators);
@@ -158,25 +157,25 @@
 }
 
 std::vector<Minion *> JobScheduler::eligibleMinions(const StepName &name, const StepRequirements &requirements,
-                                                    Tickets tickets)
+                                                    Tickets tickets, Room room)
 {
     std::vector<Minion *> result;
     const auto consider = [&](Minion &minion) {
+        if (room == Room::Now && !fits(minion, requirements.step, name))
+            return;
         if (isUsable(minion, requirements.step.long_running()) && isEligible(minion, requirements)
-            && !reservedMinions_.contains(minion.report.incarnation.id))
+            && !reservations_.isReservedWhole(minion))
             result.push_back(&minion);
     };
     if (!requirements.queue.needs_advice()) {
-        for (auto &[id, minion] : fleet_.minions())
-            consider(minion);
+        for (auto *minion : fleet_.minionsOf(requirements.queue.service()))
+            consider(*minion);
         return result;
     }
     const auto until = ticketNeededUntil(requirements.queue);
-    for (const auto &[id, ticket] : advice_.adviceFor(name).approved) {
-        if (tickets == Tickets::Valid && ticket.validUntil < until)
-            continue;
-        if (auto *minion = fleet_.find(id))
-            consider(*minion);
+    for (const auto &ticket : advice_.adviceFor(name).approved) {
+        if (ticket.minion && (tickets == Tickets::Known || ticket.validUntil >= until))
+            consider(*ticket.minion);
     }
     return result;
 }
@@ -202,7 +201,7 @@
     Minion *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
     for (auto *minion : minions) {
-        if (!fits(*minion, step, task.step) || !reservations_.allows(minion->report.incarnation.id, requirements.demand)
+        if (!fits(*minion, step, task.step) || !reservations_.allows(*minion, requirements.demand)
             || minion->runs.contains(task) || (!rack.empty() && !minion->hasLabel(rack)))
             continue;
         auto available = minion->freeCapacity();
@@ -240,7 +239,7 @@
     planned.readyAt = queue_.readySince(task.step).value_or(now_.time);
     planned.expected = expectedRunTime(job, task.step);
     minion.add(task, planned);
-    reservations_.consume(minion.report.incarnation.id, planned.reserved);
+    reservations_.consume(minion, planned.reserved);
     auto &assignment = *command.add_assignments();
     fill(*assignment.mutable_task(), task);
     assignment.set_run(run);
@@ -251,13 +250,15 @@
 bool JobScheduler::placeStep(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command)
 {
     const StepName name = entry.first;
-    const auto waiting = entry.second.tasks;
-    const auto since = entry.second.readySince;
-    const auto slack = entry.second.deadlines.latestStart - now_.time;
     const auto requirements = requirementsOf(job, name);
     if (!requirements)
         return false;
-    const auto minions = eligibleMinions(name, *requirements, Tickets::Valid);
+    const auto minions = eligibleMinions(name, *requirements, Tickets::Valid, Room::Now);
+    if (minions.empty())
+        return false;
+    const auto waiting = entry.second.tasks;
+    const auto since = entry.second.readySince;
+    const auto slack = entry.second.deadlines.latestStart - now_.time;
     std::size_t placed = 0;
     std::string where;
     for (const auto index : waiting) {
@@ -299,7 +300,9 @@
     const auto requirements = requirementsOf(job, name);
     if (!requirements)
         return false;
-    const auto minions = eligibleMinions(name, *requirements, Tickets::Valid);
+    const auto minions = eligibleMinions(name, *requirements, Tickets::Valid, Room::Now);
+    if (minions.empty())
+        return false;
     std::vector<std::string> racks{std::string()};
     if (requirements->step.same_rack()) {
         std::set<std::string> labels;
@@ -355,12 +358,22 @@
     const auto ticketsUntil = ticketNeededUntil(requirements->queue);
     // Minions with enough free capacity first; among them, those already approved.
     std::vector<std::tuple<bool, bool, std::int64_t, std::string_view>> candidates;
-    for (const auto &[id, minion] : fleet_.minions()) {
-        if (!isUsable(minion, requirements->step.long_running()) || !isEligible(minion, *requirements)
-            || known.denied.contains(id) || known.hasTicket(id, ticketsUntil))
+    // The minions and what is known of them are in the same order.
+    auto ticket = known.approved.begin();
+    auto denied = known.denied.begin();
+    for (const auto *minion : fleet_.minionsOf(requirements->queue.service())) {
+        const auto &id = minion->report.incarnation.id;
+        while (ticket != known.approved.end() && ticket->minionId < id)
+            ++ticket;
+        while (denied != known.denied.end() && *denied < id)
+            ++denied;
+        const bool isApproved = ticket != known.approved.end() && ticket->minionId == id;
+        const bool isDenied = denied != known.denied.end() && *denied == id;
+        if (isDenied || (isApproved && ticket->validUntil >= ticketsUntil)
+            || !isUsable(*minion, requirements->step.long_running()) || !isEligible(*minion, *requirements))
             continue;
-        candidates.emplace_back(!fits(minion, requirements->step, name), !known.approved.contains(id),
-                                -minion.freeCapacity().milliCores, id);
+        candidates.emplace_back(!fits(*minion, requirements->step, name), !isApproved,
+                                -minion->freeCapacity().milliCores, id);
     }
     const auto count = std::min(settings_.advisedMinions, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
@@ -391,7 +404,8 @@
                            {{"step", request.step.toString()}, {"minions", request.minions.size()}});
         return;
     }
-    advice_.recordAnswer(now.time, std::chrono::milliseconds(queue->ticket_validity_ms()), request.step, approved);
+    advice_.recordAnswer(now.time, std::chrono::milliseconds(queue->ticket_validity_ms()), request.step, approved,
+                         fleet_);
     ports_.logDecision(
         LogLevel::Debug, "advice",
         {{"step", request.step.toString()}, {"asked", request.minions.size()}, {"approved", approved.size()}});
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -30,11 +30,10 @@
     if (!requirements)
         return;
     std::vector<std::pair<CapacityReservations::ExpectedFit, Minion *>> expectedFits;
-    for (auto *minion : eligibleMinions(entry.first, *requirements, Tickets::Known)) {
-        if (!isLarge(requirements->demand, minion->capacity())
-            || reservations_.isReserved(minion->report.incarnation.id))
+    for (auto *minion : eligibleMinions(entry.first, *requirements, Tickets::Known, Room::Later)) {
+        if (!isLarge(requirements->demand, minion->capacity()) || reservations_.isReserved(*minion))
             continue;
-        if (const auto fit = CapacityReservations::expectedFit(*minion, requirements->demand, now_.time))
+        if (const auto fit = reservations_.expectedFit(*minion, requirements->demand, now_.time))
             expectedFits.emplace_back(*fit, minion);
     }
     const auto count = std::min(entry.second.tasks.size(), expectedFits.size());
@@ -43,7 +42,7 @@
                       [](const auto &left, const auto &right) { return left.first.time < right.first.time; });
     for (std::size_t number = 0; number < count; ++number) {
         const auto &[fit, minion] = expectedFits[number];
-        reservations_.reserve(minion->report.incarnation.id, fit);
+        reservations_.reserve(*minion, fit);
         if (fit.time > now_.time + preemptionThreshold)
             preemptFor(entry, *requirements, *minion);
     }
@@ -122,7 +121,7 @@
     if (!requirements)
         return;
     // Minions with more free capacity are expected to be free earlier.
-    auto candidates = eligibleMinions(entry.first, *requirements, Tickets::Known);
+    auto candidates = eligibleMinions(entry.first, *requirements, Tickets::Known, Room::Later);
     std::erase_if(candidates,
                   [&](const Minion *minion) { return !canBecomeFree(*minion, entry.first, *requirements); });
     const auto freeCapacityOf = [](const Minion &minion) {
@@ -147,7 +146,7 @@
         if (step.max_per_minion() > 0)
             here = std::min(here, step.max_per_minion());
         covered += here;
-        reservedMinions_.insert(minion->report.incarnation.id);
+        reservations_.reserveWhole(*minion);
     }
 }
 
--- a/src/libs/jobs/waitinggangs.cpp
+++ b/src/libs/jobs/waitinggangs.cpp
@@ -53,7 +53,7 @@
         return;
     lastGangReport_ = now_.time;
     queue_.setReported(name, now_.time);
-    const auto usable = eligibleMinions(name, *requirements, Tickets::Valid);
+    const auto usable = eligibleMinions(name, *requirements, Tickets::Valid, Room::Later);
     const auto fitting = std::count_if(usable.begin(), usable.end(),
                                        [&](const Minion *minion) { return fits(*minion, requirements->step, name); });
     ports_.logDecision(LogLevel::Info, "gang-waits",
@@ -63,7 +63,7 @@
                         {"of", requirements->step.tasks()},
                         {"held", membersNotWaiting(entry, job)},
                         {"minions", fleet_.minions().size()},
-                        {"reserved", reservedMinions_.size()},
+                        {"reserved", reservations_.wholeMinions()},
                         {"approved", advice_.adviceFor(name).approved.size()},
                         {"usable", usable.size()},
                         {"fitting", fitting}});
--- a/tests/auto/jobs/tst_capacityreservations.cpp
+++ b/tests/auto/jobs/tst_capacityreservations.cpp
@@ -53,11 +53,12 @@
         minion.add({{"j", 0, 0}, 0}, running(1000, 5s));
         minion.add({{"j", 0, 0}, 1}, running(1000, 1s));
         minion.add({{"j", 0, 0}, 2}, running(1000, 3s));
-        const auto now = CapacityReservations::expectedFit(minion, {1000, 0, 0}, start);
+        CapacityReservations reservations;
+        const auto now = reservations.expectedFit(minion, {1000, 0, 0}, start);
         CPPUNIT_ASSERT(now && now->time == start && now->remaining.milliCores == 0);
-        const auto later = CapacityReservations::expectedFit(minion, {3000, 0, 0}, start);
+        const auto later = reservations.expectedFit(minion, {3000, 0, 0}, start);
         CPPUNIT_ASSERT(later && later->time == start + 3s);
-        CPPUNIT_ASSERT(!CapacityReservations::expectedFit(minion, {5000, 0, 0}, start));
+        CPPUNIT_ASSERT(!reservations.expectedFit(minion, {5000, 0, 0}, start));
     }
 
     // A run that progresses slower than predicted must not be expected to end on time.
@@ -72,13 +73,14 @@
     // Small tasks that take reserved capacity would delay the large task again and again.
     void otherTasksGetOnlyTheRemainder()
     {
+        const auto minion = minionWith(4000);
         CapacityReservations reservations;
-        CPPUNIT_ASSERT(reservations.allows("m", {4000, 0, 0}));
-        reservations.reserve("m", {start + 1s, {1500, 100, 0}});
-        CPPUNIT_ASSERT(reservations.allows("m", {1000, 0, 0}));
-        CPPUNIT_ASSERT(!reservations.allows("m", {2000, 0, 0}));
-        reservations.consume("m", {1000, 0, 0});
-        CPPUNIT_ASSERT(!reservations.allows("m", {1000, 0, 0}));
+        CPPUNIT_ASSERT(reservations.allows(minion, {4000, 0, 0}));
+        reservations.reserve(minion, {start + 1s, {1500, 100, 0}});
+        CPPUNIT_ASSERT(reservations.allows(minion, {1000, 0, 0}));
+        CPPUNIT_ASSERT(!reservations.allows(minion, {2000, 0, 0}));
+        reservations.consume(minion, {1000, 0, 0});
+        CPPUNIT_ASSERT(!reservations.allows(minion, {1000, 0, 0}));
     }
 
     // Guards against treating jobs with estimates ten times too low as late while they are on time.
