Let the other control instances carry the leader's orders of a large fleet

Callers of the large deployment got too little (SHORT): the leader's processor binds, since it starts each run and hears of its end over a connection of its own for each of 1,100 minions. From 200 minions on it now hands orders to the other control instances in batches and gets the answers in batches.

--- a/src/libs/jobnode/internalcalls.cpp
+++ b/src/libs/jobnode/internalcalls.cpp
@@ -7,6 +7,8 @@
 #include "jobnode/jobcalls.h"
 #include "jobnode/jobgroup.h"
 #include "jobnode/noderuntime.h"
+#include "jobnode/ordercarrier.h"
+#include "jobnode/orderrelay.h"
 #include "jobnode/reportbatch.h"
 #include "jobs/jobstore.h"
 
@@ -56,6 +58,10 @@
         handleForwarded(request, responder);
     } else if (request.target == "/jobs/reports") {
         answerReportBatch(instance_.runtime.loop(), request.body, instance_.minionReported, responder);
+    } else if (request.target == "/jobs/orders") {
+        responder.respond(instance_.carrier.take(request.body, instance_.group.replica().term()));
+    } else if (request.target == "/jobs/order-answers") {
+        responder.respond({instance_.orders.takeAnswers(request.body) ? 204 : 400, {}, {}});
     } else if (request.target == "/jobs/advice") {
         answerAdviceRequest(instance_.advice, request, responder);
     } else {
--- a/src/libs/jobnode/internalcalls.h
+++ b/src/libs/jobnode/internalcalls.h
@@ -30,9 +30,11 @@
 class JobCalls;
 class JobGroup;
 class NodeRuntime;
+class OrderCarrier;
+class OrderRelay;
 
 /// Answers what the other instances ask of a control instance: replication, callers' requests, announcements, forwarded
-/// requests and advice.
+/// requests, orders for minions and advice.
 class InternalCalls
 {
 public:
@@ -45,6 +47,8 @@
         JobCalls &calls;
         GroupMembership &membership;
         AdviserPool &advisers;
+        OrderRelay &orders;
+        OrderCarrier &carrier;
         const TimePoint &ledSince; ///< when the instance became the leader
         const Transport::RequestHandler &forwarded; ///< handles what another instance forwards; may be empty
         /// Handles a report that another instance has taken; refuses it unless this one leads.
--- a/src/libs/jobnode/jobcontrol.cpp
+++ b/src/libs/jobnode/jobcontrol.cpp
@@ -1,5 +1,6 @@
 #include "jobnode/jobcontrol.h"
 
+#include "jobnode/fleetsize.h"
 #include "jobnode/jobcontrolprivate.h"
 #include "jobnode/reportplacement.h"
 
@@ -52,7 +53,7 @@
     d_->calls = std::make_unique<JobCalls>(d_->store, d_->scheduler, *d_->group, [] { return NodeRuntime::unixMs(); });
     d_->internalCalls = std::make_unique<InternalCalls>(
         InternalCalls::Instance{d_->runtime, d_->advice, d_->store, *d_->group, *d_->calls, *d_->membership,
-                                d_->advisers, d_->ledSince, d_->forwarded,
+                                d_->advisers, d_->minions, d_->carrier, d_->ledSince, d_->forwarded,
                                 [this](const Jobs::MinionReport &report, const std::function<void(bool)> &stored) {
                                     takeRelayedReport(report, stored);
                                 },
@@ -102,11 +103,14 @@
     // Without a majority no order goes out: a later leader may exist. The time is read once more, since the process may
     // have been suspended since.
     const auto moment = momentNow();
-    if (d_->scheduler.isLeading() && d_->group->canAnswer(moment.time))
+    if (d_->scheduler.isLeading() && d_->group->canAnswer(moment.time)) {
+        d_->minions.tick(carriers());
         d_->scheduler.tick(moment);
+    }
     changeMembers();
     announce();
     flush();
+    handOverOrders();
     d_->groupReport.update(now, d_->ledSince, d_->group->replica());
 }
 
@@ -131,10 +135,29 @@
         d_->scheduler.planIfChanged(moment);
         flush();
     }
+    handOverOrders();
     d_->lastFlush = EventLoop::now();
     d_->flushPosted = false;
 }
 
+void JobControl::handOverOrders()
+{
+    if (d_->scheduler.isLeading() && d_->group->canAnswer(EventLoop::now()))
+        d_->minions.flush();
+    else
+        d_->minions.dropUnsent();
+}
+
+std::vector<std::string> JobControl::carriers() const
+{
+    std::vector<std::string> result;
+    if (!isLargeFleet(d_->store.minions().size()))
+        return result;
+    for (const auto &member : d_->group->replica().memberStatus(EventLoop::now()))
+        result.emplace_back(ipOf(member.instance));
+    return result;
+}
+
 void JobControl::flush()
 {
     d_->group->flush(EventLoop::now());
@@ -151,11 +174,14 @@
 {
     const auto &replica = d_->group->replica();
     const bool leads = d_->group->isLeaderWithState();
-    if (d_->scheduler.isLeading() && (!leads || replica.term() != d_->ledTerm))
+    if (d_->scheduler.isLeading() && (!leads || replica.term() != d_->ledTerm)) {
         d_->scheduler.loseLeadership();
+        d_->minions.resign();
+    }
     if (leads && !d_->scheduler.isLeading()) {
         d_->ledTerm = replica.term();
         d_->ledSince = EventLoop::now();
+        d_->minions.lead(replica.term());
         d_->scheduler.becomeLeader(momentNow(), replica.term());
         changed();
     }
@@ -282,7 +308,7 @@
 {
     const auto minions = d_->store.minions().size();
     if (!d_->scheduler.isLeading())
-        return takesReportsFromMinions(minions) ? d_->settings.ip : leaderIp();
+        return isLargeFleet(minions) ? d_->settings.ip : leaderIp();
     const auto members = d_->group->replica().memberStatus(EventLoop::now());
     return placeReports(minion, minions, members).value_or(d_->settings.ip);
 }
--- a/src/libs/jobnode/jobcontrol.h
+++ b/src/libs/jobnode/jobcontrol.h
@@ -83,6 +83,10 @@
     void finishRound();
     void flush();
     void followLeadership();
+    /// Hands orders to the instances that carry them, unless there may be a later leader.
+    void handOverOrders();
+    /// \return the addresses of those that may carry orders for this instance.
+    [[nodiscard]] std::vector<std::string> carriers() const;
     void changeMembers();
     void announce();
     void announceTo(const std::string &ip);
--- a/src/libs/jobnode/jobcontrolprivate.h
+++ b/src/libs/jobnode/jobcontrolprivate.h
@@ -2,6 +2,7 @@
 
 #include "jobnode/adviceclient.h"
 #include "jobnode/adviserpool.h"
+#include "jobnode/carryingports.h"
 #include "jobnode/descriptorbudget.h"
 #include "jobnode/groupmembership.h"
 #include "jobnode/groupreport.h"
@@ -12,6 +13,8 @@
 #include "jobnode/looplateness.h"
 #include "jobnode/minionclient.h"
 #include "jobnode/noderuntime.h"
+#include "jobnode/ordercarrier.h"
+#include "jobnode/orderrelay.h"
 #include "jobnode/peers.h"
 #include "jobnode/reportrelay.h"
 #include "jobnode/schedulersettings.h"
@@ -47,8 +50,10 @@
             AdviceClient &adviceClient, JobControl &owner)
         : settings(jobSettings)
         , runtime(nodeRuntime)
-        , minions(minionClient)
         , advice(adviceClient)
+        , carryingPorts(nodeRuntime, peers, store)
+        , minions(carryingPorts, minionClient, jobSettings.ip, jobSettings.zone)
+        , carrier(carryingPorts, minionClient, jobSettings.zone)
         , scheduler(store, owner, schedulerSettings(jobSettings))
         , advisers(adviceClient, peers)
         , groupReport(nodeRuntime.logger(), nodeRuntime.metrics())
@@ -72,10 +77,12 @@
 
     const Settings::JobSettings &settings;
     NodeRuntime &runtime;
-    MinionClient &minions;
     AdviceClient &advice;
     Storage::PosixFileSystem files;
     Jobs::JobStore store;
+    CarryingPorts carryingPorts;
+    OrderRelay minions;
+    OrderCarrier carrier;
     Jobs::JobScheduler scheduler;
     AdviserPool advisers;
     GroupReport groupReport;
--- a/src/libs/jobnode/jobcontrolstop.cpp
+++ b/src/libs/jobnode/jobcontrolstop.cpp
@@ -70,6 +70,7 @@
     d_->tickTimer.cancel();
     d_->flushTimer.cancel();
     d_->scheduler.loseLeadership();
+    d_->minions.resign();
     // They outlive this, and their answers must not.
     d_->minions.close();
     d_->advice.close();
--- a/src/libs/jobnode/reportplacement.cpp
+++ b/src/libs/jobnode/reportplacement.cpp
@@ -1,6 +1,7 @@
 #include "jobnode/reportplacement.h"
 
 #include "core/time.h"
+#include "jobnode/fleetsize.h"
 #include "jobnode/instanceid.h"
 #include "replication/types.h"
 
@@ -12,16 +13,10 @@
 namespace
 {
 
-constexpr std::size_t fewestMinions = 200;
 constexpr Duration answerLimit = 1s; ///< an instance that is silent for longer takes no reports
 
 } // namespace
 
-bool takesReportsFromMinions(std::size_t minions)
-{
-    return minions >= fewestMinions;
-}
-
 std::optional<std::string> placeReports(const std::string &minion, std::size_t minions,
                                         std::span<const Replication::MemberStatus> members)
 {
@@ -29,7 +24,7 @@
     std::size_t highest = 0;
     for (const auto &member : members) {
         const bool answers = member.timeSinceAnswer && *member.timeSinceAnswer < answerLimit;
-        if (!takesReportsFromMinions(minions) || !answers)
+        if (!isLargeFleet(minions) || !answers)
             continue;
         std::string ip(ipOf(member.instance));
         const auto weight = std::hash<std::string>{}(std::string(ip).append(1, '@').append(minion));
--- a/tests/auto/jobnode/tst_reports.cpp
+++ b/tests/auto/jobnode/tst_reports.cpp
@@ -1,3 +1,4 @@
+#include "jobnode/fleetsize.h"
 #include "jobnode/peers.h"
 #include "jobnode/reportbatch.h"
 #include "jobnode/reportplacement.h"
@@ -255,8 +256,8 @@
     void reportsOfSmallFleetsGoToTheLeader()
     {
         CPPUNIT_ASSERT(!placeReports("m", 48, members(2)));
-        CPPUNIT_ASSERT(!takesReportsFromMinions(48));
-        CPPUNIT_ASSERT(takesReportsFromMinions(1100));
+        CPPUNIT_ASSERT(!isLargeFleet(48));
+        CPPUNIT_ASSERT(isLargeFleet(1100));
         CPPUNIT_ASSERT(!placeReports("m", 1100, {}));
     }
 };
