Keep answers of an entry in the order of arrival with respect to the configuration

What waits for a leader is sent again as soon as one is confirmed, in the order of arrival, and a read doesn't wait for a relay any more. A read or a refusal that a newer configuration gave to an earlier request than an older one had answered is refused; one by an older configuration than an earlier request's is asked again. An accepted change is told as it is.

The three tests fail without the change: the read took 0.7 s, and both answers were passed on.

--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -35,6 +35,8 @@
     std::string relayedBody;
     bool isRelayed = false; ///< by another entry, to which it goes back if the leader can't be reached
     bool isChange = false;
+    bool isWaiting = false; ///< for the next attempt
+    TimePoint arrivedAt{};
     TimePoint deadline{};
     TimePoint doubtDeadline{};
     Answered answered;
@@ -79,9 +81,21 @@
 void CallerCalls::leaderConfirmed(const std::string &ip)
 {
     target_ = ip;
+    if (!isLeaderConfirmed())
+        resumeTimer_ = loop_.callAfter(Duration::zero(), [this] { resume(); });
     confirmedAt_ = EventLoop::now();
 }
 
+void CallerCalls::resume()
+{
+    const auto open = open_;
+    for (const auto &[id, attempt] : open) {
+        // What a relay may not answer in time is asked for once more, as a read changes nothing.
+        if (attempt->isWaiting || !attempt->isChange)
+            send(attempt);
+    }
+}
+
 void CallerCalls::call(const Wire::JobCall &call, Duration limit, Duration doubtLimit, Answered answered)
 {
     auto attempt = std::make_shared<Attempt>();
@@ -92,8 +106,9 @@
     attempt->relayedBody = relayed.SerializeAsString();
     attempt->isRelayed = call.relayed();
     attempt->isChange = call.has_submission() || call.cancel();
-    attempt->deadline = EventLoop::now() + limit;
-    attempt->doubtDeadline = EventLoop::now() + doubtLimit;
+    attempt->arrivedAt = EventLoop::now();
+    attempt->deadline = attempt->arrivedAt + limit;
+    attempt->doubtDeadline = attempt->arrivedAt + doubtLimit;
     attempt->answered = std::move(answered);
     open_[attempt->id] = attempt;
     ++inFlight_;
@@ -103,6 +118,7 @@
 void CallerCalls::send(const std::shared_ptr<Attempt> &attempt)
 {
     const auto now = EventLoop::now();
+    attempt->isWaiting = false;
     const auto left = (attempt->mayHaveTakenEffect ? attempt->doubtDeadline : attempt->deadline) - now;
     if (left <= Duration::zero()) {
         Wire::JobReply reply;
@@ -133,6 +149,8 @@
 {
     peers_.call(ip, "/jobs/call", isRelay ? attempt->relayedBody : attempt->body, limit,
                 [this, attempt, ip, isRelay](const Transport::CallResult &result) {
+                    if (!open_.contains(attempt->id))
+                        return;
                     Wire::JobReply reply;
                     if (!result) {
                         attempt->mayHaveTakenEffect
@@ -181,11 +199,37 @@
     // An earlier attempt may have got through where this one did not, such as before the queue was removed.
     if (isRefusal(reply.verdict()) && attempt->mayHaveTakenEffect)
         reply.set_verdict(Wire::JOB_VERDICT_UNKNOWN);
+    const auto verdict = verdictInOrder(*attempt, reply);
+    if (verdict == Wire::JOB_VERDICT_UNSPECIFIED) {
+        attempt->reason = "the leader's configuration is outdated";
+        retry(attempt, retryDelay);
+        return;
+    }
+    if (verdict == reply.verdict())
+        answerOrder_.record(attempt->arrivedAt, reply.configuration());
+    reply.set_verdict(verdict);
     finish(attempt, reply);
 }
 
+Wire::JobVerdict CallerCalls::verdictInOrder(const Attempt &attempt, const Wire::JobReply &reply) const
+{
+    const bool isUndone = !attempt.isChange || isRefusal(reply.verdict());
+    const auto order
+        = isUndone ? answerOrder_.check(attempt.arrivedAt, reply.configuration()) : AnswerOrder::Verdict::InOrder;
+    switch (order) {
+    case AnswerOrder::Verdict::InOrder:
+        return reply.verdict();
+    case AnswerOrder::Verdict::Outdated:
+        return Wire::JOB_VERDICT_UNSPECIFIED;
+    case AnswerOrder::Verdict::TooNew:
+        return Wire::JOB_VERDICT_UNAVAILABLE;
+    }
+    return reply.verdict();
+}
+
 void CallerCalls::retry(const std::shared_ptr<Attempt> &attempt, Duration delay)
 {
+    attempt->isWaiting = true;
     attempt->timer = loop_.callAfter(delay, [this, attempt] { send(attempt); });
 }
 
@@ -194,6 +238,7 @@
     if (open_.erase(attempt->id) == 0)
         return;
     --inFlight_;
+    attempt->timer.cancel();
     attempt->answered(reply);
 }
 
--- a/src/libs/jobnode/callercalls.h
+++ b/src/libs/jobnode/callercalls.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/time.h"
+#include "jobnode/answerorder.h"
+#include "transport/eventloop.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -10,15 +12,11 @@
 #include <string>
 #include <vector>
 
-namespace Pistachio::Transport
-{
-class EventLoop;
-}
-
 namespace Pistachio::Wire
 {
 class JobCall;
 class JobReply;
+enum JobVerdict : int;
 } // namespace Pistachio::Wire
 
 namespace Pistachio::Jobnode
@@ -28,6 +26,8 @@
 
 /// Carries callers' requests to the leader of the job group, whoever that is, and again after a failure. Handing a job
 /// in again is harmless, since it keeps its id.
+///
+/// Requests wait a while for a leader. Their answers keep the order of arrival with respect to the configuration.
 class CallerCalls
 {
 public:
@@ -72,7 +72,11 @@
     void sendTo(const std::shared_ptr<Attempt> &attempt, const std::string &ip, Duration limit, bool isRelay);
     void lost(const std::shared_ptr<Attempt> &attempt, const std::string &ip, bool isRelay, std::string reason);
     void answered(const std::shared_ptr<Attempt> &attempt, const std::string &ip, bool isRelay, Wire::JobReply reply);
+    /// \return the verdict that keeps the answers in order; UNSPECIFIED: the leader is to be asked again.
+    [[nodiscard]] Wire::JobVerdict verdictInOrder(const Attempt &attempt, const Wire::JobReply &reply) const;
     void retry(const std::shared_ptr<Attempt> &attempt, Duration delay);
+    /// Sends what waited for a leader, in the order of arrival.
+    void resume();
     void finish(const std::shared_ptr<Attempt> &attempt, const Wire::JobReply &reply);
 
     Transport::EventLoop &loop_;
@@ -87,7 +91,9 @@
     TimePoint relayedAt_{};
     std::size_t inFlight_ = 0;
     std::uint64_t nextId_ = 1;
-    std::map<std::uint64_t, std::shared_ptr<Attempt>> open_;
+    std::map<std::uint64_t, std::shared_ptr<Attempt>> open_; ///< in the order of arrival
+    AnswerOrder answerOrder_;
+    Transport::Timer resumeTimer_;
 };
 
 } // namespace Pistachio::Jobnode
--- a/src/libs/jobnode/jobcalls.cpp
+++ b/src/libs/jobnode/jobcalls.cpp
@@ -74,6 +74,14 @@
         answered(notLeader());
         return;
     }
+    answer(now, call, [answered, version = store_.configuration().version()](Wire::JobReply reply) {
+        reply.set_configuration(version);
+        answered(reply);
+    });
+}
+
+void JobCalls::answer(TimePoint now, const Wire::JobCall &call, const Answered &answered)
+{
     if (store_.configuration().version() == 0) {
         answered(reply(Wire::JOB_VERDICT_UNAVAILABLE, "no configuration is in force yet"));
         return;
--- a/src/libs/jobnode/jobcalls.h
+++ b/src/libs/jobnode/jobcalls.h
@@ -46,6 +46,7 @@
     [[nodiscard]] Wire::JobReply notLeader() const;
 
 private:
+    void answer(TimePoint now, const Wire::JobCall &call, const Answered &answered);
     /// Answers UNKNOWN in place of \p refusal if the call hands in a job that is held.
     void refuse(const Wire::JobCall &call, const Wire::JobReply &refusal, const Answered &answered) const;
     /// \return whether a job is held that was handed in at the path, whatever queues are in force.
--- a/tests/auto/jobnode/fakeleader.h
+++ b/tests/auto/jobnode/fakeleader.h
@@ -20,6 +20,7 @@
             [this](const Pistachio::Transport::Request &request, const Pistachio::Transport::Responder &responder) {
                 Pistachio::Wire::JobReply reply;
                 reply.set_verdict(verdict);
+                reply.set_configuration(configuration);
                 if (request.target == "/jobs/join") {
                     ++joins;
                     reply.set_leader(otherLeader);
@@ -42,6 +43,7 @@
 
     Pistachio::Wire::JobVerdict verdict = Pistachio::Wire::JOB_VERDICT_ACCEPTED;
     std::optional<Pistachio::Wire::JobVerdict> callVerdict; ///< of callers' requests, where it differs
+    std::uint64_t configuration = 0; ///< the version that answers go by
     std::vector<std::string> relays;
     std::string otherLeader;
     std::string otherControl;
--- a/tests/auto/jobnode/tst_jobentry.cpp
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -70,6 +70,22 @@
         return *verdict;
     }
 
+    /// Begins to read a job. The verdict is in \p verdict once there is one.
+    void read(std::optional<Wire::JobVerdict> &verdict)
+    {
+        auto call = submission();
+        call.clear_submission();
+        entry->call(call, deadline, [&verdict](const Wire::JobReply &reply) { verdict = reply.verdict(); });
+    }
+
+    /// \return the verdict, once it is there.
+    Wire::JobVerdict await(const std::optional<Wire::JobVerdict> &verdict)
+    {
+        while (!verdict)
+            runtime.loop().runFor(5ms);
+        return *verdict;
+    }
+
     NoAdvice advice;
     Settings::JobSettings settings;
     NodeRuntime runtime;
@@ -91,6 +107,9 @@
     CPPUNIT_TEST(newSeedsAreAsked);
     CPPUNIT_TEST(otherEntryRelays);
     CPPUNIT_TEST(oddRelaysTakeTheTimeOfACall);
+    CPPUNIT_TEST(silentRelayDoesNotHoldUpAReadOnceThereIsALeader);
+    CPPUNIT_TEST(earlierReadIsNotAnsweredByANewerConfiguration);
+    CPPUNIT_TEST(laterReadIsNotAnsweredByAnOlderConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +222,63 @@
         CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit(600ms)});
         CPPUNIT_ASSERT_EQUAL(1, other.calls);
     }
+
+    // A read waited for a relay while later ones were answered by the new leader.
+    void silentRelayDoesNotHoldUpAReadOnceThereIsALeader()
+    {
+        Fixture fixture;
+        FakeLeader relay(fixture.runtime.loop(), "127.0.0.3", fixture.leader.port);
+        fixture.leader.relays = {"127.0.0.3"};
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        relay.isSilent = true;
+        fixture.runtime.loop().runFor(1200ms);
+        std::optional<Wire::JobVerdict> verdict;
+        fixture.read(verdict);
+        fixture.leader.isSilent = false;
+        const auto begun = Transport::EventLoop::now();
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.await(verdict)});
+        CPPUNIT_ASSERT(relay.calls > 0);
+        CPPUNIT_ASSERT(Transport::EventLoop::now() < begun + 600ms);
+    }
+
+    // An entry went back from a newer configuration to an older one, in the order of arrival.
+    void earlierReadIsNotAnsweredByANewerConfiguration()
+    {
+        Fixture fixture;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        std::optional<Wire::JobVerdict> earlier;
+        fixture.read(earlier);
+        while (fixture.leader.kept.empty())
+            fixture.runtime.loop().runFor(5ms);
+        fixture.leader.isSilent = false;
+        fixture.leader.configuration = 3;
+        std::optional<Wire::JobVerdict> later;
+        fixture.read(later);
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.await(later)});
+        Wire::JobReply reply;
+        reply.set_verdict(Wire::JOB_VERDICT_ACCEPTED);
+        reply.set_configuration(7);
+        for (const auto &responder : fixture.leader.kept)
+            responder.respond({200, {}, reply.SerializeAsString()});
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNAVAILABLE}, int{fixture.await(earlier)});
+    }
+
+    // A leader that has not heard of the configuration is asked again.
+    void laterReadIsNotAnsweredByAnOlderConfiguration()
+    {
+        Fixture fixture;
+        fixture.leader.configuration = 7;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.configuration = 3;
+        std::optional<Wire::JobVerdict> verdict;
+        fixture.read(verdict);
+        const auto timer = fixture.runtime.loop().callAfter(300ms, [&fixture] { fixture.leader.configuration = 7; });
+        const auto begun = Transport::EventLoop::now();
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.await(verdict)});
+        CPPUNIT_ASSERT(Transport::EventLoop::now() >= begun + 300ms);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobEntryTest);
