Keep what a planning round knows of a minion

Reserving capacity sorted the expected ends of a minion's runs once for each step that waits, and kept reservations in maps. A round now keeps ends and reservations in a slot for each minion; the fleet numbers its minions.

--- a/src/libs/jobs/capacityreservations.cpp
+++ b/src/libs/jobs/capacityreservations.cpp
@@ -1,6 +1,7 @@
 #include "jobs/capacityreservations.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Pistachio::Jobs
 {
@@ -24,38 +25,83 @@
     return std::max(end, now + minRemainingTime);
 }
 
+CapacityReservations::Slot &CapacityReservations::slotOf(const Minion &minion)
+{
+    if (minion.slot >= slots_.size())
+        slots_.resize(minion.slot + 1);
+    auto &slot = slots_[minion.slot];
+    if (std::exchange(slot.round, round_) != round_) {
+        slot.reservation.reset();
+        slot.isWhole = false;
+        slot.areEndsKnown = false;
+    }
+    return slot;
+}
+
+const CapacityReservations::Slot *CapacityReservations::knownSlot(const Minion &minion) const
+{
+    const bool isKnown = minion.slot < slots_.size() && slots_[minion.slot].round == round_;
+    return isKnown ? &slots_[minion.slot] : nullptr;
+}
+
 std::optional<CapacityReservations::ExpectedFit>
 CapacityReservations::expectedFit(const Minion &minion, const ResourceAmounts &demand, TimePoint now)
 {
     auto available = minion.freeCapacity();
-    ends_.clear();
-    if (!demand.fitsIn(available)) {
+    if (demand.fitsIn(available)) {
+        available -= demand;
+        return ExpectedFit{now, available};
+    }
+    auto &slot = slotOf(minion);
+    if (!std::exchange(slot.areEndsKnown, true)) {
+        slot.ends.clear();
         for (const auto &[task, run] : minion.runs)
-            ends_.emplace_back(expectedEnd(run, now), run.reserved);
+            slot.ends.emplace_back(expectedEnd(run, now), run.reserved);
+        std::ranges::sort(slot.ends, {}, [](const auto &end) { return end.first; });
     }
-    std::ranges::sort(ends_, {}, [](const auto &end) { return end.first; });
-    auto at = now;
-    for (auto next = ends_.begin(); !demand.fitsIn(available); ++next) {
-        if (next == ends_.end())
-            return std::nullopt;
-        at = next->first;
-        available += next->second;
+    for (const auto &[time, reserved] : slot.ends) {
+        available += reserved;
+        if (!demand.fitsIn(available))
+            continue;
+        available -= demand;
+        return ExpectedFit{time, available};
     }
-    available -= demand;
-    return ExpectedFit{at, available};
+    return std::nullopt;
+}
+
+bool CapacityReservations::isReserved(const Minion &minion) const
+{
+    const auto *slot = knownSlot(minion);
+    return slot && slot->reservation;
 }
 
 bool CapacityReservations::allows(const Minion &minion, const ResourceAmounts &demand) const
 {
-    const auto found = reservations_.find(&minion);
-    return found == reservations_.end() || demand.fitsIn(found->second.remaining);
+    const auto *slot = knownSlot(minion);
+    return !slot || !slot->reservation || demand.fitsIn(slot->reservation->remaining);
 }
 
 void CapacityReservations::consume(const Minion &minion, const ResourceAmounts &demand)
 {
-    const auto found = reservations_.find(&minion);
-    if (found != reservations_.end())
-        found->second.remaining -= demand;
+    auto &slot = slotOf(minion);
+    slot.areEndsKnown = false;
+    if (slot.reservation)
+        slot.reservation->remaining -= demand;
+}
+
+void CapacityReservations::reserveWhole(const Minion &minion)
+{
+    auto &slot = slotOf(minion);
+    if (std::exchange(slot.isWhole, true))
+        return;
+    wholeMinions_ = wholeMinions() + 1;
+    wholeRound_ = round_;
+}
+
+bool CapacityReservations::isReservedWhole(const Minion &minion) const
+{
+    const auto *slot = knownSlot(minion);
+    return slot && slot->isWhole;
 }
 
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/capacityreservations.h
+++ b/src/libs/jobs/capacityreservations.h
@@ -4,9 +4,8 @@
 #include "jobs/minion.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
-#include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -24,11 +23,8 @@
         ResourceAmounts remaining;
     };
 
-    void clear()
-    {
-        reservations_.clear();
-        reservedWhole_.clear();
-    }
+    /// Begins a round without reservations.
+    void clear() { ++round_; }
 
     /// \return when \p demand is expected to fit, given the progress of the minion's runs, or nothing if it never fits.
     [[nodiscard]] std::optional<ExpectedFit> expectedFit(const Minion &minion, const ResourceAmounts &demand,
@@ -38,8 +34,8 @@
     [[nodiscard]] static TimePoint expectedEnd(const Run &run, TimePoint now);
 
     /// Reserves capacity on a minion. A minion has at most one reservation; a new one replaces it.
-    void reserve(const Minion &minion, const ExpectedFit &fit) { reservations_[&minion] = fit; }
-    [[nodiscard]] bool isReserved(const Minion &minion) const { return reservations_.contains(&minion); }
+    void reserve(const Minion &minion, const ExpectedFit &fit) { slotOf(minion).reservation = fit; }
+    [[nodiscard]] bool isReserved(const Minion &minion) const;
 
     /// \return whether another task may use \p demand there without delaying the one that the capacity is reserved for.
     [[nodiscard]] bool allows(const Minion &minion, const ResourceAmounts &demand) const;
@@ -47,15 +43,32 @@
     /// Subtracts the demand of another task placed on the minion.
     void consume(const Minion &minion, const ResourceAmounts &demand);
 
+    /// The runs of the minion have changed in this round, or are told to stop.
+    void runsChanged(const Minion &minion) { slotOf(minion).areEndsKnown = false; }
+
     /// Reserves a minion as a whole for a gang or for long-running tasks.
-    void reserveWhole(const Minion &minion) { reservedWhole_.insert(&minion); }
-    [[nodiscard]] bool isReservedWhole(const Minion &minion) const { return reservedWhole_.contains(&minion); }
-    [[nodiscard]] std::size_t wholeMinions() const { return reservedWhole_.size(); }
+    void reserveWhole(const Minion &minion);
+    [[nodiscard]] bool isReservedWhole(const Minion &minion) const;
+    [[nodiscard]] std::size_t wholeMinions() const { return wholeRound_ == round_ ? wholeMinions_ : 0; }
 
 private:
-    std::unordered_map<const Minion *, ExpectedFit> reservations_;
-    std::unordered_set<const Minion *> reservedWhole_;
-    std::vector<std::pair<TimePoint, ResourceAmounts>> ends_; ///< of a minion's runs; kept to save its allocation
+    /// What a round knows of a minion.
+    struct Slot {
+        std::uint64_t round = 0; ///< the other fields are of an earlier round if it is not the current one
+        std::optional<ExpectedFit> reservation;
+        bool isWhole = false;
+        bool areEndsKnown = false;
+        std::vector<std::pair<TimePoint, ResourceAmounts>> ends; ///< of its runs, in their order
+    };
+
+    Slot &slotOf(const Minion &minion);
+    /// \return what is known of the minion in this round, or null.
+    [[nodiscard]] const Slot *knownSlot(const Minion &minion) const;
+
+    std::uint64_t round_ = 1;
+    std::vector<Slot> slots_; ///< by the minion's slot
+    std::uint64_t wholeRound_ = 0; ///< of wholeMinions_
+    std::size_t wholeMinions_ = 0;
 };
 
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -76,10 +76,13 @@
 
 void Fleet::add(MinionReport report)
 {
-    auto &minion = minions_[report.incarnation.id];
+    const auto [known, isNew] = minions_.try_emplace(report.incarnation.id);
+    auto &minion = known->second;
     removeAddress(minion);
     removeFromService(minion);
+    const auto slot = isNew ? takeSlot() : minion.slot;
     minion = Minion();
+    minion.slot = slot;
     minion.report = std::move(report);
     byId_[minion.report.incarnation.id] = &minion;
     byAddress_.emplace(minion.report.address, &minion);
@@ -93,6 +96,7 @@
         return;
     removeAddress(found->second);
     removeFromService(found->second);
+    freeSlots_.push_back(found->second.slot);
     byId_.erase(id);
     minions_.erase(found);
 }
@@ -102,6 +106,7 @@
     byId_.clear();
     byAddress_.clear();
     byService_.clear();
+    freeSlots_.clear();
     minions_.clear();
 }
 
@@ -111,6 +116,16 @@
     return found == byService_.end() ? std::span<Minion *const>() : found->second;
 }
 
+/// \return a slot that no minion has; the new one is among them already.
+std::size_t Fleet::takeSlot()
+{
+    if (freeSlots_.empty())
+        return minions_.size() - 1;
+    const auto slot = freeSlots_.back();
+    freeSlots_.pop_back();
+    return slot;
+}
+
 void Fleet::addToService(Minion &minion)
 {
     auto &minions = byService_[minion.report.service];
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -43,6 +43,7 @@
 
 private:
     void removeAddress(const Minion &minion);
+    std::size_t takeSlot();
     void addToService(Minion &minion);
     void removeFromService(const Minion &minion);
 
@@ -51,6 +52,7 @@
     std::unordered_map<std::string, Minion *> byId_;
     std::unordered_multimap<std::string, Minion *> byAddress_;
     std::map<std::string, std::vector<Minion *>> byService_; ///< sorted by id
+    std::vector<std::size_t> freeSlots_;
 };
 
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -5,6 +5,7 @@
 #include "jobs/renewalhistory.h"
 #include "jobs/stopreason.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -69,6 +70,7 @@
 /// The state of one incarnation of a minion as known to the leader.
 struct Minion {
     MinionReport report;
+    std::size_t slot = 0; ///< distinguishes it from the other minions of its fleet; small
     std::map<TaskName, Run> runs; ///< changed through add() and remove() only
 
     bool leaseConfirmed
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -322,8 +322,10 @@
             placed.push_back({task, minion});
         }
         if (placed.size() < tasks.size()) {
-            for (const auto &item : placed)
+            for (const auto &item : placed) {
                 item.minion->remove(item.task);
+                reservations_.runsChanged(*item.minion);
+            }
             continue;
         }
         command.MergeFrom(attempt);
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -98,6 +98,7 @@
                             {"for", entry.first.toString()},
                             {"slack_ms", (entry.second.deadlines.latestStart - now_.time) / 1ms}});
         sendStop(minion, task, *run, StopReason::Preempted);
+        reservations_.runsChanged(minion);
     }
 }
 
