Let the soak play a fleet whose orders are carried

--minions=<n> sets the size; from 200 on the control instances carry the leader's orders, so that killing, freezing and cutting them off hits carriers.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -14,6 +14,8 @@
 
 ABSL_FLAG(std::uint64_t, seed, 1, "the seed of the faults and of the callers");
 ABSL_FLAG(int, seconds, 25, "how long faults begin");
+ABSL_FLAG(std::uint32_t, minions, 8,
+          "how many there are, at most 250; the control instances share the calls to 200 or more");
 ABSL_FLAG(std::string, keep, "",
           "the folder for settings, data and logs, which stays; empty: a temporary one, which"
           " stays only after a violation");
@@ -47,7 +49,7 @@
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage("Runs the job programs on loopback under a random series of faults.\n"
-                                 "  soak --seed=<number> [--seconds=<number>] [--keep=<folder>]");
+                                 "  soak --seed=<number> [--seconds=<number>] [--minions=<number>] [--keep=<folder>]");
     absl::ParseCommandLine(argc, argv);
     auto folder = absl::GetFlag(FLAGS_keep);
     const bool isTemporary = folder.empty();
@@ -62,8 +64,10 @@
         std::fprintf(stderr, "soak: no free network in 127/8\n");
         return 1;
     }
-    Pistachio::Soak::Soak soak(absl::GetFlag(FLAGS_seed), std::chrono::seconds(absl::GetFlag(FLAGS_seconds)), folder,
-                               network);
+    Pistachio::Soak::CellSize size;
+    size.minions = absl::GetFlag(FLAGS_minions);
+    Pistachio::Soak::Soak soak(absl::GetFlag(FLAGS_seed), std::chrono::seconds(absl::GetFlag(FLAGS_seconds)), size,
+                               folder, network);
     const auto violations = soak.run();
     std::printf("%s", soak.summary().c_str());
     for (const auto &violation : violations)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -24,6 +24,7 @@
 constexpr Duration slowLink = 120ms;
 constexpr std::int64_t minionMilliCores = 8000;
 constexpr std::uint16_t minionPort = 7500;
+constexpr std::size_t runTimes = 8; ///< that minions differ by
 constexpr std::size_t fewestAdvised = 2; ///< minions that have room for the largest gang of the workload
 
 std::string minionName(std::size_t index)
@@ -41,8 +42,9 @@
 
 } // namespace
 
-Soak::Soak(std::uint64_t seed, Duration span, std::string folder, const std::string &network)
-    : seed_(seed)
+Soak::Soak(std::uint64_t seed, Duration span, const CellSize &size, std::string folder, const std::string &network)
+    : size_(size)
+    , seed_(seed)
     , plan_(planFaults(seed, span, size_))
     , startedAt_(EventLoop::now())
     , ledger_([this](const std::string &text) { violated(text); })
@@ -71,7 +73,7 @@
         report.milliCores = minionMilliCores;
         report.memoryMb = 1 << 14;
         ledger_.addMinion(report.incarnation.id, minionMilliCores);
-        const Duration runTime = 200ms + index * 120ms;
+        const Duration runTime = 200ms + (index % runTimes) * 120ms;
         minions_.push_back(std::make_unique<Standin::MinionServer>(
             loop_, std::move(report), runTime, [this] { return cell_.controls(); }, check));
         simulated_.push_back(&minions_.back()->minion());
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,7 +27,7 @@
     /// \param span in which faults begin
     /// \param folder for settings, data and logs
     /// \param network the first two bytes of all addresses
-    Soak(std::uint64_t seed, Duration span, std::string folder, const std::string &network);
+    Soak(std::uint64_t seed, Duration span, const CellSize &size, std::string folder, const std::string &network);
 
     /// \return everything that must not happen and did.
     std::vector<std::string> run();
