Log reads that wait, and the configuration that answers go by

Whether two answers of an entry overtook each other couldn't be told from its log: reads that succeeded left no line, and no line named the version. A read that takes 250 ms or more is logged now; under load there are few.

--- a/src/libs/jobnode/jobentry.cpp
+++ b/src/libs/jobnode/jobentry.cpp
@@ -32,6 +32,7 @@
 constexpr Duration answerMargin = 150ms; ///< the answer reaches the caller within its deadline
 constexpr int answerMarginShare = 4; ///< at most this part of a short deadline
 constexpr Duration stopLimit = 300ms;
+constexpr Duration slowRead = 250ms; ///< quicker ones are not logged
 
 std::vector<std::string> seedIps(const Settings::JobSettings &settings)
 {
@@ -186,13 +187,14 @@
             metrics.observe("caller_request_seconds", static_cast<double>(took.count()) / 1e6);
             const bool isFailure
                 = reply.verdict() != Wire::JOB_VERDICT_ACCEPTED && reply.verdict() != Wire::JOB_VERDICT_NO_SUCH_JOB;
-            if (isFailure || kind != "read") {
+            if (isFailure || kind != "read" || took >= slowRead) {
                 d_->runtime.logger().write(
                     isFailure ? LogLevel::Warning : LogLevel::Info, "caller-request",
                     {{"kind", kind},
                      {"path", call.path()},
                      {"verdict", static_cast<int>(reply.verdict())},
                      {"reason", reply.reason()},
+                     {"configuration", reply.configuration()},
                      {"leader", d_->calls.target()},
                      {"leader_seen_ms", d_->leaderSeen == TimePoint{} ? -1 : (EventLoop::now() - d_->leaderSeen) / 1ms},
                      {"took_ms", took / 1ms}});
