Refuse callers at once when no leader can be expected

While all control instances are without power, entries held each request for 1.5 s before they refused it, though no leader was to be expected: an election takes less. An entry now holds requests for 1.5 s from the last word of a leader on, and then refuses at once what no other entry can carry either; Retry-After stays. What was sent somewhere is still told as unknown.

jobIsRefusedAtOnceWithoutALeader fails without the change (it waits for 1.5 s).

--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -19,6 +19,7 @@
 constexpr Duration attemptLimit = 1s; ///< a commit takes tens of ms; longer means that the leader is gone
 constexpr Duration relayLimit = 700ms;
 constexpr Duration retryDelay = 50ms;
+constexpr Duration electionLimit = 1500ms; ///< from the last word of a leader to the first one of the next
 constexpr Duration confirmedLimit = 800ms; ///< a few announcements are missing by then
 
 /// \return whether the verdict says that nothing was done.
@@ -36,6 +37,7 @@
     bool isRelayed = false; ///< by another entry, to which it goes back if the leader can't be reached
     bool isChange = false;
     bool isWaiting = false; ///< for the next attempt
+    bool isTried = false; ///< somebody was asked
     TimePoint arrivedAt{};
     TimePoint deadline{};
     TimePoint doubtDeadline{};
@@ -49,6 +51,7 @@
     : loop_(loop)
     , peers_(peers)
     , seeds_(std::move(seeds))
+    , leaderSeenAt_(EventLoop::now())
 {
     if (!seeds_.empty())
         target_ = seeds_.front();
@@ -84,6 +87,7 @@
     if (!isLeaderConfirmed())
         resumeTimer_ = loop_.callAfter(Duration::zero(), [this] { resume(); });
     confirmedAt_ = EventLoop::now();
+    leaderSeenAt_ = confirmedAt_;
 }
 
 void CallerCalls::resume()
@@ -120,7 +124,7 @@
     const auto now = EventLoop::now();
     attempt->isWaiting = false;
     const auto left = (attempt->mayHaveTakenEffect ? attempt->doubtDeadline : attempt->deadline) - now;
-    if (left <= Duration::zero()) {
+    if (left <= Duration::zero() || isHopeless(*attempt)) {
         Wire::JobReply reply;
         reply.set_verdict(attempt->mayHaveTakenEffect ? Wire::JOB_VERDICT_UNKNOWN : Wire::JOB_VERDICT_UNAVAILABLE);
         reply.set_reason(attempt->reason);
@@ -140,6 +144,13 @@
     sendTo(attempt, target_, std::min(left, attemptLimit), false);
 }
 
+bool CallerCalls::isHopeless(const Attempt &attempt) const
+{
+    const bool canAsk = !attempt.isTried && (!relays_.empty() || !attempt.isChange) && !attempt.isRelayed;
+    return !isLeaderConfirmed() && !attempt.mayHaveTakenEffect && !canAsk
+        && EventLoop::now() >= leaderSeenAt_ + electionLimit;
+}
+
 bool CallerCalls::isLeaderConfirmed() const
 {
     return EventLoop::now() <= confirmedAt_ + confirmedLimit;
@@ -147,6 +158,7 @@
 
 void CallerCalls::sendTo(const std::shared_ptr<Attempt> &attempt, const std::string &ip, Duration limit, bool isRelay)
 {
+    attempt->isTried = true;
     peers_.call(ip, "/jobs/call", isRelay ? attempt->relayedBody : attempt->body, limit,
                 [this, attempt, ip, isRelay](const Transport::CallResult &result) {
                     if (!open_.contains(attempt->id))
--- a/src/libs/jobnode/callercalls.h
+++ b/src/libs/jobnode/callercalls.h
@@ -27,7 +27,8 @@
 /// Carries callers' requests to the leader of the job group, whoever that is, and again after a failure. Handing a job
 /// in again is harmless, since it keeps its id.
 ///
-/// Requests wait a while for a leader. Their answers keep the order of arrival with respect to the configuration.
+/// Requests wait for a leader while one may be elected; then they are refused at once. Their answers keep the order of
+/// arrival with respect to the configuration.
 class CallerCalls
 {
 public:
@@ -74,6 +75,9 @@
     void answered(const std::shared_ptr<Attempt> &attempt, const std::string &ip, bool isRelay, Wire::JobReply reply);
     /// \return the verdict that keeps the answers in order; UNSPECIFIED: the leader is to be asked again.
     [[nodiscard]] Wire::JobVerdict verdictInOrder(const Attempt &attempt, const Wire::JobReply &reply) const;
+    /// \return whether no leader can be expected, since there was none for longer than an election takes, and no other
+    /// entry knows one.
+    [[nodiscard]] bool isHopeless(const Attempt &attempt) const;
     void retry(const std::shared_ptr<Attempt> &attempt, Duration delay);
     /// Sends what waited for a leader, in the order of arrival.
     void resume();
@@ -86,6 +90,7 @@
     std::size_t nextCandidate_ = 0;
     std::string target_;
     TimePoint confirmedAt_{};
+    TimePoint leaderSeenAt_; ///< like confirmedAt_, but kept when the leader fails; begins with the process
     std::vector<std::string> relays_;
     std::size_t nextRelay_ = 0;
     TimePoint relayedAt_{};
--- a/tests/auto/jobnode/tst_jobentry.cpp
+++ b/tests/auto/jobnode/tst_jobentry.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(announcementConfirmsTheLeader);
     CPPUNIT_TEST(leaderWithoutConfigurationRefusesAtOnce);
     CPPUNIT_TEST(silentLeaderGetsNoJob);
+    CPPUNIT_TEST(jobIsRefusedAtOnceWithoutALeader);
     CPPUNIT_TEST(jobInDoubtIsNotRefused);
     CPPUNIT_TEST(jobInDoubtIsNotRefusedForItsQueue);
     CPPUNIT_TEST(entryFindsALeaderThatIsNoSeed);
@@ -141,6 +142,19 @@
         CPPUNIT_ASSERT_EQUAL(0, fixture.leader.calls);
     }
 
+    // Callers waited for a leader that could not be elected, until they gave up.
+    void jobIsRefusedAtOnceWithoutALeader()
+    {
+        Fixture fixture;
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_ACCEPTED}, int{fixture.submit()});
+        fixture.leader.isSilent = true;
+        fixture.runtime.loop().runFor(1800ms);
+        const auto begun = Transport::EventLoop::now();
+        CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_VERDICT_UNAVAILABLE}, int{fixture.submit()});
+        CPPUNIT_ASSERT(Transport::EventLoop::now() < begun + 100ms);
+        CPPUNIT_ASSERT_EQUAL(1, fixture.leader.calls);
+    }
+
     // The leader may have stored the job before it fell silent.
     void jobInDoubtIsNotRefused()
     {
