Say why no leader is expected, and let adding an order tell only whether it was added

Read over the change as a newcomer: a refusal without any attempt had no reason, a pointer was used as a flag, two includes were not used.

--- a/src/libs/jobnode/callercalls.cpp
+++ b/src/libs/jobnode/callercalls.cpp
@@ -125,6 +125,8 @@
     attempt->isWaiting = false;
     const auto left = (attempt->mayHaveTakenEffect ? attempt->doubtDeadline : attempt->deadline) - now;
     if (left <= Duration::zero() || isHopeless(*attempt)) {
+        if (attempt->reason.empty())
+            attempt->reason = "there is no leader, and none is expected";
         Wire::JobReply reply;
         reply.set_verdict(attempt->mayHaveTakenEffect ? Wire::JOB_VERDICT_UNKNOWN : Wire::JOB_VERDICT_UNAVAILABLE);
         reply.set_reason(attempt->reason);
--- a/src/libs/jobnode/carriertable.h
+++ b/src/libs/jobnode/carriertable.h
@@ -2,13 +2,11 @@
 
 #include "core/time.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace Pistachio::Jobnode
--- a/src/libs/jobnode/orderrelay.cpp
+++ b/src/libs/jobnode/orderrelay.cpp
@@ -50,21 +50,21 @@
 
 OrderRelay::~OrderRelay() = default;
 
-template<class Order> Wire::JobOrder *OrderRelay::addOrder(const Order &order, Duration wait, Completed completed)
+template<class Order> bool OrderRelay::addOrder(const Order &order, Duration wait, const Completed &completed)
 {
     if (!isLeading_ || order.fencingToken != fencingToken_)
-        return nullptr;
+        return false;
     auto carrier = carriers_.carrierOf(order.minion.id, ports_.zoneOf(order.minion.id));
     if (!carrier)
-        return nullptr;
+        return false;
     auto &batch = batches_[*carrier];
     if (!batch)
         batch = std::make_unique<Wire::JobOrders>();
     auto &message = *batch->add_orders();
     message.set_id(++lastId_);
     fill(message, order);
-    underWay_[lastId_] = {std::move(*carrier), onTime(ports_.now()) + answerLimit + wait, std::move(completed)};
-    return &message;
+    underWay_[lastId_] = {std::move(*carrier), onTime(ports_.now()) + answerLimit + wait, completed};
+    return true;
 }
 
 void OrderRelay::start(const Jobs::StartOrder &order, Answered answered)
--- a/src/libs/jobnode/orderrelay.h
+++ b/src/libs/jobnode/orderrelay.h
@@ -15,7 +15,6 @@
 
 namespace Pistachio::Wire
 {
-class JobOrder;
 class JobOrderAnswer;
 class JobOrders;
 } // namespace Pistachio::Wire
@@ -75,7 +74,10 @@
         Completed completed;
     };
 
-    template<class Order> Wire::JobOrder *addOrder(const Order &order, Duration wait, Completed completed);
+    /// Adds an order to the batch of the minion's carrier.
+    /// \param wait how long the minion may delay its answer
+    /// \return false if the leader is to call the minion itself.
+    template<class Order> bool addOrder(const Order &order, Duration wait, const Completed &completed);
     void handedOver(const std::string &carrier, std::uint64_t firstId, std::uint64_t lastId, TimePoint sentAt,
                     const Transport::CallResult &result);
     /// \return the time less that by which this process was late.
