Set a carrier aside that gets its orders too late to send them

A carrier behind a slow link between control instances answered each order as not sent, and was used on, since it answered. Its minions got no renewals: leases lapsed, and tasks ran again after their end. Found by reading the change over.

An order that a carrier didn't send now sets it aside for a second, in which others or the leader call its minions.

--- a/src/libs/jobnode/orderrelay.cpp
+++ b/src/libs/jobnode/orderrelay.cpp
@@ -6,6 +6,7 @@
 #include <jobs.pb.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -20,6 +21,7 @@
 constexpr Duration answerLimit = 400ms; ///< of an order without its wait: what a carrier waits, and both ways
 constexpr Duration handOverLimit = 400ms;
 constexpr Duration pauseAfterFailure = 200ms;
+constexpr Duration pauseAfterUnsent = 1s; ///< of an instance that did not send its orders
 constexpr Duration pauseAfterRefusal = 2s; ///< of an instance that carries no orders
 constexpr int statusOk = 200;
 
@@ -232,14 +234,21 @@
         return false;
     if (!isLeading_ || message.fencing_token() != fencingToken_)
         return true;
+    std::set<std::string> unsentBy;
     for (const auto &answer : message.answers()) {
         const auto order = underWay_.find(answer.id());
         if (order == underWay_.end())
             continue;
+        if (answer.outcome() == Wire::JOB_ORDER_NOT_SENT)
+            unsentBy.insert(order->second.carrier);
         const auto completed = std::move(order->second.completed);
         underWay_.erase(order);
         completed(answer);
     }
+    for (const auto &carrier : unsentBy) {
+        carriers_.failed(onTime(ports_.now()), carrier, pauseAfterUnsent);
+        ports_.log("carrier-lost", {{"carrier", carrier}, {"reason", "it got orders too late to send them"}});
+    }
     return true;
 }
 
--- a/tests/auto/jobnode/carriedcell.cpp
+++ b/tests/auto/jobnode/carriedcell.cpp
@@ -15,13 +15,12 @@
 constexpr Duration stepTime = 1ms;
 constexpr Duration tickInterval = 20ms;
 constexpr Duration reportInterval = 400ms;
-constexpr Duration jobInterval = 15ms;
 constexpr Duration commitDelay = 20ms;
 constexpr Duration orderLimit = 150ms; ///< a client gives an order up after it
 constexpr Duration oldestOrder = 200ms; ///< from the leader's decision to the sending: the rounds, and the limit
 constexpr std::int64_t startUnixMs = 1'000'000;
 constexpr std::int64_t milliCores = 4000;
-constexpr Duration runTime = 150ms;
+constexpr int jobsInRunTime = 10;
 
 std::string carrierName(std::size_t number)
 {
@@ -126,6 +125,7 @@
 
     bool hearsLeader = true;
     bool reachesLeader = true;
+    Duration slowness{}; ///< of its link with the leader
     std::uint64_t term = 0;
 
 private:
@@ -135,7 +135,7 @@
     {
         if (!reachesLeader || cell_.isLost())
             return;
-        cell_.schedule(cell_.delay(), [this, answers] { cell_.takeAnswers(answers); });
+        cell_.schedule(slowness + cell_.delay(), [this, answers] { cell_.takeAnswers(answers); });
     }
 
     const std::string zone_;
@@ -153,8 +153,9 @@
     JobScheduler scheduler;
 };
 
-CarriedCell::CarriedCell(std::uint64_t seed, std::size_t carriers, std::size_t minions)
-    : random_(seed)
+CarriedCell::CarriedCell(std::uint64_t seed, std::size_t carriers, std::size_t minions, Duration runTime)
+    : runTime_(runTime)
+    , random_(seed)
     , store_(std::make_unique<JobStore>())
 {
     Wire::JobCommand command;
@@ -270,6 +271,11 @@
     carriers_[carrier]->reachesLeader = true;
 }
 
+void CarriedCell::slow(std::size_t carrier, Duration more)
+{
+    carriers_[carrier]->slowness = more;
+}
+
 void CarriedCell::run(Duration span)
 {
     for (const auto end = now_ + span; now_ < end;)
@@ -300,7 +306,7 @@
         }
     }
     if (submits && now_ >= nextJob_) {
-        nextJob_ = now_ + jobInterval;
+        nextJob_ = now_ + runTime_ / jobsInRunTime;
         submit();
     }
     if (now_ >= nextTick_) {
@@ -325,7 +331,7 @@
     auto &item = *submission.mutable_spec()->add_steps();
     item.set_tasks(1);
     item.set_milli_cores(1000);
-    item.set_estimate_ms(runTime / 1ms);
+    item.set_estimate_ms(runTime_ / 1ms);
     store_->apply(0, command.SerializeAsString());
 }
 
@@ -405,12 +411,12 @@
         carrier.take(orders, [this, &carrier, end](const Transport::Response &response) {
             refusedBatches += response.status == 409 ? 1 : 0;
             if (carrier.reachesLeader && !isLost())
-                schedule(delay(), [end, response] { end(response); });
+                schedule(carrier.slowness + delay(), [end, response] { end(response); });
         });
     };
-    schedule(delay(), deliver);
+    schedule(carrier.slowness + delay(), deliver);
     if (repeatsBatches)
-        schedule(delay(), deliver);
+        schedule(carrier.slowness + delay(), deliver);
 }
 
 void CarriedCell::runBegan(const std::string &minion, const StartOrder &order)
--- a/tests/auto/jobnode/carriedcell.h
+++ b/tests/auto/jobnode/carriedcell.h
@@ -35,7 +35,9 @@
     enum class Direction { FromLeader, ToLeader };
 
     /// \param carriers the number of instances beside the leader; each is in a zone of its own
-    CarriedCell(std::uint64_t seed, std::size_t carriers, std::size_t minions);
+    /// \param runTime of each task; ten jobs are submitted in it
+    CarriedCell(std::uint64_t seed, std::size_t carriers, std::size_t minions,
+                Duration runTime = std::chrono::milliseconds(150));
     ~CarriedCell() override;
 
     /// Submits jobs and lets time pass.
@@ -50,6 +52,8 @@
     /// Messages in one direction get lost from now on.
     void cut(std::size_t carrier, Direction direction);
     void join(std::size_t carrier);
+    /// Messages between the leader and the instance take \p more time in each direction.
+    void slow(std::size_t carrier, Duration more);
     /// Another instance begins to lead; the group of the carriers hears of it a little later.
     void changeLeader();
 
@@ -106,6 +110,7 @@
     SimulatedMinion &minionAt(const std::string &address);
     Carrier &carrierAt(const std::string &instance);
 
+    const Duration runTime_;
     TimePoint now_{std::chrono::hours(1)};
     Pistachio::RandomSource random_;
     std::multimap<TimePoint, std::function<void()>> events_;
--- a/tests/auto/jobnode/tst_ordercarrying.cpp
+++ b/tests/auto/jobnode/tst_ordercarrying.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(killedCarrierIsReplacedAtOnce);
     CPPUNIT_TEST(pausedCarrierSendsNothingLate);
     CPPUNIT_TEST(carrierThatIsCutOffOneWayIsNotWaitedFor);
+    CPPUNIT_TEST(carrierBehindASlowLinkIsSetAside);
     CPPUNIT_TEST(twoLostCarriersLeaveTheRest);
     CPPUNIT_TEST(carrierDropsOrdersOfAnEarlierLeader);
     CPPUNIT_TEST(repeatedAndLostBatchesRunNothingTwice);
@@ -168,6 +169,20 @@
         }
     }
 
+    // Guards against orders that an instance gets too late to send, one after the other, until the leases lapse.
+    void carrierBehindASlowLinkIsSetAside()
+    {
+        for (const auto slowness : {60ms, 90ms, 150ms, 400ms}) {
+            CarriedCell cell(1, carriers, minions, 3s);
+            cell.run(4s);
+            cell.slow(1, slowness);
+            cell.run(8s);
+            cell.finish(30s);
+            checkRules(cell, 1);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(slowness / 1ms) + " ms", std::size_t{0}, cell.lapsedRuns);
+        }
+    }
+
     // Guards against a leader that relies on instances that are not there any more.
     void twoLostCarriersLeaveTheRest()
     {
