--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -1,5 +1,6 @@
 #include "cases.h"
 
+#include "hopelessgang.h"
 #include "otherwriter.h"
 #include "partconfiguration.h"
 #include "rebirth.h"
@@ -12,9 +13,9 @@
 const std::map<std::string, Case> &cases()
 {
     static const std::map<std::string, Case> all{
-        {"otherwriter", playOtherWriter}, {"partconfiguration", playPartConfiguration},
-        {"rebirth", playRebirth},         {"removedroute", playRemovedRoute},
-        {"starvation", playStarvation},
+        {"hopelessgang", playHopelessGang},           {"otherwriter", playOtherWriter},
+        {"partconfiguration", playPartConfiguration}, {"rebirth", playRebirth},
+        {"removedroute", playRemovedRoute},           {"starvation", playStarvation},
     };
     return all;
 }
--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -37,8 +37,21 @@
 class RunLedger
 {
 public:
+    /// The members of one run of a gang: they work from the moment when all are there, and end together.
+    struct Gang {
+        std::set<std::string> tasks;
+        Clock::time_point wholeAt{};
+    };
+
     std::mutex mutex;
     std::vector<std::shared_ptr<RunEvent>> runs;
+    std::map<std::string, Gang> gangs; ///< by step and run
+
+    /// \return the gang of a task's run; to be used under the mutex.
+    Gang &gangOf(const std::string &task, std::uint64_t run)
+    {
+        return gangs[task.substr(0, task.rfind('.')) + '/' + std::to_string(run)];
+    }
 
     /// \return the runs of a job, as they are now.
     std::vector<RunEvent> of(const std::string &job)
@@ -152,6 +165,7 @@
         Clock::time_point began;
         Clock::time_point endsAt;
         bool lasts = false;
+        bool isOfGang = false;
         std::shared_ptr<RunEvent> event;
     };
     struct Ended {
@@ -240,6 +254,13 @@
         {
             const std::lock_guard ledgerLock(ledger_.mutex);
             ledger_.runs.push_back(entry.event);
+            entry.isOfGang = spec.rfind("gang=", 0) == 0; // gang=MILLISECONDS/MEMBERS
+            if (entry.isOfGang) {
+                auto &gang = ledger_.gangOf(task, run);
+                gang.tasks.insert(task);
+                if (gang.tasks.size() == std::strtoul(spec.substr(spec.find('/') + 1).c_str(), nullptr, 10))
+                    gang.wholeAt = Clock::now();
+            }
         }
         runs_[task] = entry;
         record_.line("minion " + id_ + " (born " + std::to_string(born_) + ") begins " + task + " run "
@@ -312,6 +333,24 @@
         changed_.notify_all();
     }
 
+    /// \return when a run ends by itself: a member of a gang that is not whole waits for the others for a while.
+    Clock::time_point endOf(const std::string &task, const Run &run)
+    {
+        constexpr milliseconds gangTimeout(3000);
+        if (!run.isOfGang)
+            return run.endsAt;
+        const std::lock_guard ledgerLock(ledger_.mutex);
+        const auto wholeAt = ledger_.gangOf(task, run.run).wholeAt;
+        return wholeAt == Clock::time_point{} ? run.began + gangTimeout : wholeAt + (run.endsAt - run.began);
+    }
+
+    bool isAlone(const std::string &task)
+    {
+        const auto &run = runs_.at(task);
+        const std::lock_guard ledgerLock(ledger_.mutex);
+        return run.isOfGang && ledger_.gangOf(task, run.run).wholeAt == Clock::time_point{};
+    }
+
     void tick()
     {
         for (;;) {
@@ -324,11 +363,11 @@
             const bool isOver = clock() >= leaseUntil_;
             std::vector<std::string> over;
             for (const auto &[task, run] : runs_) {
-                if (isOver || Clock::now() >= run.endsAt)
+                if (isOver || Clock::now() >= endOf(task, run))
                     over.push_back(task);
             }
             for (const auto &task : over)
-                end(task, isOver ? "lapsed" : "done");
+                end(task, isOver ? "lapsed" : isAlone(task) ? "alone" : "done");
         }
     }
 
