--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -5,6 +5,7 @@
 #include "partconfiguration.h"
 #include "rebirth.h"
 #include "removedroute.h"
+#include "silentlife.h"
 #include "starvation.h"
 
 namespace bed
@@ -13,9 +14,13 @@
 const std::map<std::string, Case> &cases()
 {
     static const std::map<std::string, Case> all{
-        {"hopelessgang", playHopelessGang},           {"otherwriter", playOtherWriter},
-        {"partconfiguration", playPartConfiguration}, {"rebirth", playRebirth},
-        {"removedroute", playRemovedRoute},           {"starvation", playStarvation},
+        {"hopelessgang", playHopelessGang},
+        {"otherwriter", playOtherWriter},
+        {"partconfiguration", playPartConfiguration},
+        {"rebirth", playRebirth},
+        {"removedroute", playRemovedRoute},
+        {"silentlife", playSilentLife},
+        {"starvation", playStarvation},
     };
     return all;
 }
--- a/review/standins-2/hopelessgang.cpp
+++ b/review/standins-2/hopelessgang.cpp
@@ -1,4 +1,5 @@
-// A minion is lost for good, so that a gang which needs all minions can't start. Small jobs follow it.
+// A minion is lost for good, so that a gang which needs all minions can't start. Small jobs and a smaller gang follow
+// it. Not a case of the review: the jobs begin in the end. See the report, entry of issue 34.
 
 #include "hopelessgang.h"
 
@@ -49,6 +50,11 @@
             return 2;
         std::this_thread::sleep_for(milliseconds(200));
     }
+    // A gang that fits on half of the minions that are left.
+    jobs.push_back(cell.newId());
+    const json fitting{{"count", 3}, {"cpu", 15000}, {"memMb", 1024}, {"estimateMs", 30000}, {"gang", true}};
+    if (!cell.submit("/batch/" + jobs.back(), {{"taskSpec", "gang=1000/3"}, {"jobSteps", json::array({fitting})}}))
+        return 2;
     // The end of the traffic. finish_s later the jobs are asked for.
     constexpr int finishS = 14;
     std::this_thread::sleep_for(std::chrono::seconds(finishS));
--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -142,7 +142,18 @@
     void crashAtNextStart(bool isWanted = true) { crashesAtStart_ = isWanted; }
     /// \return whether that has happened; the minion then takes no more requests.
     bool hasStopped() const { return hasStopped_; }
-    void clearStopped() { hasStopped_ = false; }
+
+    /// From the next start on that it carries out, nothing leaves it any more; it works on.
+    void fallSilentAtNextStart(bool isWanted = true) { fallsSilentAtStart_ = isWanted; }
+    [[nodiscard]] bool isSilent() const { return isSilent_; }
+    void endSilence() { isSilent_ = false; }
+
+    /// \return where it was told to send its reports, which is the leader of a small fleet.
+    Address reportAddress()
+    {
+        const std::lock_guard lock(mutex_);
+        return reportAddress_;
+    }
 
     const std::string &id() const { return id_; }
     const Address &address() const { return address_; }
@@ -188,6 +199,14 @@
     }
 
     HttpResponse handle(const HttpRequest &request)
+    {
+        auto response = isSilent_ ? HttpResponse() : carryOut(request);
+        while (isSilent_ && isUp_)
+            std::this_thread::sleep_for(milliseconds(10));
+        return response;
+    }
+
+    HttpResponse carryOut(const HttpRequest &request)
     {
         const auto named = request.headers.find("expected-instance");
         std::unique_lock lock(mutex_);
@@ -263,6 +282,8 @@
             }
         }
         runs_[task] = entry;
+        if (fallsSilentAtStart_.exchange(false))
+            isSilent_ = true;
         record_.line("minion " + id_ + " (born " + std::to_string(born_) + ") begins " + task + " run "
                      + std::to_string(run));
         return answer(200, json::object());
@@ -389,7 +410,7 @@
                 const std::lock_guard lock(mutex_);
                 if (!isUp_)
                     return;
-                if (hasStopped_)
+                if (hasStopped_ || isSilent_)
                     continue;
                 body = reportBody();
             }
@@ -405,6 +426,10 @@
             const auto reply = json::parse(response.body, nullptr, false);
             if (reply.is_object() && reply.contains("heartbeatAddress"))
                 given = parseAddress(reply["heartbeatAddress"].get<std::string>());
+            {
+                const std::lock_guard lock(mutex_);
+                reportAddress_ = given;
+            }
             next = Clock::now() + heartbeat;
         }
     }
@@ -450,6 +475,9 @@
     std::atomic<bool> isUp_ = false;
     std::atomic<bool> crashesAtStart_ = false;
     std::atomic<bool> hasStopped_ = false;
+    std::atomic<bool> fallsSilentAtStart_ = false;
+    std::atomic<bool> isSilent_ = false;
+    Address reportAddress_;
     std::thread ticker_;
     std::thread reporter_;
 };
--- a/review/standins-2/rebirth.cpp
+++ b/review/standins-2/rebirth.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr const char *service = "svc";
-constexpr int minionCount = 7;
+constexpr int minionCount = 8;
 constexpr milliseconds downTime(300); ///< from the crash until it listens again
 constexpr int heartbeatMs = 1500; ///< the first report of a life comes within one interval
 constexpr milliseconds betweenCrashes(1500);
