--- a/review/standins-2/cell.h
+++ b/review/standins-2/cell.h
@@ -315,6 +315,22 @@
     std::mt19937_64 random_{std::random_device{}()};
 };
 
+using Minions = std::vector<std::unique_ptr<Minion>>;
+
+/// Starts minions of one service, of 16 cores each. \return whether all listen.
+inline bool startMinions(Minions &minions, Record &record, RunLedger &ledger, const Cell &cell, int count,
+                         const std::string &service)
+{
+    for (int i = 0; i < count; ++i) {
+        minions.push_back(std::make_unique<Minion>(record, ledger, "i-" + std::to_string(7000 + i),
+                                                   cell.minionAddress(i), MinionKind{service, {"a", "r1-1"}},
+                                                   cell.controls()));
+        if (!minions.back()->start())
+            return false;
+    }
+    return true;
+}
+
 /// \return a configuration with one service and queues of the given paths.
 inline json configuration(int version, const std::string &service, const std::vector<std::string> &paths)
 {
--- a/review/standins-2/hopelessgang.cpp
+++ b/review/standins-2/hopelessgang.cpp
@@ -11,7 +11,6 @@
 
 constexpr const char *service = "svc";
 constexpr int minionCount = 7;
-constexpr int minionCpu = 16000;
 constexpr int jobCpu = 2000;
 
 } // namespace
@@ -22,14 +21,9 @@
     RunLedger ledger;
     if (!cell.open())
         return 2;
-    std::vector<std::unique_ptr<Minion>> minions;
-    for (int i = 0; i < minionCount; ++i) {
-        minions.push_back(std::make_unique<Minion>(record, ledger, "i-" + std::to_string(7000 + i),
-                                                   cell.minionAddress(i), MinionKind{service, {"a", "r1-1"}, minionCpu},
-                                                   cell.controls()));
-        if (!minions.back()->start())
-            return 2;
-    }
+    Minions minions;
+    if (!startMinions(minions, record, ledger, cell, minionCount, service))
+        return 2;
     if (cell.replaceConfiguration(configuration(7, service, {"/batch/"}).dump()) != 200)
         return 2;
     std::this_thread::sleep_for(milliseconds(3000));
--- a/review/standins-2/otherwriter.cpp
+++ b/review/standins-2/otherwriter.cpp
@@ -20,14 +20,9 @@
     RunLedger ledger;
     if (!cell.open())
         return 2;
-    std::vector<std::unique_ptr<Minion>> minions;
-    for (int i = 0; i < minionCount; ++i) {
-        minions.push_back(std::make_unique<Minion>(record, ledger, "i-" + std::to_string(7000 + i),
-                                                   cell.minionAddress(i), MinionKind{service, {"a", "r1-1"}},
-                                                   cell.controls()));
-        if (!minions.back()->start())
-            return 2;
-    }
+    Minions minions;
+    if (!startMinions(minions, record, ledger, cell, minionCount, service))
+        return 2;
     if (cell.replaceConfiguration(configuration(7, service, {"/last/", "/batch/"}).dump()) != 200)
         return 2;
     std::this_thread::sleep_for(milliseconds(3000));
--- a/review/standins-2/partconfiguration.cpp
+++ b/review/standins-2/partconfiguration.cpp
@@ -17,14 +17,9 @@
     RunLedger ledger;
     if (!cell.open())
         return 2;
-    std::vector<std::unique_ptr<Minion>> minions;
-    for (int i = 0; i < 4; ++i) {
-        minions.push_back(std::make_unique<Minion>(record, ledger, "i-" + std::to_string(7000 + i),
-                                                   cell.minionAddress(i), MinionKind{service, {"a", "r1-1"}},
-                                                   cell.controls()));
-        if (!minions.back()->start())
-            return 2;
-    }
+    Minions minions;
+    if (!startMinions(minions, record, ledger, cell, 4, service))
+        return 2;
     const auto whole = configuration(7, service, {"/batch/"});
     if (cell.replaceConfiguration(whole.dump()) != 200)
         return 2;
--- a/review/standins-2/rebirth.cpp
+++ b/review/standins-2/rebirth.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds betweenCrashes(1500);
 
 /// \return the minion that began the last run.
-std::size_t busiest(RunLedger &ledger, const std::vector<std::unique_ptr<Minion>> &minions)
+std::size_t busiest(RunLedger &ledger, const Minions &minions)
 {
     const auto runs = ledger.all();
     const auto found = std::find_if(minions.begin(), minions.end(), [&](const auto &minion) {
@@ -60,14 +60,9 @@
     RunLedger ledger;
     if (!cell.open())
         return 2;
-    std::vector<std::unique_ptr<Minion>> minions;
-    for (int i = 0; i < minionCount; ++i) {
-        minions.push_back(std::make_unique<Minion>(record, ledger, "i-" + std::to_string(7000 + i),
-                                                   cell.minionAddress(i), MinionKind{service, {"a", "r1-1"}},
-                                                   cell.controls()));
-        if (!minions.back()->start())
-            return 2;
-    }
+    Minions minions;
+    if (!startMinions(minions, record, ledger, cell, minionCount, service))
+        return 2;
     if (cell.replaceConfiguration(configuration(7, service, {"/batch/"}).dump()) != 200)
         return 2;
     std::this_thread::sleep_for(milliseconds(3000));
--- a/review/standins-2/silentlife.cpp
+++ b/review/standins-2/silentlife.cpp
@@ -36,7 +36,7 @@
 }
 
 /// \return the minion that crashed as it got the start, or null.
-Minion *crashed(std::vector<std::unique_ptr<Minion>> &minions)
+Minion *crashed(Minions &minions)
 {
     for (int waited = 0; waited < 3000; ++waited) {
         for (auto &minion : minions) {
@@ -56,14 +56,9 @@
     RunLedger ledger;
     if (!cell.open())
         return 2;
-    std::vector<std::unique_ptr<Minion>> minions;
-    for (int i = 0; i < minionCount; ++i) {
-        minions.push_back(std::make_unique<Minion>(record, ledger, "i-" + std::to_string(7000 + i),
-                                                   cell.minionAddress(i), MinionKind{service, {"a", "r1-1"}},
-                                                   cell.controls()));
-        if (!minions.back()->start())
-            return 2;
-    }
+    Minions minions;
+    if (!startMinions(minions, record, ledger, cell, minionCount, service))
+        return 2;
     if (cell.replaceConfiguration(configuration(7, service, {"/batch/"}).dump()) != 200)
         return 2;
     // By now the minions' clocks are ahead of that of a new life by more than the longest lease.
--- a/review/standins-2/starvation.cpp
+++ b/review/standins-2/starvation.cpp
@@ -25,7 +25,7 @@
     RunLedger ledger;
     if (!cell.open())
         return 2;
-    std::vector<std::unique_ptr<Minion>> minions;
+    Minions minions;
     for (int i = 0; i < 8; ++i) {
         const bool isB = i >= 6;
         minions.push_back(std::make_unique<Minion>(
