Have a new leader wait for a later incarnation that may have got a start

Cause: a minion crashes as a start arrives and starts again under its id. The repeated start reaches the new incarnation, which cuts the lease, a time on the clock before, down to the longest one. Only the leader that sent the start knew that, as a property of the minion. A new leader counted a usual lease of 4 s from its election, while the run had up to 6 s.

Change: LeaseBound owns until when the known incarnation and a later one may run anything. A run that its incarnation has listed is confirmed and waits for the former, any other run for both. Confirmations of long-running tasks are stored (confirmed_runs, JobTaskImage.is_run_confirmed); a new leader counts the longest lease for each run that isn't stored as confirmed.

Ruled out: the longest lease for all runs at each new leader.

--- a/src/libs/jobs/endproof.cpp
+++ b/src/libs/jobs/endproof.cpp
@@ -34,9 +34,9 @@
     return EndProof("stopped");
 }
 
-std::optional<EndProof> EndProof::leaseOver(const Minion &minion, TimePoint now)
+std::optional<EndProof> EndProof::leaseOver(const Minion &minion, const Run &run, TimePoint now)
 {
-    return leaseOver(minion.leasesEnd(), now);
+    return leaseOver(minion.leaseEndOf(run), now);
 }
 
 std::optional<EndProof> EndProof::leaseOver(TimePoint end, TimePoint now)
--- a/src/libs/jobs/endproof.h
+++ b/src/libs/jobs/endproof.h
@@ -29,8 +29,8 @@
     [[nodiscard]] static std::optional<EndProof>
     stopped(const TaskName &task, const Run &run, const LeaseAnswer &answer, TimePoint asked, Duration stopTimeout);
 
-    /// The minion's lease is over, and so is what a later incarnation of it could have started.
-    [[nodiscard]] static std::optional<EndProof> leaseOver(const Minion &minion, TimePoint now);
+    /// The minion's lease is over, and so is that of a later incarnation if it could have got the start.
+    [[nodiscard]] static std::optional<EndProof> leaseOver(const Minion &minion, const Run &run, TimePoint now);
     /// \param end when all leases are over under which the run could work
     [[nodiscard]] static std::optional<EndProof> leaseOver(TimePoint end, TimePoint now);
 
--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -94,11 +94,22 @@
     task.run = run;
     task.lastRun = run;
     task.state = TaskState::Assigned;
+    task.isRunConfirmed = false;
     task.minion = minion;
     task.minionBornUnixMs = bornUnixMs;
     ++assignedRuns_;
 }
 
+void Job::confirmRun(const TaskName &name, std::uint64_t run)
+{
+    auto *record = mutableStep(name.step);
+    if (!record || name.index >= record->tasks.size())
+        return;
+    auto &task = record->tasks[name.index];
+    if (task.state == TaskState::Assigned && task.run == run)
+        task.isRunConfirmed = true;
+}
+
 bool Job::allowsCopies(const Wire::JobStep &step)
 {
     return step.speculative() && !step.gang() && !step.long_running();
@@ -142,6 +153,7 @@
     if (task.run == run || (task.other && !isCopyDone))
         return;
     TaskRun first{task.run, std::move(task.minion), task.minionBornUnixMs};
+    task.isRunConfirmed = false;
     if (isCopyDone) {
         task.run = task.other->run;
         task.minion = std::move(task.other->minion);
@@ -157,6 +169,7 @@
 void Job::endOneOfTwo(Task &task, std::uint64_t run)
 {
     if (task.run == run) {
+        task.isRunConfirmed = false;
         task.run = task.other->run;
         task.minion = std::move(task.other->minion);
         task.minionBornUnixMs = task.other->minionBornUnixMs;
@@ -263,6 +276,7 @@
             item.set_minion(task.minion);
             item.set_minion_born_unix_ms(task.minionBornUnixMs);
             item.set_checkpoint(task.checkpoint);
+            item.set_is_run_confirmed(task.isRunConfirmed);
             if (task.other) {
                 item.mutable_copy()->set_run(task.other->run);
                 item.mutable_copy()->set_minion(task.other->minion);
@@ -297,6 +311,7 @@
             task.minion = item.minion();
             task.minionBornUnixMs = item.minion_born_unix_ms();
             task.checkpoint = item.checkpoint();
+            task.isRunConfirmed = item.is_run_confirmed();
             task.lastRun = std::max(item.run(), item.copy().run());
             if (!item.copy().minion().empty()) {
                 const auto &copy = item.copy();
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -37,6 +37,9 @@
     std::uint64_t lastRun = 0; ///< highest number assigned so far; above run after a copy has ended
     std::uint32_t failures = 0;
     TaskState state = TaskState::Waiting;
+    /// The assigned run is known to work in the incarnation that it is assigned to, under a lease of usual length. Any
+    /// other run may work in a later incarnation, under the longest lease that a minion grants.
+    bool isRunConfirmed = false;
     std::string minion; ///< of run
     std::int64_t minionBornUnixMs = 0;
     std::string checkpoint; ///< reported by the last ended run that had one
@@ -107,6 +110,9 @@
     [[nodiscard]] bool canAssign(const TaskName &name, std::uint64_t run) const;
     void assign(const TaskName &name, std::uint64_t run, const std::string &minion, std::int64_t bornUnixMs);
 
+    /// Records that the assigned run is known to work where it is assigned; ignored for any other run.
+    void confirmRun(const TaskName &name, std::uint64_t run);
+
     /// \return whether the task of a step may have copies: neither gangs nor long-running steps may.
     [[nodiscard]] static bool allowsCopies(const Wire::JobStep &step);
     /// \return whether assignCopy() may be called with this run.
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -78,6 +78,7 @@
     durations_.clearSteps();
     preemptions_.clear();
     lostRuns_.clear();
+    confirmedRuns_.clear();
     timeSpent_.clear();
     teamUsage_.clear();
     teamOrder_.clear();
@@ -149,24 +150,31 @@
                             const MinionIncarnation &incarnation)
 {
     countRun(job, task, number);
+    const auto &record = *job.task(task);
+    const bool isConfirmed = record.isRunConfirmed && record.run == number;
+    const auto leasesEnd = now_.time + longestTime(isConfirmed ? settings_.lease : settings_.longestLease);
     auto *minion = fleet_.find(incarnation.id);
     if (!minion) {
-        lostRuns_[{task, number}] = now_.time + longestTime(settings_.lease);
+        lostRuns_[{task, number}] = leasesEnd;
         return;
     }
+    if (!isConfirmed)
+        minion->leaseBound.assumeLaterIncarnation(leasesEnd);
     Run run;
     run.run = number;
     run.reserved = reservedBy(job.spec(task.step.step));
     run.expected = expectedRunTime(job, task.step, *minion);
     run.phase = RunPhase::Adopted;
     run.phaseSince = now_.time;
+    run.isConfirmed = isConfirmed;
+    run.awaitsRecord = job.spec(task.step.step).long_running() && !isConfirmed;
     if (minion->report.incarnation != incarnation) {
         stopInLaterIncarnation(*minion, task, run);
         return;
     }
     auto &added = minion->add(task, run);
     // The earlier leader may not have stopped what a completed task left over.
-    if (job.task(task)->state == TaskState::Done)
+    if (record.state == TaskState::Done)
         sendStop(*minion, task, added, StopReason::TaskDone);
 }
 
@@ -335,7 +343,7 @@
                         {"listed_ms", age(known.listedAt)},
                         {"phase_ms", age(known.phaseSince)},
                         {"silent_ms", age(minion.lastContactAt)},
-                        {"lease_over_ms", age(minion.leasesEnd())},
+                        {"lease_over_ms", age(minion.leaseEndOf(known))},
                         {"renewals", minion.renewals.toString(now_.time)}});
 }
 
@@ -350,6 +358,8 @@
         revertAssignment(assignment);
     for (const auto &end : command.ends())
         revertEnd(end);
+    for (const auto &confirmation : command.confirmed_runs())
+        revertConfirmation(confirmation);
     for (const auto &minion : command.minions()) {
         const auto waiting = reportsToStore_.extract(minion.id());
         if (waiting.empty())
@@ -432,6 +442,7 @@
     expireLeases();
     confirmLeaves();
     proposeLostRuns();
+    proposeConfirmations();
     removeUnaccountedRuns();
     sendDueOrders();
     removeFinishedJobs();
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -34,6 +34,7 @@
 class JobCommand;
 class JobEnd;
 class JobQueue;
+class JobRunConfirmation;
 class JobStep;
 class JobSubmission;
 } // namespace Pistachio::Wire
@@ -257,15 +258,22 @@
     void proposeLostRuns();
     /// Grants a minion no more leases, as another one answers or reports in its place.
     void suspendMinion(Minion &minion, std::string_view reason);
-    void endRunsOf(Minion &minion, const EndProof &proof);
+    /// Ends the runs of a silent minion that can't work there any more.
+    void endRunsOf(Minion &minion);
     void expireLeases();
     /// Confirms deregistrations of minions that run nothing more, or after leaveLimit.
     void confirmLeaves();
     /// Asks a minion what became of its runs after its lease has expired: once, or again while it still reports.
     /// \return whether it has been asked and didn't answer.
-    bool staysSilentAfterExpiry(Minion &minion);
+    bool staysSilentAfterExpiry(Minion &minion, TimePoint expiredAt);
     void proposeMinionRemoval(const std::string &id);
 
+    // runconfirmations.cpp
+    /// Notes which runs the known incarnation of a minion has just listed, and which of them are to be recorded.
+    void confirmRuns(Minion &minion);
+    void proposeConfirmations();
+    void revertConfirmation(const Wire::JobRunConfirmation &confirmation);
+
     // slowminions.cpp
     [[nodiscard]] bool isSpeedMeaningful(const Minion &minion, const TaskName &task, const Run &run) const;
     void recordProgress(const Minion &minion, const ActiveRun &active, Run &run);
@@ -415,6 +423,7 @@
     /// Their end is proposed until it is stored.
     std::map<std::pair<TaskName, std::uint64_t>, TimePoint> lostRuns_;
     TimePoint lostRunsProposedAt_{};
+    std::vector<std::pair<TaskName, std::uint64_t>> confirmedRuns_; ///< to be recorded
     std::map<std::string, TimeSpent> timeSpent_; ///< by active jobs, in steps that this leader has seen end
     std::set<std::string> begunJobs_; ///< active jobs with a confirmed start
     bool planNeeded_ = true; ///< something changed since the last round
--- a/src/libs/jobs/jobstore.cpp
+++ b/src/libs/jobs/jobstore.cpp
@@ -61,6 +61,11 @@
     }
     for (const auto &speed : command.speeds())
         recordSpeed(speed);
+    for (const auto &confirmation : command.confirmed_runs()) {
+        const auto found = jobs_.find(confirmation.task().job());
+        if (found != jobs_.end())
+            found->second.confirmRun(toTaskName(confirmation.task()), confirmation.run());
+    }
     return reply.SerializeAsString();
 }
 
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -60,13 +60,13 @@
         = answer.bornUnixMs != 0 && order.minion.bornUnixMs != 0 && answer.bornUnixMs != order.minion.bornUnixMs;
     // The later incarnation may have got a repeated start, and the lease of this renewal.
     const bool mayHaveLease
-        = minion->leaseConfirmed || order.leaseExpiresAtMs || minion->laterLeaseExpiry == TimePoint{};
+        = minion->leaseConfirmed || order.leaseExpiresAtMs || minion->leaseBound.laterIncarnationUntil() == TimePoint{};
     if (answer.outcome == OrderOutcome::IncarnationMismatch || incarnationDiffers)
         suspendMinion(*minion, "another minion or incarnation answers at its address");
     if (incarnationDiffers && mayHaveLease)
-        minion->laterLeaseExpiry = now.time + longestTime(settings_.longestLease);
+        minion->leaseBound.assumeLaterIncarnation(now.time + longestTime(settings_.longestLease));
     if (answer.outcome != OrderOutcome::Done || incarnationDiffers) {
-        const bool isExpired = now.time > minion->latestLeaseExpiry && minion->runs.empty();
+        const bool isExpired = now.time > minion->leaseBound.grantedUntil() && minion->runs.empty();
         const auto delay = backoff_.delay(++minion->renewalFailures);
         minion->nextRenewal = now.time + (isExpired ? renewalRetryAfterExpiry : delay);
         if (answer.outcome == OrderOutcome::NotSent) {
@@ -92,6 +92,8 @@
     const bool isRecent = now.time <= minion->renewalSentAt + order.wait + maxAnswerDelay;
     for (const auto &active : answer.active)
         processActiveRun(*minion, active, isRecent);
+    if (answer.bornUnixMs == minion->report.incarnation.bornUnixMs)
+        confirmRuns(*minion);
     // Ends that are listed beside proposed ones are listed again once those are committed.
     if (!minion->endsProposed)
         processEnds(*minion, answer);
@@ -104,11 +106,12 @@
 /// longer lease here than this leader has granted.
 void JobScheduler::forgetLaterIncarnations(Minion &minion) const
 {
-    const bool isAskedLater = minion.renewalSentAt + longestTime(settings_.longestLease) >= minion.laterLeaseExpiry;
+    const bool isAskedLater
+        = minion.renewalSentAt + longestTime(settings_.longestLease) >= minion.leaseBound.laterIncarnationUntil();
     const bool hasEarlierRun = std::any_of(minion.runs.begin(), minion.runs.end(),
                                            [](const auto &entry) { return entry.second.isOfEarlierIncarnation; });
     if (isAskedLater && !hasEarlierRun)
-        minion.laterLeaseExpiry = {};
+        minion.leaseBound.disproveLaterIncarnation();
 }
 
 void JobScheduler::processEnds(Minion &minion, const LeaseAnswer &answer)
--- a/src/libs/jobs/minion.cpp
+++ b/src/libs/jobs/minion.cpp
@@ -5,11 +5,6 @@
 namespace Pistachio::Jobs
 {
 
-namespace
-{
-constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the network delay of the last order
-} // namespace
-
 std::string toString(OrderOutcome outcome)
 {
     switch (outcome) {
@@ -104,14 +99,9 @@
     return label.empty() || std::find(report.labels.begin(), report.labels.end(), label) != report.labels.end();
 }
 
-Duration longestTime(Duration lease)
-{
-    return Duration(static_cast<std::int64_t>(static_cast<double>(lease.count()) / minClockRate));
-}
-
-TimePoint Minion::leasesEnd() const
+TimePoint Minion::leaseEndOf(const Run &run) const
 {
-    return std::max(latestLeaseExpiry, laterLeaseExpiry) + leaseMargin;
+    return run.isConfirmed ? leaseBound.knownIncarnationEnd() : leaseBound.end();
 }
 
 void Minion::suspend()
@@ -125,7 +115,7 @@
     if (!clockMs)
         return std::nullopt;
     // The minion read its clock at clockAt or earlier, so the lease ends by this time even on the slowest clock.
-    latestLeaseExpiry = std::max(latestLeaseExpiry, clockAt + longestTime(lease));
+    leaseBound.grant(clockAt + longestTime(lease));
     return *clockMs + lease / 1ms;
 }
 
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "jobs/leasebound.h"
 #include "jobs/orders.h"
 #include "jobs/renewalhistory.h"
 #include "jobs/speedestimate.h"
@@ -58,6 +59,8 @@
     bool isOrphan = false; ///< not the task's current run according to the store
     bool isOfEarlierIncarnation = false; ///< assigned to an earlier incarnation; this one may have got its start
     bool isUnlisted = false; ///< was stopped because the minion's lists lack it
+    bool isConfirmed = false; ///< works in the incarnation that it is assigned to, and in no later one
+    bool awaitsRecord = false; ///< its confirmation is to be recorded, see Task::isRunConfirmed
     std::string checkpoint;
     std::uint32_t percent = 0;
     TimePoint listedAt{}; ///< when the minion last listed it as active
@@ -89,8 +92,7 @@
     TimePoint lastContactAt{}; ///< last answered lease renewal
     TimePoint lastAnswerAt{}; ///< to any order
     TimePoint lastUnansweredAt{}; ///< when an order last timed out; reset by the next answer
-    TimePoint latestLeaseExpiry{}; ///< all leases granted so far have expired by then, on the leader's clock
-    TimePoint laterLeaseExpiry{}; ///< likewise of what a later incarnation may have started; zero: nothing
+    LeaseBound leaseBound;
     std::optional<std::int64_t> clockMs; ///< reading of the minion's clock, taken at clockAt or earlier
     TimePoint clockAt{};
 
@@ -115,9 +117,9 @@
     [[nodiscard]] std::int64_t spareMilliCoresUsed() const { return spareMilliCoresUsed_; }
     [[nodiscard]] std::uint32_t taskCount(const StepName &step) const;
     [[nodiscard]] bool hasLabel(const std::string &label) const;
+    /// \return when a run can't work here any more, whatever incarnation got its start.
+    [[nodiscard]] TimePoint leaseEndOf(const Run &run) const;
 
-    /// \return when neither this incarnation nor a later one can run anything more that it was ordered to start.
-    [[nodiscard]] TimePoint leasesEnd() const;
     /// Grants no more leases and starts until this incarnation answers a renewal.
     void suspend();
     /// Extends the lease to \p lease after the last answer. Unanswered orders don't prolong it.
@@ -134,10 +136,4 @@
     std::int64_t spareMilliCoresUsed_ = 0;
 };
 
-/// The lowest rate of a minion's clock relative to real time. Leases are assumed to last longer accordingly.
-constexpr double minClockRate = 0.98;
-
-/// \return the longest time for which a lease lasts on the slowest clock.
-[[nodiscard]] Duration longestTime(Duration lease);
-
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -24,6 +24,12 @@
 constexpr Duration lostRunRetry = 200ms; ///< several times a commit
 constexpr int missingReports = 4; ///< before a minion is forgotten; counted from its last report and lease
 
+/// \return whether a run may work, as its start may have been sent and its end isn't proposed.
+bool mayWork(const Run &run)
+{
+    return run.phase != RunPhase::Proposed && run.phase != RunPhase::Ending;
+}
+
 } // namespace
 
 void JobScheduler::minionReported(const EventTime &now, const MinionReport &report,
@@ -85,7 +91,7 @@
         const auto *replaced = fleet_.find(minion.id());
         const auto earlier = replaced ? *replaced : Minion();
         auto &added = addMinion(std::move(report));
-        added.latestLeaseExpiry = std::max(added.latestLeaseExpiry, earlier.latestLeaseExpiry);
+        added.leaseBound.grant(earlier.leaseBound.grantedUntil());
         takeOverRuns(added, earlier.runs);
         takeOverLostRuns(added);
         advice_.removeMinion(minion.id());
@@ -106,7 +112,7 @@
     speeds_.add(added.report.incarnation, added.report.service, added.kind());
     added.speed = speeds_.estimate(id);
     added.lastReportAt = now_.time;
-    added.latestLeaseExpiry = now_.time + longestTime(settings_.lease);
+    added.leaseBound.grant(now_.time + longestTime(settings_.lease));
     return added;
 }
 
@@ -144,7 +150,7 @@
     run.isOfEarlierIncarnation = true;
     run.isUnlisted = true;
     run.phase = RunPhase::Adopted;
-    minion.laterLeaseExpiry = now_.time + longestTime(settings_.longestLease);
+    minion.leaseBound.assumeLaterIncarnation(now_.time + longestTime(settings_.longestLease));
     sendStop(minion, task, minion.add(task, run), StopReason::EarlierIncarnation);
 }
 
@@ -207,32 +213,33 @@
     const auto removalDelay = missingReports * settings_.reportInterval;
     std::vector<std::string> removable;
     for (auto &[id, minion] : fleet_.minions()) {
-        const auto proof = EndProof::leaseOver(minion, now_.time);
-        if (!proof)
+        if (now_.time < minion.leaseBound.knownIncarnationEnd())
             continue;
-        if (!minion.leaseConfirmed && !hasCurrentRun(minion)
-            && now_.time > std::max(minion.lastReportAt, minion.latestLeaseExpiry) + removalDelay) {
+        const bool isOver = now_.time >= minion.leaseBound.end();
+        if (isOver && !minion.leaseConfirmed && !hasCurrentRun(minion)
+            && now_.time > std::max(minion.lastReportAt, minion.leaseBound.grantedUntil()) + removalDelay) {
             removable.push_back(id);
             continue;
         }
-        const bool runsSomething = std::any_of(minion.runs.begin(), minion.runs.end(), [](const auto &entry) {
-            return entry.second.phase != RunPhase::Proposed && entry.second.phase != RunPhase::Ending;
-        });
+        const bool hasEndedRun
+            = std::any_of(minion.runs.begin(), minion.runs.end(), [this, &minion = minion](const auto &entry) {
+                  return mayWork(entry.second) && EndProof::leaseOver(minion, entry.second, now_.time);
+              });
         const bool isSuspect
-            = runsSomething || (minion.leaseConfirmed && now_.time > minion.lastContactAt + settings_.lease);
-        if (isSuspect && staysSilentAfterExpiry(minion))
-            endRunsOf(minion, *proof);
+            = hasEndedRun || (isOver && minion.leaseConfirmed && now_.time > minion.lastContactAt + settings_.lease);
+        const auto expiredAt = isOver ? minion.leaseBound.end() : minion.leaseBound.knownIncarnationEnd();
+        if (isSuspect && staysSilentAfterExpiry(minion, expiredAt))
+            endRunsOf(minion);
     }
     for (const auto &id : removable)
         proposeMinionRemoval(id);
 }
 
-bool JobScheduler::staysSilentAfterExpiry(Minion &minion)
+bool JobScheduler::staysSilentAfterExpiry(Minion &minion, TimePoint expiredAt)
 {
     if (minion.renewalOutstanding)
         return false;
     // Answers from before may have been lost, or may not have been read in time if this process is busy.
-    const auto expiredAt = minion.leasesEnd();
     const bool wasAsked = minion.renewalSentAt >= expiredAt && minion.renewalFailures > 0;
     const bool isOverdue = now_.time >= expiredAt + settings_.lease;
     if (!wasAsked && !isOverdue)
@@ -243,19 +250,20 @@
     return isOverdue || (wasAsked && !mayBeAskedAgain);
 }
 
-void JobScheduler::endRunsOf(Minion &minion, const EndProof &proof)
+void JobScheduler::endRunsOf(Minion &minion)
 {
     std::size_t lost = 0;
     Wire::JobCommand command;
     for (auto &[task, run] : minion.runs) {
-        if (run.phase == RunPhase::Proposed || run.phase == RunPhase::Ending)
+        const auto proof = mayWork(run) ? EndProof::leaseOver(minion, run, now_.time) : std::nullopt;
+        if (!proof)
             continue;
-        proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST, proof);
+        proposeEnd(command, minion, task, run.run, Wire::JOB_RUN_END_LOST, *proof);
         ports_.logDecision(LogLevel::Info, "run-lost",
                            {{"task", task.toString()},
                             {"run", run.run},
                             {"minion", minion.report.incarnation.id},
-                            {"reason", proof.name()},
+                            {"reason", proof->name()},
                             {"running_ms", run.startedAt == TimePoint{} ? -1 : (now_.time - run.startedAt) / 1ms},
                             {"checkpoint", !run.checkpoint.empty()}});
         ++lost;
@@ -265,7 +273,6 @@
         LogLevel::Warning, "minion-lost",
         {{"minion", minion.report.incarnation.id},
          {"address", minion.report.address},
-         {"reason", proof.name()},
          {"runs", lost},
          {"silent_ms", minion.lastContactAt == TimePoint{} ? -1 : (now_.time - minion.lastContactAt) / 1ms}});
     if (lost > 0)
@@ -304,7 +311,7 @@
 {
     for (const auto &[task, run] : removed.runs) {
         if (isCurrentRun(task, run))
-            lostRuns_[{task, run.run}] = removed.leasesEnd();
+            lostRuns_[{task, run.run}] = removed.leaseBound.end();
     }
 }
 
--- a/src/libs/jobs/orderretries.cpp
+++ b/src/libs/jobs/orderretries.cpp
@@ -68,7 +68,8 @@
 {
     if (minion.renewalOutstanding || now_.time < minion.nextRenewal)
         return false;
-    const bool mayWait = minion.renewalFailures == 0 && now_.time + settings_.lease / 2 < minion.latestLeaseExpiry;
+    const bool mayWait
+        = minion.renewalFailures == 0 && now_.time + settings_.lease / 2 < minion.leaseBound.grantedUntil();
     return !mayWait || !(minion.endsProposed || hasUnlistedRun(minion, false));
 }
 
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -282,6 +282,7 @@
     planned.spareMilliCores = step.uses_spare_cores() ? step.milli_cores() : 0;
     planned.phaseSince = now_.time;
     planned.plannedAt = now_.time;
+    planned.awaitsRecord = step.long_running();
     planned.readyAt = queue_.readySince(task.step).value_or(now_.time);
     planned.expected = expectedRunTime(job, task.step, minion);
     minion.add(task, planned);
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -151,7 +151,7 @@
     case OrderOutcome::Unanswered:
         minion->refusesUntil = std::max(minion->refusesUntil, now.time + avoidAfterUnansweredStart);
         if (answer.mayReachLaterIncarnation)
-            minion->laterLeaseExpiry = now.time + longestTime(settings_.longestLease);
+            minion->leaseBound.assumeLaterIncarnation(now.time + longestTime(settings_.longestLease));
         return;
     case OrderOutcome::IncarnationMismatch:
         suspendMinion(*minion, "another minion answers at its address");
--- a/tests/auto/jobs/tst_jobstore.cpp
+++ b/tests/auto/jobs/tst_jobstore.cpp
@@ -77,6 +77,15 @@
         apply(command);
     }
 
+    void confirm(std::uint32_t step, std::uint32_t number, std::uint64_t run)
+    {
+        Wire::JobCommand command;
+        auto &confirmation = *command.add_confirmed_runs();
+        fill(*confirmation.mutable_task(), {{jobId, 0, step}, number});
+        confirmation.set_run(run);
+        apply(command);
+    }
+
     [[nodiscard]] const Job &job() const { return *store.job(jobId); }
 
     JobStore store;
@@ -111,6 +120,7 @@
     CPPUNIT_TEST(earlierIncarnationDoesNotReplaceLater);
     CPPUNIT_TEST(resubmittedJobIsKept);
     CPPUNIT_TEST(unstartedRunLeavesJobPending);
+    CPPUNIT_TEST(confirmationIsOfOneRun);
     CPPUNIT_TEST(snapshotRestoresAllState);
     CPPUNIT_TEST(invalidJobsAreRejected);
     CPPUNIT_TEST(invalidConfigurationsAreRejected);
@@ -311,6 +321,22 @@
         CPPUNIT_ASSERT(fixture.job().hasBegun());
     }
 
+    // A confirmation that outlasts its run would have a new leader start the next one twice.
+    void confirmationIsOfOneRun()
+    {
+        Fixture fixture;
+        fixture.submit(spec({1}));
+        fixture.assign(0, 0, 2);
+        fixture.confirm(0, 0, 1);
+        fixture.confirm(0, 1, 2);
+        CPPUNIT_ASSERT(!fixture.job().task({{jobId, 0, 0}, 0})->isRunConfirmed);
+        fixture.confirm(0, 0, 2);
+        CPPUNIT_ASSERT(fixture.job().task({{jobId, 0, 0}, 0})->isRunConfirmed);
+        fixture.end(0, 0, 2, Wire::JOB_RUN_END_LOST);
+        fixture.assign(0, 0, 3);
+        CPPUNIT_ASSERT(!fixture.job().task({{jobId, 0, 0}, 0})->isRunConfirmed);
+    }
+
     // Failure counts and assignments missing from a snapshot would be lost at the next restart.
     void snapshotRestoresAllState()
     {
@@ -319,10 +345,12 @@
         fixture.assign(0, 0, 1);
         fixture.end(0, 0, 1, Wire::JOB_RUN_END_FAILED);
         fixture.assign(0, 1, 1);
+        fixture.confirm(0, 1, 1);
         Fixture other;
         CPPUNIT_ASSERT(other.store.restore(fixture.store.snapshot()));
         CPPUNIT_ASSERT_EQUAL(1U, other.job().task({{jobId, 0, 0}, 0})->failures);
         CPPUNIT_ASSERT(other.job().task({{jobId, 0, 0}, 1})->state == TaskState::Assigned);
+        CPPUNIT_ASSERT(other.job().task({{jobId, 0, 0}, 1})->isRunConfirmed);
         CPPUNIT_ASSERT(other.job().hasAssignedTasks());
         other.end(0, 1, 1, Wire::JOB_RUN_END_DONE);
         other.assign(0, 0, 2);
--- a/tests/auto/jobs/tst_silentincarnation.cpp
+++ b/tests/auto/jobs/tst_silentincarnation.cpp
@@ -9,19 +9,50 @@
 using namespace Pistachio;
 using namespace Pistachio::Jobs;
 
+namespace
+{
+
+constexpr Duration longRun = 1h;
+
+void longRunning(Wire::JobStep &step)
+{
+    step.set_long_running(true);
+}
+
+} // namespace
+
 /// A later incarnation of a minion that runs a repeated start and is silent afterwards.
 class SilentIncarnationTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(SilentIncarnationTest);
     CPPUNIT_TEST(newLeaderWaitsForASilentLaterIncarnation);
+    CPPUNIT_TEST(newLeaderWaitsAUsualLeaseForAConfirmedRun);
+    CPPUNIT_TEST(confirmationIsRecordedThoughItsProposalFails);
     CPPUNIT_TEST_SUITE_END();
 
     const std::string job_ = "0000000000000001";
 
+    /// Has the job's task work on minion "a", of which the power fails with the leader, while "b" has room.
+    /// \return how long the next leader takes to have the task work on "b".
+    Duration timeToRunAgain(SimulatedCell &cell, SimulatedCell::StoreOrigin origin)
+    {
+        cell.addMinion("b", 4000, longRun);
+        cell.run(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.firstMinionRunning(job_));
+        cell.loseLeader(SimulatedCell::Proposals::Lost);
+        cell.destroy(*cell.minions.at("a"));
+        cell.electLeader(origin);
+        const auto elected = cell.now().time;
+        for (int steps = 0; steps < 1500 && cell.firstMinionRunning(job_).empty(); ++steps)
+            cell.run(10ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.firstMinionRunning(job_));
+        CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(), cell.violations.empty());
+        return cell.now().time - elected;
+    }
+
     /// Has minion "a" crash as a start arrives, and its next incarnation carry out the repeated one and fall silent.
     void startInSilentIncarnation(SimulatedCell &cell)
     {
-        constexpr Duration longRun = 1h;
         auto &minion = cell.addMinion("a", 4000, longRun);
         cell.run(1s);
         bool hasCrashed = false;
@@ -36,7 +67,7 @@
             minion.start(cell.now().time, order);
             return OrderOutcome::Unanswered;
         };
-        cell.submit(job_, 1, 1000, [](Wire::JobStep &step) { step.set_long_running(true); });
+        cell.submit(job_, 1, 1000, longRunning);
         cell.run(200ms);
         cell.addMinion("b", 4000, longRun);
         for (int steps = 0; steps < 200 && minion.runs.empty(); ++steps)
@@ -57,6 +88,32 @@
         CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(), cell.violations.empty());
         CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.firstMinionRunning(job_));
     }
+
+    // Guards against waiting for the longest lease at each new leader: a long-running task is owed again after 6 s.
+    void newLeaderWaitsAUsualLeaseForAConfirmedRun()
+    {
+        for (const auto origin : {SimulatedCell::StoreOrigin::Log, SimulatedCell::StoreOrigin::Snapshot}) {
+            SimulatedCell cell(1);
+            cell.addMinion("a", 4000, longRun);
+            cell.submit(job_, 1, 1000, longRunning);
+            cell.run(2s);
+            CPPUNIT_ASSERT(timeToRunAgain(cell, origin) < SchedulerSettings().longestLease);
+        }
+    }
+
+    // Guards against a confirmation that is never recorded because its first proposal was not appended to the log.
+    void confirmationIsRecordedThoughItsProposalFails()
+    {
+        SimulatedCell cell(1);
+        cell.addMinion("a", 4000, longRun);
+        cell.submit(job_, 1, 1000, longRunning);
+        cell.run(300ms);
+        cell.failedProposals = 100;
+        cell.run(1s);
+        cell.failedProposals = 0;
+        cell.run(1s);
+        CPPUNIT_ASSERT(timeToRunAgain(cell, SimulatedCell::StoreOrigin::Log) < SchedulerSettings().longestLease);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentIncarnationTest);
