Decide in one place whether a task has room, and count spare cores nowhere as room

Cause: fits() took off the cores that others use without a reservation, canBecomeFree() didn't. A task on spare cores, for which another left too few, fitted nowhere now and on each minion later, so a minion was reserved whole for it in each round. fits() also counted spare cores against the capacity, though "the step's `cpu` is not counted against a minion's capacity", and adoptRun() forgot what running tasks use of them, so that a new leader behaved otherwise.

Change: fits() answers for now and for later, by what a task reserves. Idle cores are a preference; a long-running task, and the first one of a job of which nothing runs, may share cores with others. What a run uses is set wherever a run becomes known. The third place that asked it, the bound canFit of a round, asks for what is reserved, too.

--- a/src/libs/jobs/demand.cpp
+++ b/src/libs/jobs/demand.cpp
@@ -20,6 +20,11 @@
     return {step.uses_spare_cores() ? 0 : step.milli_cores(), step.memory_mb(), step.accelerators()};
 }
 
+std::int64_t spareMilliCoresOf(const Wire::JobStep &step)
+{
+    return step.uses_spare_cores() ? step.milli_cores() : 0;
+}
+
 bool isLarge(const ResourceAmounts &demand, const ResourceAmounts &capacity)
 {
     return demand.milliCores * largeTaskDivisor >= capacity.milliCores
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -163,6 +163,7 @@
     Run run;
     run.run = number;
     run.reserved = reservedBy(job.spec(task.step.step));
+    run.spareMilliCores = spareMilliCoresOf(job.spec(task.step.step));
     run.expected = expectedRunTime(job, task.step, *minion);
     run.phase = RunPhase::Adopted;
     run.phaseSince = now_.time;
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -134,7 +134,7 @@
     struct StepRequirements {
         const Wire::JobQueue &queue;
         const Wire::JobStep &step;
-        ResourceAmounts demand;
+        ResourceAmounts demand; ///< what a task takes of a minion's capacity
     };
     /// The largest free amount and the smallest capacity among usable minions, for each resource separately.
     struct CapacityBounds {
@@ -300,7 +300,17 @@
     /// \return the usable minions that may run the step, and have \p tickets if the queue needs advice.
     [[nodiscard]] std::vector<Minion *> eligibleMinions(const StepName &name, const StepRequirements &requirements,
                                                         Tickets tickets, Room room);
-    [[nodiscard]] bool fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const;
+    /// The only place that decides whether there is room for a task, now or once all but the long-running tasks have
+    /// ended. Spare cores are no room: a task that uses them gets what the others leave.
+    [[nodiscard]] bool fits(const Minion &minion, const StepRequirements &requirements, const StepName &name,
+                            Room room) const;
+    /// \return the capacity that is free once all but the long-running tasks have ended.
+    [[nodiscard]] ResourceAmounts capacityOnceFree(const Minion &minion) const;
+    /// \return whether the minion has all the cores idle that a task of the step would use without a reservation.
+    [[nodiscard]] static bool hasIdleCores(const Minion &minion, const Wire::JobStep &step);
+    /// \return whether a task that uses spare cores may share them with others: if it is long-running, or if no other
+    /// task of its job runs.
+    [[nodiscard]] bool mayShareCores(const Wire::JobStep &step, const StepName &name) const;
     /// \param name a step of a job in the store
     [[nodiscard]] StepNeeds needsOf(const StepRequirements &requirements, const StepName &name) const;
     /// \return the best minion that the task fits on; null if there is none, or if the task waits for a faster minion
@@ -371,9 +381,6 @@
     [[nodiscard]] std::string describeRun(const TaskName &name, const Task &task);
 
     // reservations.cpp
-    /// \return whether the step fits on the minion once all but its long-running tasks have ended.
-    [[nodiscard]] bool canBecomeFree(const Minion &minion, const StepName &name,
-                                     const StepRequirements &requirements) const;
     void reserveMinions(const WaitingEntry &entry, const Job &job);
     void reserveCapacity(const WaitingEntry &entry, const Job &job);
     [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -157,6 +157,7 @@
         orphan.phase = RunPhase::Running;
         if (job && active.task.step.step < job->stepsPerOccurrence()) {
             orphan.reserved = reservedBy(job->spec(active.task.step.step));
+            orphan.spareMilliCores = spareMilliCoresOf(job->spec(active.task.step.step));
             countRun(*job, active.task, active.run);
         }
         minion.add(active.task, orphan);
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -132,7 +132,9 @@
         run.run = number;
         if (!isCurrentRun(task, run) || !isAssignedTo(task, number, minion.report.incarnation.id))
             return false;
-        run.reserved = reservedBy(store_.job(task.step.job)->spec(task.step.step));
+        const auto &step = store_.job(task.step.job)->spec(task.step.step);
+        run.reserved = reservedBy(step);
+        run.spareMilliCores = spareMilliCoresOf(step);
         stopInLaterIncarnation(minion, task, run);
         return true;
     });
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -27,6 +27,17 @@
 constexpr Duration fullRoundInterval = 60ms;
 constexpr std::size_t shortRoundFailures = 16;
 constexpr std::size_t maxAdviceRequestsPerRound = 16; ///< so that the steps with the earliest deadlines come first
+constexpr double sharedCoresScore = 15; ///< of a minion without idle cores; outweighs locality and speed
+
+constexpr double busyCoresWeight = 2; ///< outweighs the preference for full minions, which is 1
+
+/// \return what is added to the score of a minion without idle cores; the less idle, the more.
+double sharedCoresPenalty(const Minion &minion)
+{
+    const auto idle = minion.freeCapacity().milliCores - minion.spareMilliCoresUsed();
+    const auto whole = std::max<std::int64_t>(1, minion.report.milliCores);
+    return sharedCoresScore + busyCoresWeight * (1 - static_cast<double>(idle) / static_cast<double>(whole));
+}
 
 } // namespace
 
@@ -73,7 +84,8 @@
         const StepName name = entry->first;
         const auto &step = job->spec(name.step);
         const bool isGang = step.gang();
-        const bool canFit = demandOf(step).fitsIn(step.long_running() ? bounds.maxFreeForLongRunning : bounds.maxFree);
+        const auto reserved = reservedBy(step);
+        const bool canFit = reserved.fitsIn(step.long_running() ? bounds.maxFreeForLongRunning : bounds.maxFree);
         awaitsPlace_ = false;
         const bool placed = canFit && (isGang ? placeGang(*entry, *job, command) : placeStep(*entry, *job, command));
         if (isGang && !placed)
@@ -100,7 +112,7 @@
         if (entry->second.isLongRunning || (isGang && reservations < maxGangReservations)) {
             reserveMinions(*entry, *job);
             reservations += isGang ? 1 : 0;
-        } else if (!isGang && isLarge(demandOf(step), bounds.minCapacity)) {
+        } else if (!isGang && isLarge(reserved, bounds.minCapacity)) {
             reserveCapacity(*entry, *job);
         }
     }
@@ -166,7 +178,7 @@
     if (!queue)
         return std::nullopt;
     const auto &step = job.spec(name.step);
-    return StepRequirements{*queue, step, demandOf(step)};
+    return StepRequirements{*queue, step, reservedBy(step)};
 }
 
 TimePoint JobScheduler::ticketNeededUntil(const Wire::JobQueue &queue) const
@@ -185,7 +197,7 @@
 {
     std::vector<Minion *> result;
     const auto consider = [&](Minion &minion) {
-        if (room == Room::Now && !fits(minion, requirements.step, name))
+        if (room == Room::Now && !fits(minion, requirements, name, room))
             return;
         if (isUsable(minion, requirements.step.long_running()) && isEligible(minion, requirements)
             && !reservations_.isReservedWhole(minion))
@@ -204,14 +216,42 @@
     return result;
 }
 
-bool JobScheduler::fits(const Minion &minion, const Wire::JobStep &step, const StepName &name) const
+bool JobScheduler::fits(const Minion &minion, const StepRequirements &requirements, const StepName &name,
+                        Room room) const
+{
+    const auto limit = requirements.step.max_per_minion();
+    if (limit > 0 && minion.taskCount(name) >= limit)
+        return false;
+    return requirements.demand.fitsIn(room == Room::Now ? minion.freeCapacity() : capacityOnceFree(minion));
+}
+
+ResourceAmounts JobScheduler::capacityOnceFree(const Minion &minion) const
+{
+    auto available = minion.capacity();
+    for (const auto &[task, run] : minion.runs) {
+        const auto *job = store_.job(task.step.job);
+        if (job && job->spec(task.step.step).long_running())
+            available -= run.reserved;
+    }
+    return available;
+}
+
+bool JobScheduler::hasIdleCores(const Minion &minion, const Wire::JobStep &step)
 {
-    if (step.max_per_minion() > 0 && minion.taskCount(name) >= step.max_per_minion())
+    const auto idle = minion.freeCapacity().milliCores - minion.spareMilliCoresUsed();
+    return !step.uses_spare_cores() || step.milli_cores() <= idle;
+}
+
+bool JobScheduler::mayShareCores(const Wire::JobStep &step, const StepName &name) const
+{
+    if (step.long_running())
+        return true;
+    const auto *job = store_.job(name.job);
+    const auto waiting = queue_.steps().find(name);
+    if (!job || job->hasAssignedTasks() || waiting == queue_.steps().end())
         return false;
-    auto available = minion.freeCapacity();
-    if (step.uses_spare_cores())
-        available.milliCores -= minion.spareMilliCoresUsed();
-    return demandOf(step).fitsIn(available);
+    // Tasks that are neither done nor waiting have been placed, which need not be stored yet.
+    return job->step(name.occurrence, name.step)->done + waiting->second.tasks.size() >= step.tasks();
 }
 
 StepNeeds JobScheduler::needsOf(const StepRequirements &requirements, const StepName &name) const
@@ -230,13 +270,17 @@
 {
     const auto needs = needsOf(requirements, task.step);
     const MinionChoice choice(needs, now_.time, minions);
+    const bool mayShare = mayShareCores(requirements.step, task.step);
     Minion *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
     for (auto *minion : minions) {
-        if (!fits(*minion, requirements.step, task.step) || !reservations_.allows(*minion, requirements.demand)
+        if (!fits(*minion, requirements, task.step, Room::Now) || !reservations_.allows(*minion, requirements.demand)
             || minion->runs.contains(task) || (!rack.empty() && !minion->hasLabel(rack)))
             continue;
-        const double score = choice.score(*minion);
+        const bool isIdle = hasIdleCores(*minion, requirements.step);
+        if (!isIdle && !mayShare)
+            continue;
+        const double score = choice.score(*minion) + (isIdle ? 0 : sharedCoresPenalty(*minion));
         if (score < bestScore) {
             bestScore = score;
             best = minion;
@@ -279,7 +323,7 @@
     Run planned;
     planned.run = run;
     planned.reserved = reservedBy(step);
-    planned.spareMilliCores = step.uses_spare_cores() ? step.milli_cores() : 0;
+    planned.spareMilliCores = spareMilliCoresOf(step);
     planned.phaseSince = now_.time;
     planned.plannedAt = now_.time;
     planned.awaitsRecord = step.long_running();
@@ -305,7 +349,7 @@
     if (minions.empty())
         return false;
     const auto waiting = entry.second.tasks;
-    const auto allowed = teamUsage_.allowedTasks(entry.second.owner.team, requirements->demand,
+    const auto allowed = teamUsage_.allowedTasks(entry.second.owner.team, entry.second.demand,
                                                  static_cast<std::uint32_t>(waiting.size()));
     const auto since = entry.second.readySince;
     const auto slack = entry.second.deadlines.latestStart - now_.time;
@@ -433,8 +477,9 @@
         if (isDenied || (isApproved && ticket->validUntil >= ticketsUntil)
             || !isUsable(*minion, requirements->step.long_running()) || !isEligible(*minion, *requirements))
             continue;
-        candidates.emplace_back(!fits(*minion, requirements->step, name), choice.adviceRank(*minion), !isApproved,
-                                -minion->freeCapacity().milliCores, id);
+        const bool hasRoom = fits(*minion, *requirements, name, Room::Now) && hasIdleCores(*minion, requirements->step);
+        candidates.emplace_back(!hasRoom, choice.adviceRank(*minion), !isApproved, -minion->freeCapacity().milliCores,
+                                id);
     }
     const auto count = std::min(settings_.advisedMinions, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -41,7 +41,7 @@
     std::partial_sort(expectedFits.begin(), expectedFits.begin() + static_cast<std::ptrdiff_t>(count),
                       expectedFits.end(),
                       [](const auto &left, const auto &right) { return left.first.time < right.first.time; });
-    teamUsage_.reserve(entry.second.owner.team, requirements->demand, static_cast<std::uint32_t>(count));
+    teamUsage_.reserve(entry.second.owner.team, entry.second.demand, static_cast<std::uint32_t>(count));
     for (std::size_t number = 0; number < count; ++number) {
         const auto &[fit, minion] = expectedFits[number];
         reservations_.reserve(*minion, fit);
@@ -104,20 +104,6 @@
     }
 }
 
-bool JobScheduler::canBecomeFree(const Minion &minion, const StepName &name, const StepRequirements &requirements) const
-{
-    const auto limit = requirements.step.max_per_minion();
-    if (limit > 0 && minion.taskCount(name) >= limit)
-        return false;
-    auto available = minion.capacity();
-    for (const auto &[task, run] : minion.runs) {
-        const auto *job = store_.job(task.step.job);
-        if (job && job->spec(task.step.step).long_running())
-            available -= run.reserved;
-    }
-    return requirements.demand.fitsIn(available);
-}
-
 void JobScheduler::reserveMinions(const WaitingEntry &entry, const Job &job)
 {
     const auto requirements = requirementsOf(job, entry.first);
@@ -126,7 +112,7 @@
     // Minions with more free capacity are expected to be free earlier.
     auto candidates = eligibleMinions(entry.first, *requirements, Tickets::Known, Room::Later);
     std::erase_if(candidates,
-                  [&](const Minion *minion) { return !canBecomeFree(*minion, entry.first, *requirements); });
+                  [&](const Minion *minion) { return !fits(*minion, *requirements, entry.first, Room::Later); });
     const auto freeCapacityOf = [](const Minion &minion) {
         const auto available = minion.freeCapacity();
         return available.accelerators * 100'000 + available.milliCores;
@@ -138,7 +124,7 @@
     const auto wanted = reservableTasks(entry.second);
     if (wanted < entry.second.together)
         return;
-    teamUsage_.reserve(entry.second.owner.team, requirements->demand, wanted);
+    teamUsage_.reserve(entry.second.owner.team, entry.second.demand, wanted);
     std::uint32_t covered = 0;
     for (const auto *minion : candidates) {
         if (covered >= wanted)
--- a/src/libs/jobs/waitinggangs.cpp
+++ b/src/libs/jobs/waitinggangs.cpp
@@ -54,8 +54,9 @@
     lastGangReport_ = now_.time;
     queue_.setReported(name, now_.time);
     const auto usable = eligibleMinions(name, *requirements, Tickets::Valid, Room::Later);
-    const auto fitting = std::count_if(usable.begin(), usable.end(),
-                                       [&](const Minion *minion) { return fits(*minion, requirements->step, name); });
+    const auto fitting = std::count_if(usable.begin(), usable.end(), [&](const Minion *minion) {
+        return fits(*minion, *requirements, name, Room::Now);
+    });
     ports_.logDecision(LogLevel::Info, "gang-waits",
                        {{"step", name.toString()},
                         {"waited_ms", (now_.time - waiting.readySince) / 1ms},
