Find an accepted job by the path that it was accepted at, whichever queue answers there

Cause: JobCalls::answer took what is left of the path behind the prefix of the queue in force for the id. Only a submission that is sent again looked for the job at its path (mayHoldJobOf).

Change: jobAcceptedAt() finds the job that was accepted at the host and path of a call, for reads and cancellations as well. Keys are checked by the queue in force, and jobs of other teams stay hidden. Ruled out: 2xx for a submission that is sent again under such a path; it would be an answer under a removed queue, so it stays UNKNOWN, as two tests demand.

--- a/src/libs/jobnode/jobcalls.cpp
+++ b/src/libs/jobnode/jobcalls.cpp
@@ -100,7 +100,9 @@
         return;
     }
     const auto key = Jobs::JobStore::queueKey(*queue);
-    const auto id = call.path().substr(queue->path_prefix().size());
+    // A submission is one to the queue in force; what is held already is found by its path.
+    const auto *held = call.has_submission() ? nullptr : jobAcceptedAt(call);
+    const auto id = held ? held->id() : call.path().substr(queue->path_prefix().size());
     if (!call.has_submission() && !call.cancel()) {
         read(call, key, id, answered);
         return;
@@ -180,14 +182,19 @@
 }
 
 bool JobCalls::mayHoldJobOf(const Wire::JobCall &call) const
+{
+    const auto *job = jobAcceptedAt(call);
+    return job && Jobs::TeamDirectory::mayOwn(job->submission().team(), teamOf(call));
+}
+
+const Jobs::Job *JobCalls::jobAcceptedAt(const Wire::JobCall &call) const
 {
     const auto &path = call.path();
     if (path.size() < idLength)
-        return false;
+        return nullptr;
     const auto idStart = path.size() - idLength;
     const auto *job = store_.job(path.substr(idStart));
-    return job && job->submission().queue() == call.host() + path.substr(0, idStart)
-        && Jobs::TeamDirectory::mayOwn(job->submission().team(), teamOf(call));
+    return job && job->submission().queue() == call.host() + path.substr(0, idStart) ? job : nullptr;
 }
 
 const Jobs::Job *JobCalls::visibleJob(const Wire::JobCall &call, const std::string &id) const
--- a/src/libs/jobnode/jobcalls.h
+++ b/src/libs/jobnode/jobcalls.h
@@ -62,6 +62,9 @@
     void refuse(const Wire::JobCall &call, const Wire::JobReply &refusal, const Answered &answered) const;
     /// \return whether such a job is held, whatever queues and keys are in force.
     [[nodiscard]] bool mayHoldJobOf(const Wire::JobCall &call) const;
+    /// \return the job that was accepted at the host and path of the call, or null if none is held. Its queue may have
+    /// left the configuration since, and another one may answer there.
+    [[nodiscard]] const Jobs::Job *jobAcceptedAt(const Wire::JobCall &call) const;
     /// \return the job if it is held and the caller may see it, or null.
     [[nodiscard]] const Jobs::Job *visibleJob(const Wire::JobCall &call, const std::string &id) const;
     /// \return the caller's team; empty if its key is not in force.
--- a/tests/auto/jobnode/tst_jobcalls.cpp
+++ b/tests/auto/jobnode/tst_jobcalls.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(idIsHeldByOneTeam);
     CPPUNIT_TEST(jobsOfARemovedTeamAreHidden);
     CPPUNIT_TEST(noRefusalDeniesAHeldJob);
+    CPPUNIT_TEST(acceptedJobIsFoundUnderAnotherPrefix);
+    CPPUNIT_TEST(acceptedJobOfAnotherTeamStaysHidden);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -238,6 +240,44 @@
         leader.configure(DirectLeader::configuration(5, {{"b", keyB}}, Queues::QIsAnonymous));
         assertVerdict(Wire::JOB_VERDICT_UNKNOWN, leader.call(DirectLeader::submission(first, keyA)));
     }
+
+    // Guards against an accepted job that is denied, and can't be cancelled, once a queue with a shorter or longer
+    // prefix answers at its path.
+    void acceptedJobIsFoundUnderAnotherPrefix()
+    {
+        for (const auto *prefix : {"/", "/q", "/q/0", "/q/00000000000000"}) {
+            DirectLeader leader;
+            leader.configure(DirectLeader::configuration(1, {}));
+            assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(DirectLeader::submission(first, {})));
+            auto changed = DirectLeader::configuration(2, {});
+            changed.mutable_queues(0)->set_path_prefix(prefix);
+            leader.configure(changed);
+            const auto read = leader.call(DirectLeader::read(first, {}));
+            assertVerdict(Wire::JOB_VERDICT_ACCEPTED, read);
+            CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_STATE_QUEUED}, int{read.state()});
+            assertVerdict(Wire::JOB_VERDICT_UNKNOWN, leader.call(DirectLeader::submission(first, {})));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leader.store.jobs().size());
+            assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(DirectLeader::cancellation(first, {})));
+            CPPUNIT_ASSERT(leader.store.job(firstId)->phase() == Jobs::JobPhase::Cancelled);
+            assertVerdict(Wire::JOB_VERDICT_NO_SUCH_JOB, leader.call(DirectLeader::read(second, {})));
+        }
+    }
+
+    // Guards against showing a job to another team because it was accepted at the path that is asked for.
+    void acceptedJobOfAnotherTeamStaysHidden()
+    {
+        DirectLeader leader;
+        leader.configure(twoTeams(1));
+        assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(DirectLeader::submission(first, keyA)));
+        auto shorter = twoTeams(2);
+        shorter.mutable_queues(0)->set_path_prefix("/");
+        leader.configure(shorter);
+        assertVerdict(Wire::JOB_VERDICT_NO_SUCH_JOB, leader.call(DirectLeader::read(first, keyB)));
+        assertVerdict(Wire::JOB_VERDICT_NO_SUCH_JOB, leader.call(DirectLeader::cancellation(first, keyB)));
+        assertVerdict(Wire::JOB_VERDICT_INVALID, leader.call(DirectLeader::submission(first, keyB)));
+        assertVerdict(Wire::JOB_VERDICT_UNAUTHENTICATED, leader.call(DirectLeader::read(first, {})));
+        assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(DirectLeader::read(first, keyA)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobCallsTest);
