Count the longest lease for an incarnation that takes the place of another one

Cause: a renewal or a start that is meant for the earlier incarnation reaches the later one, which cuts its expiry, a time on another clock, down to the longest lease. The lease applies to all that runs there and never shortens, so a run that is started later, by a leader that knows the incarnation, works under it too. The leader gave the new incarnation a bound of its own (minionRecorded), and dropped what it had assumed once no run of the earlier incarnation was left (forgetLaterIncarnations).

Change: LeaseBound::assume() holds what the known incarnation may have got from others, and never shortens. It is set whenever an incarnation takes the place of a known one, 0.5 s for orders that are under way and the longest lease from then on; the next leader counts it since runs under such a lease aren't stored as confirmed. What is assumed of a later incarnation is disproved by an answer of the known one, as before. The same cause on a related path: a start on a new connection may be answered by a later incarnation, and the answer doesn't say so. Response::newConnection tells it, and the leader assumes a later incarnation until the known one lists what it runs.

Ruled out: renewals without a lease while a later incarnation is suspected. Failed try: the same assumption for each answered start, on whichever connection; reportingMinionThatCannotBeAskedIsGivenUp fails on its bound.

Evidence: leaseFromBeforeTheReportIsWaitedFor, newLeaderWaitsForALeaseFromBeforeTheReport and answeredStartMayWorkInALaterIncarnation fail on the code before ("runs twice at the same time") and pass now; tst_jobs: 209 passed, tst_platform: 36 passed.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -228,7 +228,8 @@
     // leaseanswers.cpp
     /// \param isRecent whether the progress in the list is current
     void processActiveRun(Minion &minion, const ActiveRun &active, bool isRecent);
-    void forgetLaterIncarnations(Minion &minion) const;
+    /// Forgets what a later incarnation might run if the answer to the last renewal shows that there was none.
+    void disproveLaterIncarnation(Minion &minion) const;
     /// Proposes the ends that an answer lists or shows.
     void processEnds(Minion &minion, const LeaseAnswer &answer);
     void processEndedRun(Minion &minion, const EndedRun &ended, Wire::JobCommand &command);
@@ -248,6 +249,8 @@
     /// Has a minion that reports again stop the runs that were lost with it.
     void takeOverLostRuns(Minion &minion);
     void stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier);
+    /// Assumes that an incarnation which has taken the place of another one holds the longest lease.
+    void assumeLongestLease(Minion &minion) const;
     /// Remembers the runs of a minion that is removed until its lease is over.
     void keepRunsOf(const Minion &removed);
     /// \return whether the store has this run of the task assigned.
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -83,7 +83,7 @@
         minion->recordClock(now.time, *answer.clockMs);
     const bool first = !minion->leaseConfirmed;
     minion->leaseConfirmed = true;
-    forgetLaterIncarnations(*minion);
+    disproveLaterIncarnation(*minion);
     minion->lastContactAt = now.time;
     minion->nextRenewal = now.time;
     minion->renewalFailures = 0;
@@ -102,15 +102,12 @@
     adjustThrottles(*minion);
 }
 
-/// What was sent before the renewal has reached this incarnation or nothing. Runs of an earlier one may have got a
-/// longer lease here than this leader has granted.
-void JobScheduler::forgetLaterIncarnations(Minion &minion) const
+/// What was sent before the renewal has reached this incarnation or nothing.
+void JobScheduler::disproveLaterIncarnation(Minion &minion) const
 {
     const bool isAskedLater
         = minion.renewalSentAt + longestTime(settings_.longestLease) >= minion.leaseBound.laterIncarnationUntil();
-    const bool hasEarlierRun = std::any_of(minion.runs.begin(), minion.runs.end(),
-                                           [](const auto &entry) { return entry.second.isOfEarlierIncarnation; });
-    if (isAskedLater && !hasEarlierRun)
+    if (isAskedLater)
         minion.leaseBound.disproveLaterIncarnation();
 }
 
--- a/src/libs/jobs/leasebound.h
+++ b/src/libs/jobs/leasebound.h
@@ -43,6 +43,7 @@
     TimePoint laterIncarnation_{};
 };
 
+constexpr Duration maxOrderDelay = 500ms; ///< after which an order that was given up doesn't arrive any more
 constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the network delay of the last order
 
 /// The lowest rate of a minion's clock relative to real time. Leases are assumed to last longer accordingly.
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -91,6 +91,8 @@
         const auto *replaced = fleet_.find(minion.id());
         const auto earlier = replaced ? *replaced : Minion();
         auto &added = addMinion(std::move(report));
+        if (replaced)
+            assumeLongestLease(added);
         added.leaseBound.grant(earlier.leaseBound.grantedUntil());
         takeOverRuns(added, earlier.runs);
         takeOverLostRuns(added);
@@ -140,6 +142,13 @@
     });
 }
 
+/// Each renewal or start that was meant for the incarnation before may have reached this one, or reach it yet. Its
+/// expiry is a time on another clock, so the minion has cut the lease down to the longest one.
+void JobScheduler::assumeLongestLease(Minion &minion) const
+{
+    minion.leaseBound.assume(now_.time + maxOrderDelay + longestTime(settings_.longestLease));
+}
+
 /// A repeated start may have reached the later incarnation, or reach it yet; after the stop it is refused there.
 void JobScheduler::stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier)
 {
@@ -152,7 +161,7 @@
     run.isOfEarlierIncarnation = true;
     run.isUnlisted = true;
     run.phase = RunPhase::Adopted;
-    minion.leaseBound.assumeLaterIncarnation(now_.time + longestTime(settings_.longestLease));
+    assumeLongestLease(minion);
     sendStop(minion, task, minion.add(task, run), StopReason::EarlierIncarnation);
 }
 
--- a/src/libs/jobs/orders.h
+++ b/src/libs/jobs/orders.h
@@ -90,7 +90,7 @@
 struct OrderAnswer {
     OrderOutcome outcome = OrderOutcome::Unanswered;
     std::optional<std::int64_t> clockMs;
-    bool mayReachLaterIncarnation = false; ///< unanswered, on a connection that was opened for the order
+    bool mayReachLaterIncarnation = false; ///< the order was sent on a connection that was opened for it
 };
 
 struct ActiveRun {
--- a/src/libs/jobs/runconfirmations.cpp
+++ b/src/libs/jobs/runconfirmations.cpp
@@ -16,11 +16,6 @@
 namespace Pistachio::Jobs
 {
 
-namespace
-{
-constexpr Duration maxOrderDelay = 500ms; ///< after which an order that was given up doesn't arrive any more
-} // namespace
-
 void JobScheduler::confirmRuns(Minion &minion)
 {
     const bool isLeaseUsual
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -109,6 +109,9 @@
     recordContact(*minion, answer.outcome);
     if (answer.clockMs)
         minion->recordClock(now_.time, *answer.clockMs);
+    // The answer doesn't say which incarnation it is of; what the minion lists next does.
+    if (answer.mayReachLaterIncarnation && isAnswered(answer.outcome))
+        minion->leaseBound.assumeLaterIncarnation(now_.time + longestTime(settings_.longestLease));
     const auto found = minion->runs.find(order.task);
     if (found == minion->runs.end() || found->second.run != order.run || found->second.phase != phase)
         return {};
--- a/src/libs/transport/httpclient.cpp
+++ b/src/libs/transport/httpclient.cpp
@@ -325,6 +325,7 @@
         const bool reusable = parser.keep_alive() && reader.bufferedBytes() == 0;
         auto message = parser.release();
         Response response{static_cast<int>(status), reader.takeHeaders(), std::move(message.body())};
+        response.newConnection = call->isConnectionNew;
         reader.shrink();
         const auto connection = std::move(call->connection);
         release(call);
--- a/src/libs/transport/message.h
+++ b/src/libs/transport/message.h
@@ -39,6 +39,7 @@
     int status = 200;
     Headers headers;
     std::string body;
+    bool newConnection = false; ///< of a call: as in CallError
 };
 
 /// A failed call.
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -338,8 +338,10 @@
                  }
                  const bool isTicketExpired
                      = !order.ticket.empty() && std::stoll(order.ticket) < now_.time_since_epoch() / 1ms;
-                 const auto answer = isTicketExpired ? OrderAnswer{OrderOutcome::TicketRejected, std::nullopt}
-                                                     : minion->start(now_, order);
+                 auto answer = isTicketExpired ? OrderAnswer{OrderOutcome::TicketRejected, std::nullopt}
+                                               : minion->start(now_, order);
+                 // Connections end with the incarnation that accepted them.
+                 answer.mayReachLaterIncarnation = minion->report.incarnation != order.minion;
                  if (!late && !lost)
                      scheduleForLeader(networkDelay,
                                        [this, order, answer] { scheduler_->startAnswered(now(), order, answer); });
--- a/tests/auto/jobs/tst_silentincarnation.cpp
+++ b/tests/auto/jobs/tst_silentincarnation.cpp
@@ -28,6 +28,9 @@
     CPPUNIT_TEST(newLeaderWaitsForASilentLaterIncarnation);
     CPPUNIT_TEST(newLeaderWaitsAUsualLeaseForAConfirmedRun);
     CPPUNIT_TEST(confirmationIsRecordedThoughItsProposalFails);
+    CPPUNIT_TEST(leaseFromBeforeTheReportIsWaitedFor);
+    CPPUNIT_TEST(newLeaderWaitsForALeaseFromBeforeTheReport);
+    CPPUNIT_TEST(answeredStartMayWorkInALaterIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
     const std::string job_ = "0000000000000001";
@@ -50,6 +53,45 @@
         return cell.now().time - elected;
     }
 
+    /// Adds minion "a", which is up for longer than the longest lease and then starts again. Its next renewal comes
+    /// about halfway between two reports, 0.6 s after the restart.
+    static SimulatedMinion &addRestartedMinion(SimulatedCell &cell)
+    {
+        cell.run(700ms);
+        auto &minion = cell.addMinion("a", 4000, longRun, minClockRate);
+        cell.run(9900ms);
+        minion.restart(cell.now().time);
+        return minion;
+    }
+
+    /// Submits the job and waits until it runs on the only minion.
+    void submitAndStart(SimulatedCell &cell, const SimulatedMinion &minion)
+    {
+        cell.submit(job_, 1, 1000, longRunning);
+        for (int steps = 0; steps < 100 && minion.runs.empty(); ++steps)
+            cell.run(10ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, minion.runs.size());
+    }
+
+    /// Has a renewal that is meant for the earlier incarnation of "a" reach the later one, which then reports.
+    static void renewBeforeTheReport(SimulatedCell &cell, SimulatedMinion &minion)
+    {
+        for (const auto before = cell.renewals; cell.renewals == before;)
+            cell.run(10ms);
+        cell.run(20ms);
+        ++minion.report.sequence;
+        cell.report(minion);
+        cell.run(100ms);
+    }
+
+    void assertRunsOnceElsewhere(SimulatedCell &cell)
+    {
+        cell.addMinion("b", 4000, longRun);
+        cell.run(15s);
+        CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(), cell.violations.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.firstMinionRunning(job_));
+    }
+
     /// Has minion "a" crash as a start arrives, and its next incarnation carry out the repeated one and fall silent.
     void startInSilentIncarnation(SimulatedCell &cell)
     {
@@ -114,6 +156,42 @@
         cell.run(1s);
         CPPUNIT_ASSERT(timeToRunAgain(cell, SimulatedCell::StoreOrigin::Log) < SchedulerSettings().longestLease);
     }
+
+    // Guards against a second run while the first has a lease that its incarnation got before it was known.
+    void leaseFromBeforeTheReportIsWaitedFor()
+    {
+        SimulatedCell cell(1);
+        auto &minion = addRestartedMinion(cell);
+        renewBeforeTheReport(cell, minion);
+        submitAndStart(cell, minion);
+        minion.isCut = true;
+        assertRunsOnceElsewhere(cell);
+    }
+
+    // Guards against a confirmation of a run that has such a lease: the next leader would wait a usual one.
+    void newLeaderWaitsForALeaseFromBeforeTheReport()
+    {
+        SimulatedCell cell(1);
+        auto &minion = addRestartedMinion(cell);
+        renewBeforeTheReport(cell, minion);
+        submitAndStart(cell, minion);
+        cell.run(700ms);
+        minion.isCut = true;
+        cell.loseLeader(SimulatedCell::Proposals::Committed);
+        cell.run(100ms);
+        cell.electLeader(SimulatedCell::StoreOrigin::Log);
+        assertRunsOnceElsewhere(cell);
+    }
+
+    // Guards against taking the answer to a start for one of the known incarnation, as it doesn't say whose it is.
+    void answeredStartMayWorkInALaterIncarnation()
+    {
+        SimulatedCell cell(1);
+        auto &minion = addRestartedMinion(cell);
+        submitAndStart(cell, minion);
+        minion.isCut = true;
+        assertRunsOnceElsewhere(cell);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentIncarnationTest);
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -132,8 +132,8 @@
         CPPUNIT_ASSERT(!minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, 7}).areEndsComplete);
     }
 
-    // A later incarnation can get only what is written to a new connection; waiting for it each time would cost
-    // seconds.
+    // A later incarnation can get only what is written to a new connection, and may answer it; waiting for it each time
+    // would cost seconds.
     void lostStartIsToldFromOneOnANewConnection()
     {
         ScriptedMinion minion;
@@ -143,7 +143,10 @@
         CPPUNIT_ASSERT(onNew.mayReachLaterIncarnation);
         minion.answersNothing = false;
         minion.answer = reply(200, {{"clockMs", 1}});
-        CPPUNIT_ASSERT(minion.start(order(minion.address())).outcome == OrderOutcome::Done);
+        const auto answered = minion.start(order(minion.address()));
+        CPPUNIT_ASSERT(answered.outcome == OrderOutcome::Done);
+        CPPUNIT_ASSERT(answered.mayReachLaterIncarnation);
+        CPPUNIT_ASSERT(!minion.start(order(minion.address())).mayReachLaterIncarnation);
         minion.answersNothing = true;
         const auto onOpen = minion.start(order(minion.address()));
         CPPUNIT_ASSERT(onOpen.outcome == OrderOutcome::Unanswered);
