Split the planner and the scheduler's core by what they decide

Who may run a step and whether there is room for it is in room.cpp now, advice in stepadvice.cpp, and run times with speeds in runtimes.cpp; the declarations follow. Code is moved, not changed.

--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -165,15 +165,6 @@
     void adoptRuns(const Job &job);
     void adoptRun(const Job &job, const TaskName &task, std::uint64_t number, const MinionIncarnation &incarnation);
     [[nodiscard]] StartDeadlines deadlinesOf(const Job &job, const Wire::JobQueue &queue, const StepName &step) const;
-    /// \return the expected run time on a minion of speed 1.
-    [[nodiscard]] Duration expectedRunTime(const Job &job, const StepName &step) const;
-    [[nodiscard]] Duration expectedRunTime(const Job &job, const StepName &step, const Minion &minion) const;
-    /// \param took the run time on \p minion
-    void learnRunTime(const Job &job, const TaskName &task, Minion &minion, const Run &run, Duration took);
-    void learnSpeed(const Job &job, const TaskName &task, Minion &minion, Duration took);
-    /// Updates what is derived from all speeds.
-    void refreshSpeeds();
-    void proposeSpeeds();
     [[nodiscard]] TimePoint acceptedTime(const Job &job, std::uint32_t occurrence) const;
     void enqueueDueTasks();
     void removeFinishedJobs();
@@ -200,6 +191,17 @@
         return leading_ && order.fencingToken == fencingToken_;
     }
 
+    // runtimes.cpp
+    /// \return the expected run time on a minion of speed 1.
+    [[nodiscard]] Duration expectedRunTime(const Job &job, const StepName &step) const;
+    [[nodiscard]] Duration expectedRunTime(const Job &job, const StepName &step, const Minion &minion) const;
+    /// \param took the run time on \p minion
+    void learnRunTime(const Job &job, const TaskName &task, Minion &minion, const Run &run, Duration took);
+    void learnSpeed(const Job &job, const TaskName &task, Minion &minion, Duration took);
+    /// Updates what is derived from all speeds.
+    void refreshSpeeds();
+    void proposeSpeeds();
+
     // runorders.cpp
     void sendStart(Minion &minion, const TaskName &task, Run &run);
     void sendStop(Minion &minion, const TaskName &task, Run &run, StopReason reason);
@@ -292,12 +294,21 @@
     bool placeStep(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     bool placeGang(const WaitingEntry &entry, const Job &job, Wire::JobCommand &command);
     void place(const Job &job, const TaskName &task, std::uint64_t run, Minion &minion, Wire::JobCommand &command);
+    /// \param name a step of a job in the store
+    [[nodiscard]] StepNeeds needsOf(const StepRequirements &requirements, const StepName &name) const;
+    /// \return the best minion that the task fits on; null if there is none, or if the task waits for a faster minion
+    /// or for one near its data, see awaitsPlace_.
+    Minion *bestMinion(std::span<Minion *const> minions, const StepRequirements &requirements, const TaskName &task,
+                       const std::string &rack);
+    /// \param best the minion that the task fits on now
+    [[nodiscard]] bool waitsForFasterMinion(const StepRequirements &requirements, const StepNeeds &needs,
+                                            const TaskName &task, const Minion &best);
+
+    // room.cpp
     /// \return whether the minion may get a task of a step.
     [[nodiscard]] bool isUsable(const Minion &minion, bool isLongRunning) const;
     [[nodiscard]] std::optional<StepRequirements> requirementsOf(const Job &job, const StepName &name) const;
     [[nodiscard]] static bool isEligible(const Minion &minion, const StepRequirements &requirements);
-    /// \return until when a ticket has to be valid for a start that is planned now.
-    [[nodiscard]] TimePoint ticketNeededUntil(const Wire::JobQueue &queue) const;
     /// \return the bounds for a service, which rule out most steps under load without a look at each minion.
     [[nodiscard]] CapacityBounds capacityBounds(const std::string &service) const;
     /// \return the usable minions that may run the step, and have \p tickets if the queue needs advice.
@@ -309,20 +320,17 @@
                             Room room) const;
     /// \return the capacity that is free once all but the long-running tasks have ended.
     [[nodiscard]] ResourceAmounts capacityOnceFree(const Minion &minion) const;
+    /// \return how many tasks of the step have room on the minion once all but the long-running tasks have ended.
+    [[nodiscard]] std::uint32_t placesOnceFree(const Minion &minion, const StepRequirements &requirements) const;
     /// \return whether the minion has all the cores idle that a task of the step would use without a reservation.
     [[nodiscard]] static bool hasIdleCores(const Minion &minion, const Wire::JobStep &step);
     /// \return whether a task that uses spare cores may share them with others: if it is long-running, or if no other
     /// task of its job runs.
     [[nodiscard]] bool mayShareCores(const Wire::JobStep &step, const StepName &name) const;
-    /// \param name a step of a job in the store
-    [[nodiscard]] StepNeeds needsOf(const StepRequirements &requirements, const StepName &name) const;
-    /// \return the best minion that the task fits on; null if there is none, or if the task waits for a faster minion
-    /// or for one near its data, see awaitsPlace_.
-    Minion *bestMinion(std::span<Minion *const> minions, const StepRequirements &requirements, const TaskName &task,
-                       const std::string &rack);
-    /// \param best the minion that the task fits on now
-    [[nodiscard]] bool waitsForFasterMinion(const StepRequirements &requirements, const StepNeeds &needs,
-                                            const TaskName &task, const Minion &best);
+
+    // stepadvice.cpp
+    /// \return until when a ticket has to be valid for a start that is planned now.
+    [[nodiscard]] TimePoint ticketNeededUntil(const Wire::JobQueue &queue) const;
     bool askAdvice(const StepName &name, const Job &job);
     void prefetchAdvice(const Job &job, const StepName &name);
 
@@ -386,8 +394,6 @@
     // reservations.cpp
     /// Reserves whole minions for a gang or a long-running task, if it can start once other tasks have ended.
     void reserveMinions(const WaitingEntry &entry, const Job &job);
-    /// \return how many tasks of the step have room on the minion once all but the long-running tasks have ended.
-    [[nodiscard]] std::uint32_t placesOnceFree(const Minion &minion, const StepRequirements &requirements) const;
     void reserveCapacity(const WaitingEntry &entry, const Job &job);
     [[nodiscard]] bool isPreemptable(const TaskName &task, const Run &run, const WaitingEntry &entry,
                                      const Wire::JobQueue &queue) const;
--- a/src/libs/jobs/planning.cpp
+++ b/src/libs/jobs/planning.cpp
@@ -1,4 +1,5 @@
-#include "jobs/advicelimit.h"
+// Rounds of planning: which steps are placed, and on which minions.
+
 #include "jobs/demand.h"
 #include "jobs/jobscheduler.h"
 #include "jobs/jobstore.h"
@@ -10,7 +11,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <tuple>
 #include <utility>
 
 namespace Pistachio::Jobs
@@ -21,14 +21,11 @@
 namespace
 {
 
-constexpr Duration maxContactAge = 2500ms; ///< a minion that has not answered for this long gets no new tasks
-constexpr Duration adviceRetryDelay = 300ms;
 constexpr std::size_t maxGangReservations = 2; ///< per service; more would leave minions idle
 constexpr Duration fullRoundInterval = 60ms;
 constexpr std::size_t shortRoundFailures = 16;
 constexpr std::size_t maxAdviceRequestsPerRound = 16; ///< so that the steps with the earliest deadlines come first
 constexpr double sharedCoresScore = 15; ///< of a minion without idle cores; outweighs locality and speed
-
 constexpr double busyCoresWeight = 2; ///< outweighs the preference for full minions, which is 1
 
 /// \return what is added to the score of a minion without idle cores; the less idle, the more.
@@ -123,137 +120,6 @@
         crowdedServices_.erase(service);
 }
 
-JobScheduler::CapacityBounds JobScheduler::capacityBounds(const std::string &service) const
-{
-    constexpr auto most = std::numeric_limits<std::int64_t>::max();
-    CapacityBounds bounds{{0, 0, 0}, {0, 0, 0}, {most, most, most}};
-    const auto raise = [](std::int64_t &bound, std::int64_t value) { bound = std::max(bound, value); };
-    const auto raiseAll = [&raise](ResourceAmounts &bound, const ResourceAmounts &value) {
-        raise(bound.milliCores, value.milliCores);
-        raise(bound.memoryMb, value.memoryMb);
-        raise(bound.accelerators, value.accelerators);
-    };
-    const auto lower = [](std::int64_t &bound, std::int64_t value) { bound = std::min(bound, value); };
-    for (const auto *minion : fleet_.minionsOf(service)) {
-        if (!isUsable(*minion, true))
-            continue;
-        const auto available = minion->freeCapacity();
-        raiseAll(bounds.maxFreeForLongRunning, available);
-        if (!isUsable(*minion, false))
-            continue;
-        raiseAll(bounds.maxFree, available);
-        const auto capacity = minion->capacity();
-        lower(bounds.minCapacity.milliCores, capacity.milliCores);
-        lower(bounds.minCapacity.memoryMb, capacity.memoryMb);
-        lower(bounds.minCapacity.accelerators, capacity.accelerators);
-    }
-    return bounds;
-}
-
-/// Requests advice for the steps that depend on a fully assigned one, so that they don't have to wait for it.
-void JobScheduler::prefetchAdvice(const Job &job, const StepName &name)
-{
-    const auto *queue = store_.queue(job.submission().queue());
-    if (!queue || !queue->needs_advice()
-        || expectedRunTime(job, name) > std::chrono::milliseconds(queue->ticket_validity_ms()))
-        return;
-    for (std::uint32_t number = name.step + 1; number < job.stepsPerOccurrence(); ++number) {
-        const auto &needed = job.spec(number).depends_on();
-        const bool isNext = std::find(needed.begin(), needed.end(), name.step) != needed.end();
-        if (isNext)
-            askAdvice({job.id(), name.occurrence, number}, job);
-    }
-}
-
-bool JobScheduler::isUsable(const Minion &minion, bool isLongRunning) const
-{
-    return minion.leaseConfirmed && !minion.removalProposed && !minion.report.draining && minion.clockMs
-        && now_.time < minion.lastContactAt + maxContactAge && now_.time >= minion.refusesUntil
-        && (isLongRunning || now_.time >= minion.avoidUntil);
-}
-
-std::optional<JobScheduler::StepRequirements> JobScheduler::requirementsOf(const Job &job, const StepName &name) const
-{
-    const auto *queue = store_.queue(job.submission().queue());
-    if (!queue)
-        return std::nullopt;
-    const auto &step = job.spec(name.step);
-    return StepRequirements{*queue, step, reservedBy(step)};
-}
-
-TimePoint JobScheduler::ticketNeededUntil(const Wire::JobQueue &queue) const
-{
-    return now_.time + ticketMargin_.current(std::chrono::milliseconds(queue.ticket_validity_ms()));
-}
-
-bool JobScheduler::isEligible(const Minion &minion, const StepRequirements &requirements)
-{
-    return requirements.demand.fitsIn(minion.capacity()) && minion.report.service == requirements.queue.service()
-        && minion.hasLabel(requirements.step.required_label());
-}
-
-std::vector<Minion *> JobScheduler::eligibleMinions(const StepName &name, const StepRequirements &requirements,
-                                                    Tickets tickets, Room room)
-{
-    std::vector<Minion *> result;
-    const auto consider = [&](Minion &minion) {
-        if (room == Room::Now && !fits(minion, requirements, name, room))
-            return;
-        if (isUsable(minion, requirements.step.long_running()) && isEligible(minion, requirements)
-            && !reservations_.isReservedWhole(minion))
-            result.push_back(&minion);
-    };
-    if (!requirements.queue.needs_advice()) {
-        for (auto *minion : fleet_.minionsOf(requirements.queue.service()))
-            consider(*minion);
-        return result;
-    }
-    const auto until = ticketNeededUntil(requirements.queue);
-    for (const auto &ticket : advice_.adviceFor(name).approved) {
-        if (ticket.minion && (tickets == Tickets::Known || ticket.validUntil >= until))
-            consider(*ticket.minion);
-    }
-    return result;
-}
-
-bool JobScheduler::fits(const Minion &minion, const StepRequirements &requirements, const StepName &name,
-                        Room room) const
-{
-    const auto limit = requirements.step.max_per_minion();
-    if (limit > 0 && minion.taskCount(name) >= limit)
-        return false;
-    return requirements.demand.fitsIn(room == Room::Now ? minion.freeCapacity() : capacityOnceFree(minion));
-}
-
-ResourceAmounts JobScheduler::capacityOnceFree(const Minion &minion) const
-{
-    auto available = minion.capacity();
-    for (const auto &[task, run] : minion.runs) {
-        const auto *job = store_.job(task.step.job);
-        if (job && job->spec(task.step.step).long_running())
-            available -= run.reserved;
-    }
-    return available;
-}
-
-bool JobScheduler::hasIdleCores(const Minion &minion, const Wire::JobStep &step)
-{
-    const auto idle = minion.freeCapacity().milliCores - minion.spareMilliCoresUsed();
-    return !step.uses_spare_cores() || step.milli_cores() <= idle;
-}
-
-bool JobScheduler::mayShareCores(const Wire::JobStep &step, const StepName &name) const
-{
-    if (step.long_running())
-        return true;
-    const auto *job = store_.job(name.job);
-    const auto waiting = queue_.steps().find(name);
-    if (!job || job->hasAssignedTasks() || waiting == queue_.steps().end())
-        return false;
-    // Tasks that are neither done nor waiting have been placed, which need not be stored yet.
-    return job->step(name.occurrence, name.step)->done + waiting->second.tasks.size() >= step.tasks();
-}
-
 StepNeeds JobScheduler::needsOf(const StepRequirements &requirements, const StepName &name) const
 {
     const auto &job = *store_.job(name.job);
@@ -451,70 +317,4 @@
     return false;
 }
 
-bool JobScheduler::askAdvice(const StepName &name, const Job &job)
-{
-    const auto requirements = requirementsOf(job, name);
-    if (!requirements || !requirements->queue.needs_advice() || ports_.idleAdviceClients() == 0)
-        return false;
-    const auto &known = advice_.adviceFor(name);
-    if (!known.requestedMinions.empty() || now_.time < known.failedAt + adviceRetryDelay)
-        return false;
-    const auto ticketsUntil = ticketNeededUntil(requirements->queue);
-    // Minions with enough free capacity first; among them, those fast enough for the step, then those already approved.
-    const MinionChoice choice(needsOf(*requirements, name), now_.time, {});
-    std::vector<std::tuple<bool, long, bool, std::int64_t, std::string_view>> candidates;
-    // The minions and what is known of them are in the same order.
-    auto ticket = known.approved.begin();
-    auto denied = known.denied.begin();
-    for (const auto *minion : fleet_.minionsOf(requirements->queue.service())) {
-        const auto &id = minion->report.incarnation.id;
-        while (ticket != known.approved.end() && ticket->minionId < id)
-            ++ticket;
-        while (denied != known.denied.end() && *denied < id)
-            ++denied;
-        const bool isApproved = ticket != known.approved.end() && ticket->minionId == id;
-        const bool isDenied = denied != known.denied.end() && *denied == id;
-        if (isDenied || (isApproved && ticket->validUntil >= ticketsUntil)
-            || !isUsable(*minion, requirements->step.long_running()) || !isEligible(*minion, *requirements))
-            continue;
-        const bool hasRoom = fits(*minion, *requirements, name, Room::Now) && hasIdleCores(*minion, requirements->step);
-        candidates.emplace_back(!hasRoom, choice.adviceRank(*minion), !isApproved, -minion->freeCapacity().milliCores,
-                                id);
-    }
-    const auto count = std::min(settings_.advisedMinions, candidates.size());
-    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end());
-    AdviceRequest request;
-    request.step = name;
-    for (std::size_t number = 0; number < count; ++number)
-        request.minions.emplace_back(std::get<std::string_view>(candidates[number]));
-    if (request.minions.empty())
-        return false;
-    request.limit = adviceLimit(requirements->queue, request.minions.size());
-    advice_.recordRequest(request);
-    ports_.askAdvice(request);
-    return true;
-}
-
-void JobScheduler::adviceAnswered(const EventTime &now, const AdviceRequest &request, bool answered,
-                                  const std::vector<ApprovedMinion> &approved)
-{
-    now_ = now;
-    if (!leading_)
-        return;
-    planNeeded_ = true;
-    const auto *job = store_.job(request.step.job);
-    const auto *queue = job ? store_.queue(job->submission().queue()) : nullptr;
-    if (!answered || !queue) {
-        advice_.recordFailure(now.time, request.step);
-        ports_.logDecision(LogLevel::Info, "advice-failed",
-                           {{"step", request.step.toString()}, {"minions", request.minions.size()}});
-        return;
-    }
-    advice_.recordAnswer(now.time, std::chrono::milliseconds(queue->ticket_validity_ms()), request.step, approved,
-                         fleet_);
-    ports_.logDecision(
-        LogLevel::Debug, "advice",
-        {{"step", request.step.toString()}, {"asked", request.minions.size()}, {"approved", approved.size()}});
-}
-
 } // namespace Pistachio::Jobs
--- a/src/libs/jobs/reservations.cpp
+++ b/src/libs/jobs/reservations.cpp
@@ -139,15 +139,4 @@
     }
 }
 
-std::uint32_t JobScheduler::placesOnceFree(const Minion &minion, const StepRequirements &requirements) const
-{
-    const auto &step = requirements.step;
-    const auto limit = step.max_per_minion() > 0 ? std::min(step.max_per_minion(), step.tasks()) : step.tasks();
-    const auto capacity = capacityOnceFree(minion);
-    std::uint32_t places = 0;
-    for (auto sum = requirements.demand; places < limit && sum.fitsIn(capacity); sum += requirements.demand)
-        ++places;
-    return places;
-}
-
 } // namespace Pistachio::Jobs
