Acknowledge no ends while a later incarnation may answer

Cause: a renewal that is meant for the known incarnation reaches a later one, which got a repeated start. It acknowledges ends by the numbers of the known one, so the later one forgets an end that it hasn't listed, and the leader concludes that the run never began.

Change: sendLeaseRenewal() acknowledges nothing while the minion is suspended or may have a later incarnation that runs something.

--- a/src/libs/jobs/orders.h
+++ b/src/libs/jobs/orders.h
@@ -49,7 +49,7 @@
     MinionIncarnation minion;
     std::string address;
     std::optional<std::int64_t> leaseExpiresAtMs; ///< on the minion's clock
-    std::uint64_t acknowledgedEnd = 0; ///< ends up to this number are committed
+    std::uint64_t acknowledgedEnd = 0; ///< ends up to this number are committed; 0: none, or not told
     Duration wait{}; ///< how long the minion may delay the answer until a run ends
     std::uint64_t fencingToken = 0;
 };
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -76,7 +76,9 @@
     order.minion = minion.report.incarnation;
     order.address = minion.report.address;
     order.leaseExpiresAtMs = minion.extendLease(settings_.lease);
-    order.acknowledgedEnd = minion.acknowledgedEnd;
+    // A later incarnation numbers its ends from 1 again, and would forget those that it hasn't listed.
+    const bool mayBeLater = !minion.leaseConfirmed || minion.leaseBound.laterIncarnationUntil() != TimePoint{};
+    order.acknowledgedEnd = mayBeLater ? 0 : minion.acknowledgedEnd;
     // A renewal that follows a failed one is answered at once, so that there is time for more before the lease ends.
     order.wait = minion.leaseConfirmed && minion.renewalFailures == 0 ? wait : Duration::zero();
     order.fencingToken = fencingToken_;
--- a/tests/auto/jobs/tst_silentincarnation.cpp
+++ b/tests/auto/jobs/tst_silentincarnation.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(leaseFromBeforeTheReportIsWaitedFor);
     CPPUNIT_TEST(newLeaderWaitsForALeaseFromBeforeTheReport);
     CPPUNIT_TEST(newLeaderThatIsAnsweredWaitsForSuchALease);
+    CPPUNIT_TEST(endInALaterIncarnationIsNotForgotten);
     CPPUNIT_TEST(answeredStartMayWorkInALaterIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
@@ -199,6 +200,27 @@
         assertRunsOnceElsewhere(cell);
     }
 
+    // Guards against acknowledging to a later incarnation what the known one has listed: it would forget an end that it
+    // hasn't listed, and the task would run again.
+    void endInALaterIncarnationIsNotForgotten()
+    {
+        constexpr Duration shortRun = 100ms;
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, shortRun);
+        cell.submit("00000000000000aa", 4, 1000);
+        cell.run(1600ms);
+        minion.restart(cell.now().time);
+        cell.submit(job_, 1, 1000);
+        cell.run(700ms);
+        const TaskName task{{job_, 0, 0}, 0};
+        CPPUNIT_ASSERT_EQUAL(1, minion.finished[task]);
+        ++minion.report.sequence;
+        cell.report(minion);
+        cell.run(2s);
+        CPPUNIT_ASSERT_EQUAL(1, minion.finished[task]);
+        CPPUNIT_ASSERT(cell.phase(job_) == JobPhase::Completed);
+    }
+
     // Guards against taking the answer to a start for one of the known incarnation, as it doesn't say whose it is.
     void answeredStartMayWorkInALaterIncarnation()
     {
