--- a/tests/auto/jobs/tst_silentincarnation.cpp
+++ b/tests/auto/jobs/tst_silentincarnation.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-/// A later incarnation of a minion that runs a repeated start and is silent afterwards.
+/// Orders that are meant for one incarnation of a minion and reach a later one, which the leader doesn't know yet.
 class SilentIncarnationTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(SilentIncarnationTest);
--- a/tests/auto/jobs/tst_sparecores.cpp
+++ b/tests/auto/jobs/tst_sparecores.cpp
@@ -2,7 +2,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <string>
 
 using namespace Pistachio;
