--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -115,6 +115,7 @@
         else
             finishedJobs_[now_.time + settings_.finishedRetention].push_back(id);
     }
+    // Orders for the incarnation before may have reached the present one.
     for (const auto &[id, minion] : store_.minions()) {
         auto &known = *fleet_.find(id);
         if (minion.is_restarted() && !known.hadUsualLease)
