Cancel a job whose route was removed

Each DELETE was answered 404, and its task was started again whenever it ended.

Cause: JobCalls::answer refused each call to a path without a queue before it looked for the job.

Change: a cancellation finds the job that was accepted at its host and path without a queue, too. What is checked is the job's team; others get the 404 of a path that never had a job.

--- a/src/libs/jobnode/jobcalls.cpp
+++ b/src/libs/jobnode/jobcalls.cpp
@@ -91,7 +91,11 @@
     }
     const auto *queue = store_.queueAt(call.host(), call.path());
     if (!queue) {
-        refuse(call, reply(Wire::JOB_VERDICT_NO_SUCH_QUEUE, "no queue at " + call.host() + call.path()), answered);
+        const auto *held = call.cancel() ? jobAcceptedAt(call) : nullptr;
+        if (held && visibleJob(call, held->id()))
+            cancelWithoutQueue(now, call, held->id(), answered);
+        else
+            refuse(call, reply(Wire::JOB_VERDICT_NO_SUCH_QUEUE, "no queue at " + call.host() + call.path()), answered);
         return;
     }
     if (!store_.teamDirectory().admits(*queue, call.key())) {
@@ -159,6 +163,18 @@
     propose(now, command, answered);
 }
 
+/// A job can be cancelled for as long as it is held. The reply denies the job, since no call succeeds at a path without
+/// a queue.
+void JobCalls::cancelWithoutQueue(TimePoint now, const Wire::JobCall &call, const std::string &id,
+                                  const Answered &answered)
+{
+    cancel(now, call, id, [answered](Wire::JobReply cancelled) {
+        if (cancelled.verdict() == Wire::JOB_VERDICT_ACCEPTED)
+            cancelled.set_verdict(Wire::JOB_VERDICT_NO_SUCH_JOB);
+        answered(std::move(cancelled));
+    });
+}
+
 std::optional<Wire::JobReply> JobCalls::limitRate(TimePoint now, Wire::JobSubmission &submission)
 {
     const auto admission = scheduler_.admit({now, submission.accepted_unix_ms()}, submission);
--- a/src/libs/jobnode/jobcalls.h
+++ b/src/libs/jobnode/jobcalls.h
@@ -55,6 +55,8 @@
     void submit(TimePoint now, const Wire::JobCall &call, const std::string &queueKey, const std::string &id,
                 const Answered &answered);
     void cancel(TimePoint now, const Wire::JobCall &call, const std::string &id, const Answered &answered);
+    /// Cancels a job whose queue has left the configuration.
+    void cancelWithoutQueue(TimePoint now, const Wire::JobCall &call, const std::string &id, const Answered &answered);
     void read(const Wire::JobCall &call, const std::string &queueKey, const std::string &id,
               const Answered &answered) const;
     /// Refuses the call. All refusals go through this: it answers UNKNOWN in place of \p refusal if the call submits a
--- a/tests/auto/jobnode/directleader.h
+++ b/tests/auto/jobnode/directleader.h
@@ -26,7 +26,7 @@
 {
 public:
     /// The queues that configuration() knows: one at "/q/", one at "/open/" that is anonymous.
-    enum class Queues { Both, OpenOnly, QIsAnonymous };
+    enum class Queues { Both, OpenOnly, QIsAnonymous, None };
 
     DirectLeader()
         : scheduler_(store, *this, settings_)
@@ -55,9 +55,10 @@
             queue.set_timeout_ms(3000);
             queue.set_anonymous(anonymous);
         };
-        if (queues != Queues::OpenOnly)
+        if (queues == Queues::Both || queues == Queues::QIsAnonymous)
             addQueue("/q/", queues == Queues::QIsAnonymous);
-        addQueue("/open/", true);
+        if (queues != Queues::None)
+            addQueue("/open/", true);
         for (const auto &[team, key] : keys) {
             auto &added = *result.add_teams();
             added.set_name(team);
--- a/tests/auto/jobnode/tst_jobcalls.cpp
+++ b/tests/auto/jobnode/tst_jobcalls.cpp
@@ -47,6 +47,8 @@
     CPPUNIT_TEST(noRefusalDeniesAHeldJob);
     CPPUNIT_TEST(acceptedJobIsFoundUnderAnotherPrefix);
     CPPUNIT_TEST(acceptedJobOfAnotherTeamStaysHidden);
+    CPPUNIT_TEST(jobOfARemovedQueueCanBeCancelled);
+    CPPUNIT_TEST(jobOfARemovedQueueIsCancelledByItsTeamOnly);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,6 +280,60 @@
         assertVerdict(Wire::JOB_VERDICT_UNAUTHENTICATED, leader.call(DirectLeader::read(first, {})));
         assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(DirectLeader::read(first, keyA)));
     }
+
+    // Guards against a long-running or repeated job, or a gang, that nobody can end once its queue was removed.
+    void jobOfARemovedQueueCanBeCancelled()
+    {
+        for (const bool isRepeated : {false, true}) {
+            DirectLeader leader;
+            leader.configure(DirectLeader::configuration(1, {}));
+            auto submission = DirectLeader::submission(first, {});
+            auto &step = *submission.mutable_submission()->mutable_steps(0);
+            step.set_tasks(3);
+            step.set_gang(isRepeated);
+            step.set_long_running(!isRepeated);
+            submission.mutable_submission()->set_repeat_count(isRepeated ? 3 : 0);
+            submission.mutable_submission()->set_interval_ms(60'000);
+            assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(submission));
+            leader.configure(DirectLeader::configuration(2, {}, Queues::OpenOnly));
+            const auto cancellation = DirectLeader::cancellation(first, {});
+            const auto reply = leader.begin(cancellation);
+            assertVerdict(Wire::JOB_VERDICT_UNSPECIFIED, *reply); // nothing is promised before it is committed
+            leader.apply();
+            assertVerdict(Wire::JOB_VERDICT_NO_SUCH_JOB, *reply);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, std::uint64_t{reply->configuration()});
+            CPPUNIT_ASSERT(leader.store.job(firstId)->phase() == Jobs::JobPhase::Cancelled);
+            assertVerdict(Wire::JOB_VERDICT_NO_SUCH_JOB, leader.call(cancellation));
+            assertVerdict(Wire::JOB_VERDICT_NO_SUCH_QUEUE, leader.call(DirectLeader::read(first, {})));
+            leader.configure(DirectLeader::configuration(3, {}));
+            const auto read = leader.call(DirectLeader::read(first, {}));
+            assertVerdict(Wire::JOB_VERDICT_ACCEPTED, read);
+            CPPUNIT_ASSERT_EQUAL(int{Wire::JOB_STATE_CANCELLED}, int{read.state()});
+            assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(cancellation));
+        }
+    }
+
+    // Guards against ending, or telling of, another team's job at a path where no queue says who may call.
+    void jobOfARemovedQueueIsCancelledByItsTeamOnly()
+    {
+        DirectLeader leader;
+        leader.configure(twoTeams(1));
+        assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(DirectLeader::submission(first, keyA)));
+        const std::string open = "/open/0000000000000003";
+        assertVerdict(Wire::JOB_VERDICT_ACCEPTED, leader.call(DirectLeader::submission(open, {})));
+        leader.configure(twoTeams(2, Queues::None));
+        for (const auto &key : {keyB, std::string("other"), std::string()}) {
+            const auto ofAnother = leader.call(DirectLeader::cancellation(first, key));
+            const auto ofNone = leader.call(DirectLeader::cancellation(second, key));
+            assertVerdict(Wire::JOB_VERDICT_NO_SUCH_QUEUE, ofAnother);
+            assertVerdict(Wire::JOB_VERDICT_NO_SUCH_QUEUE, ofNone);
+        }
+        CPPUNIT_ASSERT(leader.store.job(firstId)->phase() == Jobs::JobPhase::Active);
+        assertVerdict(Wire::JOB_VERDICT_NO_SUCH_JOB, leader.call(DirectLeader::cancellation(first, keyA)));
+        CPPUNIT_ASSERT(leader.store.job(firstId)->phase() == Jobs::JobPhase::Cancelled);
+        assertVerdict(Wire::JOB_VERDICT_NO_SUCH_JOB, leader.call(DirectLeader::cancellation(open, {})));
+        CPPUNIT_ASSERT(leader.store.job("0000000000000003")->phase() == Jobs::JobPhase::Cancelled);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobCallsTest);
