Refuse configurations that can't be read in full

Cause: JsonFields reads what others answer as far as it goes ("absent or null is 0, false or empty"), and an operator's configuration was read with it, too. Fields that no instance uses were not read at all.

Change: CompleteFields reads an object in full or makes it unreadable, and says where. decodeConfiguration, in a file of its own, reads each field that the interface knows; parseDocument refuses names that stand twice and a byte order mark. A duration out of range is named.

Configurations in other tests, the soak and clientlimits got the fields that a complete one has; what they assert is unchanged, but a team without keys is now written with an empty list.

--- a/src/libs/jobs/jobvalidation.cpp
+++ b/src/libs/jobs/jobvalidation.cpp
@@ -64,12 +64,18 @@
 
 Result<void> checkQueueNumbers(const Wire::JobQueue &queue)
 {
-    constexpr auto longest = static_cast<double>(maxDurationMs);
-    const bool areDurations = isWithin(queue.timeout_ms(), maxDurationMs)
-        && isWithin(queue.target_latency_ms(), maxDurationMs) && isWithin(queue.ticket_validity_ms(), maxDurationMs)
-        && isWithin(queue.advice_base_ms(), longest) && isWithin(queue.advice_per_minion_ms(), longest);
-    if (!areDurations)
-        return invalid("queue " + queue.name() + " has a duration that is negative or above ten years");
+    const auto longest = static_cast<double>(maxDurationMs);
+    const std::pair<const char *, double> durations[]{
+        {"timeout", static_cast<double>(queue.timeout_ms())},
+        {"target latency", static_cast<double>(queue.target_latency_ms())},
+        {"ticket validity", static_cast<double>(queue.ticket_validity_ms())},
+        {"advice time", queue.advice_base_ms()},
+        {"advice time per minion", queue.advice_per_minion_ms()},
+    };
+    for (const auto &[name, milliseconds] : durations) {
+        if (!isWithin(milliseconds, longest))
+            return invalid("queue " + queue.name() + " has a " + name + " that is negative or above ten years");
+    }
     if (!isWithin(queue.slack_factor(), maxSlackFactor))
         return invalid("queue " + queue.name() + " has a slack factor of " + std::to_string(queue.slack_factor()));
     return success();
--- a/tests/auto/clientlimits/limitedcell.cpp
+++ b/tests/auto/clientlimits/limitedcell.cpp
@@ -80,8 +80,11 @@
         post("/pistachioworks/config/replace",
              "{\"version\":" + number
                  + ",\"routes\":[{\"name\":\"queue\",\"host\":\"jobs.example\",\"pathPrefix\":\"/q/\","
-                   "\"service\":\"s\",\"timeoutMs\":3000,\"maxAttempts\":4,\"slackFactor\":2.0,"
-                   "\"targetLatencyMs\":800}],\"services\":[{\"name\":\"s\",\"healthPath\":\"/\"}]}"));
+                   "\"kind\":\"non_idempotent\",\"service\":\"s\",\"timeoutMs\":3000,\"priority\":0,\"maxAttempts\":4,"
+                   "\"slackFactor\":2.0,\"targetLatencyMs\":800}],\"services\":[{\"name\":\"s\",\"healthPath\":\"/\","
+                   "\"maxConnections\":64,\"protocol\":\"h1\",\"tls\":false,\"preconditions\":false}],"
+                   "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
+                   "\"idleTimeoutMs\":15000}}"));
     if (!configured.starts_with("HTTP/1.1 200"))
         return "control answered: " + configured;
     const auto submitted = ordinaryRequest(callers(),
--- a/tests/auto/platform/tst_controlprotocol.cpp
+++ b/tests/auto/platform/tst_controlprotocol.cpp
@@ -1,4 +1,6 @@
+#include "configurationtext.h"
 #include "jobs/orders.h"
+#include "platform/configurationformat.h"
 #include "platform/controlprotocol.h"
 #include "platform/taskformat.h"
 
@@ -7,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <vector>
 
 using namespace Pistachio;
 using namespace Pistachio::Platform;
@@ -30,16 +33,16 @@
             + changed + "}";
     }
 
-    static std::string configuration(const std::string &routes)
+    static std::string configuration(const std::vector<nlohmann::json> &routes)
     {
-        return R"({"version":7,"routes":[)" + routes + R"(],"services":[{"name":"s","preconditions":false}]})";
+        auto result = completeConfiguration();
+        result["routes"] = routes;
+        return result.dump();
     }
 
     static std::string withTeams(const std::string &teams)
     {
-        return R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"service":"s",)"
-               R"("anonymous":true}],"services":[{"name":"s"}],"tenants":[)"
-            + teams + "]}";
+        return withValue(fullConfiguration(), "/tenants"_json_pointer, '[' + teams + ']');
     }
 
 public:
@@ -69,38 +72,42 @@
 
     void configurationIsDecoded()
     {
-        const auto body = configuration(
-            R"({"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"targetLatencyMs":300,"priority":1,"service":"s",)"
-            R"("maxAttempts":4,"slackFactor":2.5,"recommendation":{"decisionMs":9.3,"perWorkerMs":0.13,"validityMs":2000}})");
-        const auto decoded = ControlProtocol::decodeConfiguration(body);
-        CPPUNIT_ASSERT(decoded);
+        const auto body = fullConfiguration().dump();
+        const auto decoded = decodeConfiguration(body);
+        CPPUNIT_ASSERT_MESSAGE(decoded ? "" : decoded.error().message, decoded);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, std::uint64_t{decoded.value().version()});
         CPPUNIT_ASSERT_EQUAL(body, decoded.value().document());
         const auto &queue = decoded.value().queues(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("h/p/"), queue.host() + queue.path_prefix());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, std::uint32_t{queue.priority()});
         CPPUNIT_ASSERT_EQUAL(2.5, queue.slack_factor());
         CPPUNIT_ASSERT(queue.needs_advice());
         CPPUNIT_ASSERT_EQUAL(std::int64_t{2000}, queue.ticket_validity_ms());
+        CPPUNIT_ASSERT(decoded.value().services(0).guards_capacity());
+        CPPUNIT_ASSERT(!decoded.value().services(0).standby());
     }
 
     void badConfigurationsAreRefused()
     {
-        const std::string good = R"({"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"service":"s"})";
-        auto twice = good;
-        twice.append(",").append(good);
-        CPPUNIT_ASSERT(ControlProtocol::decodeConfiguration(configuration(good)));
+        const auto good = completeRoute();
+        const auto goodBody = configuration({good});
+        auto timeless = good;
+        timeless["timeoutMs"] = 0;
+        auto ofNobody = good;
+        ofNobody["service"] = "nobody";
+        CPPUNIT_ASSERT(decodeConfiguration(goodBody));
         for (const std::string &body :
-             {configuration(good).substr(0, 60), configuration(twice),
-              configuration(R"({"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":0,"service":"s"})"),
-              configuration(R"({"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"service":"nobody"})"),
-              configuration("7"), std::string(R"({"routes":[],"services":[]})")}) {
-            CPPUNIT_ASSERT_MESSAGE(body, !ControlProtocol::decodeConfiguration(body));
+             {goodBody.substr(0, 60), configuration({good, good}), configuration({timeless}), configuration({ofNobody}),
+              configuration({7}), std::string(R"({"routes":[],"services":[]})")}) {
+            CPPUNIT_ASSERT_MESSAGE(body, !decodeConfiguration(body));
         }
     }
 
     void teamsAreDecoded()
     {
-        const auto decoded = ControlProtocol::decodeConfiguration(withTeams(
+        const auto decoded = decodeConfiguration(withTeams(
             R"({"name":"hule930","apiKeys":["k-1","k-2"],"priority":1,"weight":23.5,"cap":{"cpu":11846543,"gpu":361}},)"
-            R"({"name":"without-a-cap","weight":0})"));
+            R"({"name":"without-a-cap","apiKeys":[],"weight":0})"));
         CPPUNIT_ASSERT(decoded);
         const auto &team = decoded.value().teams(0);
         CPPUNIT_ASSERT_EQUAL(std::string("hule930"), team.name());
@@ -119,17 +126,18 @@
         const std::string key = "sycamore-3471-key";
         const auto team
             = [&key](const std::string &more) { return R"({"name":"t","apiKeys":[")" + key + R"("],)" + more + "}"; };
-        CPPUNIT_ASSERT(ControlProtocol::decodeConfiguration(withTeams(team(R"("weight":1)"))));
+        CPPUNIT_ASSERT(decodeConfiguration(withTeams(team(R"("weight":1)"))));
         for (const std::string &teams :
              {team(R"("weight":-1)"), team(R"("weight":1e7)"), team(R"("weight":1e400)"), team(R"("weight":"1")"),
               team(R"("cap":{"cpu":-1})"), team(R"("cap":{"memMb":2147483648})"), team(R"("cap":{"gpu":1e300})"),
               team(R"("cap":7)"), team(R"("cap":{"cpu":1.5})"), team(R"("priority":-1)"), team(R"("weight":1},7,{)"),
               team(R"("weight":1)") + R"(,{"name":"u","apiKeys":[")" + key + R"("]})",
-              team(R"("weight":1)") + R"(,{"name":"t"})", std::string(R"({"apiKeys":["sycamore-3471-key"]})"),
+              team(R"("weight":1)") + R"(,{"name":"t","apiKeys":[]})",
+              std::string(R"({"apiKeys":["sycamore-3471-key"]})"),
               std::string(R"({"name":"t","apiKeys":["sycamore-3471-key",7]})"),
               std::string(R"({"name":"t","apiKeys":"sycamore-3471-key"})"),
               std::string(R"({"name":"t","apiKeys":["sycamore-3471-key)")}) {
-            const auto decoded = ControlProtocol::decodeConfiguration(withTeams(teams));
+            const auto decoded = decodeConfiguration(withTeams(teams));
             CPPUNIT_ASSERT_MESSAGE(teams, !decoded);
             CPPUNIT_ASSERT_MESSAGE(teams, decoded.error().message.find(key) == std::string::npos);
         }
--- a/tests/auto/platform/tst_oddbodies.cpp
+++ b/tests/auto/platform/tst_oddbodies.cpp
@@ -1,7 +1,9 @@
+#include "configurationtext.h"
 #include "jobnode/controlservice.h"
 #include "logging/logger.h"
 #include "oddvalues.h"
 #include "platform/callerprotocol.h"
+#include "platform/configurationformat.h"
 #include "platform/controlprotocol.h"
 
 #include <jobs.pb.h>
@@ -139,24 +141,19 @@
 
     void oddConfigurationIsAccepted()
     {
-        const auto configuration = [](const std::string &route, const std::string &more) {
-            return R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","timeoutMs":3000,"service":"s")"
-                + route + R"(}],"services":[{"name":"s"}])" + more + "}";
+        const auto withField = [](const std::string &pointer, std::string_view value) {
+            return withValue(fullConfiguration(), nlohmann::json::json_pointer(pointer), value);
         };
-        CPPUNIT_ASSERT(ControlProtocol::decodeConfiguration(configuration("", "")));
+        CPPUNIT_ASSERT(decodeConfiguration(fullConfiguration().dump()));
         for (const auto &odd : oddValues()) {
-            if (odd == "null")
-                continue;
             for (const auto *name : {"priority", "maxAttempts", "slackFactor", "targetLatencyMs", "recommendation"}) {
-                if (odd == "{}" && std::string_view(name) == "recommendation")
-                    continue;
-                const auto body = configuration(std::string(",\"") + name + "\":" + odd, "");
-                CPPUNIT_ASSERT_MESSAGE(shorten(name + odd), !ControlProtocol::decodeConfiguration(body));
+                const auto body = withField(std::string("/routes/0/") + name, odd);
+                CPPUNIT_ASSERT_MESSAGE(shorten(name + odd), !decodeConfiguration(body));
             }
         }
         for (const auto &odd : {std::string("1e999"), nested(200'000)})
-            CPPUNIT_ASSERT(!ControlProtocol::decodeConfiguration(configuration("", R"(,"limits":)" + odd)));
-        CPPUNIT_ASSERT(!ControlProtocol::decodeConfiguration(configuration(R"(,"maxAttempts":4294967297)", "")));
+            CPPUNIT_ASSERT(!decodeConfiguration(withField("/limits", odd)));
+        CPPUNIT_ASSERT(!decodeConfiguration(withField("/routes/0/maxAttempts", "4294967297")));
     }
 
     // Without a readable incarnation the whole id left, whichever incarnation the message was about.
--- a/tests/soak/workload.cpp
+++ b/tests/soak/workload.cpp
@@ -350,9 +350,20 @@
             route["recommendation"] = {{"decisionMs", 1.0}, {"perWorkerMs", 0.1}, {"validityMs", ticketValidity / 1ms}};
         routes.push_back(route);
     }
-    const json services = json::array({json{{"name", service}, {"healthPath", "/healthz"}, {"preconditions", false}}});
-    document_
-        = json{{"version", version_}, {"routes", routes}, {"services", services}, {"tenants", keys_.tenants()}}.dump();
+    const json services = json::array({json{{"name", service},
+                                            {"healthPath", "/healthz"},
+                                            {"maxConnections", 64},
+                                            {"protocol", "h1"},
+                                            {"tls", false},
+                                            {"preconditions", false}}});
+    const json limits{
+        {"maxHeaderBytes", 16384}, {"maxBodyBytes", 262144}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
+    document_ = json{{"version", version_},
+                     {"routes", routes},
+                     {"services", services},
+                     {"limits", limits},
+                     {"tenants", keys_.tenants()}}
+                    .dump();
     sendConfiguration();
 }
 
