Let no order for an earlier incarnation act on a later one

Minions were back under their ids and cut off soon after.

Cause: an order that was left unanswered is carried out by whichever incarnation uses the id, seconds later. Its expiry is a time on another clock, so it gives the longest lease. The leader told orders for two incarnations apart by time alone (maxOrderDelay, 0.5 s); all had the same fencing token, and a later incarnation has seen none.

Change: orders carry a MinionFence, the leader's term and a number that rises with each incarnation that the leader learns of; carriers pass it on with each order. The first answer of an incarnation to an order of its own shows that none of the earlier ones has effect from then on, and the longest lease counts from it. A run is confirmed once all its starts were answered. Where a later incarnation stays silent and a start was left unanswered, the leader waits 12 s and the longest lease. run-end-concluded names the token and the unanswered starts. An answer counts only if it is to an order under the fence that its minion has now.

Tests: the simulated cell lets late orders reach later incarnations and can delay renewals; minions of the soak carry out what arrived before a crash. lateRenewalForTheEarlierIncarnationHasNoEffect, renewalThatArrivesBeforeTheFirstAnswerIsWaitedFor and lateStartInASilentIncarnationIsWaitedFor fail with the fences and bounds taken out ("runs twice at the same time"), as do three tests with random faults. Renewals of randomFaultsNeitherDuplicateNorLoseTasks are late, too. Order literals in tests name a fence in place of a token.

--- a/src/libs/jobnode/orderrelay.cpp
+++ b/src/libs/jobnode/orderrelay.cpp
@@ -54,7 +54,7 @@
 
 template<class Order> bool OrderRelay::addOrder(const Order &order, Duration wait, const Completed &completed)
 {
-    if (!isLeading_ || order.fencingToken != fencingToken_)
+    if (!isLeading_ || order.fence.term != fencingToken_)
         return false;
     auto carrier = carriers_.carrierOf(order.minion.id, ports_.zoneOf(order.minion.id));
     if (!carrier)
--- a/src/libs/jobnode/orderwire.cpp
+++ b/src/libs/jobnode/orderwire.cpp
@@ -76,11 +76,12 @@
     return std::nullopt;
 }
 
-void fillMinion(Wire::JobOrder &message, const Jobs::MinionIncarnation &minion, const std::string &address)
+template<class Order> void fillMinion(Wire::JobOrder &message, const Order &order)
 {
-    message.set_minion(minion.id);
-    message.set_minion_born_unix_ms(minion.bornUnixMs);
-    message.set_address(address);
+    message.set_minion(order.minion.id);
+    message.set_minion_born_unix_ms(order.minion.bornUnixMs);
+    message.set_address(order.address);
+    message.set_fence_incarnation(order.fence.incarnation);
 }
 
 Jobs::MinionIncarnation minionOf(const Wire::JobOrder &message)
@@ -88,11 +89,16 @@
     return {message.minion(), message.minion_born_unix_ms()};
 }
 
+Jobs::MinionFence fenceOf(const Wire::JobOrder &message, std::uint64_t fencingToken)
+{
+    return {fencingToken, message.fence_incarnation()};
+}
+
 } // namespace
 
 void fill(Wire::JobOrder &message, const Jobs::StartOrder &order)
 {
-    fillMinion(message, order.minion, order.address);
+    fillMinion(message, order);
     auto &start = *message.mutable_start();
     Jobs::fill(*start.mutable_task(), order.task);
     start.set_run(order.run);
@@ -104,7 +110,7 @@
 
 void fill(Wire::JobOrder &message, const Jobs::StopOrder &order)
 {
-    fillMinion(message, order.minion, order.address);
+    fillMinion(message, order);
     auto &stop = *message.mutable_stop();
     Jobs::fill(*stop.mutable_task(), order.task);
     stop.set_run(order.run);
@@ -112,7 +118,7 @@
 
 void fill(Wire::JobOrder &message, const Jobs::ThrottleOrder &order)
 {
-    fillMinion(message, order.minion, order.address);
+    fillMinion(message, order);
     auto &throttle = *message.mutable_throttle();
     Jobs::fill(*throttle.mutable_task(), order.task);
     throttle.set_run(order.run);
@@ -121,7 +127,7 @@
 
 void fill(Wire::JobOrder &message, const Jobs::LeaseOrder &order)
 {
-    fillMinion(message, order.minion, order.address);
+    fillMinion(message, order);
     auto &renewal = *message.mutable_renewal();
     if (order.leaseExpiresAtMs)
         renewal.set_lease_expires_at_ms(*order.leaseExpiresAtMs);
@@ -141,21 +147,22 @@
     order.checkpoint = start.checkpoint();
     order.ticket = start.ticket();
     order.leaseExpiresAtMs = start.lease_expires_at_ms();
-    order.fencingToken = fencingToken;
+    order.fence = fenceOf(message, fencingToken);
     return order;
 }
 
 Jobs::StopOrder toStopOrder(const Wire::JobOrder &message, std::uint64_t fencingToken)
 {
     const auto &stop = message.stop();
-    return {minionOf(message), message.address(), Jobs::toTaskName(stop.task()), stop.run(), fencingToken};
+    return {minionOf(message), message.address(), Jobs::toTaskName(stop.task()), stop.run(),
+            fenceOf(message, fencingToken)};
 }
 
 Jobs::ThrottleOrder toThrottleOrder(const Wire::JobOrder &message, std::uint64_t fencingToken)
 {
     const auto &throttle = message.throttle();
     return {minionOf(message), message.address(),  Jobs::toTaskName(throttle.task()),
-            throttle.run(),    throttle.percent(), fencingToken};
+            throttle.run(),    throttle.percent(), fenceOf(message, fencingToken)};
 }
 
 Jobs::LeaseOrder toLeaseOrder(const Wire::JobOrder &message, std::uint64_t fencingToken)
@@ -168,7 +175,7 @@
         order.leaseExpiresAtMs = renewal.lease_expires_at_ms();
     order.acknowledgedEnd = renewal.acknowledged_end();
     order.wait = Duration(renewal.wait_us());
-    order.fencingToken = fencingToken;
+    order.fence = fenceOf(message, fencingToken);
     return order;
 }
 
--- a/src/libs/jobs/jobscheduler.cpp
+++ b/src/libs/jobs/jobscheduler.cpp
@@ -45,6 +45,7 @@
     now_ = now;
     leading_ = true;
     fencingToken_ = fencingToken;
+    incarnations_ = 0;
     backoff_ = RetryBackoff(fencingToken);
     restored();
     ports_.logDecision(LogLevel::Info, "leadership-gained",
@@ -115,11 +116,11 @@
         else
             finishedJobs_[now_.time + settings_.finishedRetention].push_back(id);
     }
-    // Orders for the incarnation before may have reached the present one.
+    // The present incarnation may have got orders for the one before until it answered the earlier leader.
     for (const auto &[id, minion] : store_.minions()) {
         auto &known = *fleet_.find(id);
         if (minion.is_restarted() && !known.hadUsualLease)
-            assumeLongestLease(known);
+            awaitFence(known, false);
     }
     planNeeded_ = true;
 }
@@ -164,6 +165,7 @@
     run.phase = RunPhase::Adopted;
     run.phaseSince = now_.time;
     run.isConfirmed = isConfirmed;
+    run.unansweredStarts = isConfirmed ? 0 : 1; // the earlier leader knew
     run.awaitsRecord = job.spec(task.step.step).long_running() && !isConfirmed;
     if (minion->report.incarnation != incarnation) {
         stopInLaterIncarnation(*minion, task, run);
@@ -290,6 +292,8 @@
                         {"proof", proof.name()},
                         {"stop_reason", toString(known.stopReason)},
                         {"starts", known.attempts},
+                        {"unanswered_starts", known.unansweredStarts},
+                        {"fence", minion.fence.number()},
                         {"started_ms", age(known.startedAt)},
                         {"listed_ms", age(known.listedAt)},
                         {"phase_ms", age(known.phaseSince)},
--- a/src/libs/jobs/jobscheduler.h
+++ b/src/libs/jobs/jobscheduler.h
@@ -185,11 +185,15 @@
     /// Lets a run go on whose end is not stored.
     void revertEnd(const Wire::JobEnd &end);
 
-    /// \return whether this leadership sent the order; an earlier one of this process knew other orders and leases.
-    template<class Order> [[nodiscard]] bool isOrdered(const Order &order) const
+    /// \return the minion that the order is for; null if it is not held, or if the order was sent by an earlier
+    /// leadership of this process or before the minion was forgotten, when other orders and leases were known.
+    template<class Order> [[nodiscard]] Minion *orderedMinion(const Order &order)
     {
-        return leading_ && order.fencingToken == fencingToken_;
+        auto *minion = leading_ ? fleet_.find(order.minion) : nullptr;
+        return minion && minion->fence == order.fence ? minion : nullptr;
     }
+    /// Notes that a start is not under way any more.
+    void settleStart(const StartOrder &order);
 
     // runtimes.cpp
     /// \return the expected run time on a minion of speed 1.
@@ -251,8 +255,9 @@
     /// Has a minion that reports again stop the runs that were lost with it.
     void takeOverLostRuns(Minion &minion);
     void stopInLaterIncarnation(Minion &minion, const TaskName &task, const Run &earlier);
-    /// Assumes that an incarnation which has taken the place of another one holds the longest lease.
-    void assumeLongestLease(Minion &minion) const;
+    /// Assumes that an incarnation which has taken the place of another one gets orders that were meant for it.
+    /// \param mayStart whether a start may be among them
+    void awaitFence(Minion &minion, bool mayStart) const;
     /// Remembers the runs of a minion that is removed until its lease is over.
     void keepRunsOf(const Minion &removed);
     /// \return whether the store has this run of the task assigned.
@@ -404,6 +409,7 @@
     const SchedulerSettings settings_;
     bool leading_ = false;
     std::uint64_t fencingToken_ = 0;
+    std::uint64_t incarnations_ = 0; ///< learnt of since this instance leads
     EventTime now_;
     Fleet fleet_;
     WorkQueue queue_;
--- a/src/libs/jobs/leaseanswers.cpp
+++ b/src/libs/jobs/leaseanswers.cpp
@@ -49,7 +49,7 @@
 void JobScheduler::leaseAnswered(const EventTime &now, const LeaseOrder &order, const LeaseAnswer &answer)
 {
     now_ = now;
-    auto *minion = isOrdered(order) ? fleet_.find(order.minion) : nullptr;
+    auto *minion = orderedMinion(order);
     if (!minion)
         return;
     minion->renewalOutstanding = false;
@@ -84,6 +84,8 @@
     const bool first = !minion->leaseConfirmed;
     minion->leaseConfirmed = true;
     disproveLaterIncarnation(*minion);
+    if (minion->leaseBound.awaitsFence())
+        minion->leaseBound.fenceSeen(now.time + longestTime(settings_.longestLease));
     minion->lastContactAt = now.time;
     minion->nextRenewal = now.time;
     minion->renewalFailures = 0;
--- a/src/libs/jobs/leasebound.cpp
+++ b/src/libs/jobs/leasebound.cpp
@@ -10,9 +10,15 @@
     granted_ = std::max(granted_, expiry);
 }
 
-void LeaseBound::assume(TimePoint expiry)
+void LeaseBound::awaitFence(TimePoint expiry)
+{
+    unfenced_ = std::max(unfenced_, expiry);
+}
+
+void LeaseBound::fenceSeen(TimePoint expiry)
 {
     assumed_ = std::max(assumed_, expiry);
+    unfenced_ = {};
 }
 
 void LeaseBound::assumeLaterIncarnation(TimePoint expiry)
@@ -27,7 +33,7 @@
 
 TimePoint LeaseBound::knownIncarnationEnd() const
 {
-    return std::max(granted_, assumed_) + leaseMargin;
+    return std::max({granted_, assumed_, unfenced_}) + leaseMargin;
 }
 
 TimePoint LeaseBound::end() const
--- a/src/libs/jobs/leasebound.h
+++ b/src/libs/jobs/leasebound.h
@@ -16,9 +16,17 @@
     /// \param expiry when it has expired on the slowest clock
     void grant(TimePoint expiry);
 
-    /// Adds a lease of any length that the known incarnation may hold for another reason.
-    /// \param expiry when it has expired on the slowest clock
-    void assume(TimePoint expiry);
+    /// The known incarnation has taken the place of another one. Until it has answered an order of its own, orders for
+    /// the other one may still give it a lease of any length.
+    /// \param expiry when such a lease has expired if none of its answers arrives
+    void awaitFence(TimePoint expiry);
+
+    /// Such an incarnation has answered an order of its own, and refuses orders for the other one from now on.
+    /// \param expiry when a lease has expired that it got before
+    void fenceSeen(TimePoint expiry);
+
+    /// \return whether fenceSeen() is to be called at the next answer.
+    [[nodiscard]] bool awaitsFence() const { return unfenced_ != TimePoint{}; }
 
     /// Adds a lease that a later incarnation may hold, which the leader doesn't know.
     /// \param expiry when it has expired on the slowest clock
@@ -40,10 +48,13 @@
 private:
     TimePoint granted_{};
     TimePoint assumed_{};
+    TimePoint unfenced_{}; ///< zero: no orders for another incarnation have effect
     TimePoint laterIncarnation_{};
 };
 
-constexpr Duration maxOrderDelay = 500ms; ///< after which an order that was given up doesn't arrive any more
+/// How long an order may be under way that was left unanswered. Only needed where no answer tells whether it has
+/// effect.
+constexpr Duration longestOrderDelay = 12s;
 constexpr Duration leaseMargin = 100ms; ///< rounding of both clocks, and the network delay of the last order
 
 /// The lowest rate of a minion's clock relative to real time. Leases are assumed to last longer accordingly.
--- a/src/libs/jobs/minion.h
+++ b/src/libs/jobs/minion.h
@@ -51,6 +51,7 @@
     TimePoint lastOrderAt{};
     bool orderOutstanding = false;
     std::uint32_t attempts = 0; ///< starts that the minion may have seen
+    std::uint32_t unansweredStarts = 0; ///< those among them that may yet be carried out
     std::uint32_t failures = 0; ///< orders of this phase in a row that were not confirmed
     TimePoint retryAt{}; ///< of an order that was not confirmed
     TimePoint unansweredAt{}; ///< when the last order was given up without an answer
@@ -78,6 +79,7 @@
     std::size_t slot = 0; ///< distinguishes it from the other minions of its fleet; small
     std::map<TaskName, Run> runs; ///< changed through add() and remove() only
 
+    MinionFence fence; ///< of the orders to this incarnation
     bool leaseConfirmed
         = false; ///< has answered a lease renewal of this leader and so rejects orders of earlier leaders
     bool renewalOutstanding = false;
--- a/src/libs/jobs/minionlifecycle.cpp
+++ b/src/libs/jobs/minionlifecycle.cpp
@@ -92,7 +92,7 @@
         const auto earlier = replaced ? *replaced : Minion();
         auto &added = addMinion(std::move(report));
         if (replaced)
-            assumeLongestLease(added);
+            awaitFence(added, false);
         added.leaseBound.grant(earlier.leaseBound.grantedUntil());
         takeOverRuns(added, earlier.runs);
         takeOverLostRuns(added);
@@ -113,6 +113,7 @@
     auto &added = *fleet_.find(id);
     speeds_.add(added.report.incarnation, added.report.service, added.kind());
     added.speed = speeds_.estimate(id);
+    added.fence = {fencingToken_, ++incarnations_};
     added.lastReportAt = now_.time;
     added.leaseBound.grant(now_.time + longestTime(settings_.lease));
     return added;
@@ -137,16 +138,18 @@
         const auto &step = store_.job(task.step.job)->spec(task.step.step);
         run.reserved = reservedBy(step);
         run.spareMilliCores = spareMilliCoresOf(step);
+        run.unansweredStarts = 1; // not known any more
         stopInLaterIncarnation(minion, task, run);
         return true;
     });
 }
 
-/// Each renewal or start that was meant for the incarnation before may have reached this one, or reach it yet. Its
-/// expiry is a time on another clock, so the minion has cut the lease down to the longest one.
-void JobScheduler::assumeLongestLease(Minion &minion) const
+/// The expiry in such an order is a time on another clock, so the minion cuts the lease down to the longest one.
+/// Without a start among the orders, what ran in the incarnation before has ended with it.
+void JobScheduler::awaitFence(Minion &minion, bool mayStart) const
 {
-    minion.leaseBound.assume(now_.time + maxOrderDelay + longestTime(settings_.longestLease));
+    const auto delay = mayStart ? longestOrderDelay : Duration::zero();
+    minion.leaseBound.awaitFence(now_.time + delay + longestTime(settings_.longestLease));
 }
 
 /// A repeated start may have reached the later incarnation, or reach it yet; after the stop it is refused there.
@@ -160,8 +163,9 @@
     run.expected = earlier.expected;
     run.isOfEarlierIncarnation = true;
     run.isUnlisted = true;
+    run.unansweredStarts = earlier.unansweredStarts;
     run.phase = RunPhase::Adopted;
-    assumeLongestLease(minion);
+    awaitFence(minion, run.unansweredStarts > 0);
     sendStop(minion, task, minion.add(task, run), StopReason::EarlierIncarnation);
 }
 
--- a/src/libs/jobs/orders.h
+++ b/src/libs/jobs/orders.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "jobs/minionfence.h"
 #include "jobs/taskname.h"
 
 #include <cstdint>
@@ -32,7 +33,7 @@
     std::string checkpoint;
     std::string ticket;
     std::int64_t leaseExpiresAtMs = 0; ///< on the minion's clock; applies to all its runs
-    std::uint64_t fencingToken = 0;
+    MinionFence fence;
 };
 
 /// Stops a run, or prevents it from starting.
@@ -41,7 +42,7 @@
     std::string address;
     TaskName task;
     std::uint64_t run = 0;
-    std::uint64_t fencingToken = 0;
+    MinionFence fence;
 };
 
 /// Renews a minion's lease and fetches its active and ended runs.
@@ -51,7 +52,7 @@
     std::optional<std::int64_t> leaseExpiresAtMs; ///< on the minion's clock
     std::uint64_t acknowledgedEnd = 0; ///< ends up to this number are committed; 0: none, or not told
     Duration wait{}; ///< how long the minion may delay the answer until a run ends
-    std::uint64_t fencingToken = 0;
+    MinionFence fence;
 };
 
 /// Limits a run to a percentage of its speed.
@@ -61,7 +62,7 @@
     TaskName task;
     std::uint64_t run = 0;
     std::uint32_t percent = 100;
-    std::uint64_t fencingToken = 0;
+    MinionFence fence;
 };
 
 enum class OrderOutcome : std::uint8_t {
--- a/src/libs/jobs/runconfirmations.cpp
+++ b/src/libs/jobs/runconfirmations.cpp
@@ -24,7 +24,8 @@
         if (run.listedAt != now_.time || run.phase != RunPhase::Running)
             continue;
         // One of several starts may still be under way, and reach a later incarnation.
-        run.isConfirmed = run.isConfirmed || run.attempts <= 1 || now_.time >= run.lastOrderAt + maxOrderDelay;
+        run.isConfirmed = run.isConfirmed || run.attempts <= 1 || run.unansweredStarts == 0
+            || now_.time >= run.lastOrderAt + longestOrderDelay;
         if (!run.awaitsRecord || !run.isConfirmed || !isLeaseUsual)
             continue;
         run.awaitsRecord = false;
--- a/src/libs/jobs/runorders.cpp
+++ b/src/libs/jobs/runorders.cpp
@@ -48,10 +48,11 @@
         order.checkpoint = job->step(task.step.occurrence, task.step.step)->tasks.front().checkpoint;
     order.ticket = advice_.ticket(task.step, minion.report.incarnation.id, {}).value_or("");
     order.leaseExpiresAtMs = *expiry;
-    order.fencingToken = fencingToken_;
+    order.fence = minion.fence;
     run.orderOutstanding = true;
     run.lastOrderAt = now_.time;
     ++run.attempts;
+    ++run.unansweredStarts;
     ports_.start(order);
 }
 
@@ -67,7 +68,7 @@
     }
     run.lastOrderAt = now_.time;
     run.orderOutstanding = true;
-    ports_.stop({minion.report.incarnation, minion.report.address, task, run.run, fencingToken_});
+    ports_.stop({minion.report.incarnation, minion.report.address, task, run.run, minion.fence});
 }
 
 void JobScheduler::sendLeaseRenewal(Minion &minion, Duration wait)
@@ -81,7 +82,7 @@
     order.acknowledgedEnd = mayBeLater ? 0 : minion.acknowledgedEnd;
     // A renewal that follows a failed one is answered at once, so that there is time for more before the lease ends.
     order.wait = minion.leaseConfirmed && minion.renewalFailures == 0 ? wait : Duration::zero();
-    order.fencingToken = fencingToken_;
+    order.fence = minion.fence;
     minion.renewalOutstanding = true;
     minion.renewalSentAt = now_.time;
     minion.renewals.sent(now_.time, order);
@@ -105,7 +106,7 @@
 template<class Order>
 JobScheduler::AnsweredRun JobScheduler::recordAnswer(const Order &order, const OrderAnswer &answer, RunPhase phase)
 {
-    auto *minion = isOrdered(order) ? fleet_.find(order.minion) : nullptr;
+    auto *minion = orderedMinion(order);
     if (!minion)
         return {};
     recordContact(*minion, answer.outcome);
@@ -122,9 +123,20 @@
     return {minion, &found->second};
 }
 
+/// The minion has carried the start out, refused it, or not seen it.
+void JobScheduler::settleStart(const StartOrder &order)
+{
+    auto *minion = orderedMinion(order);
+    const auto found = minion ? minion->runs.find(order.task) : std::map<TaskName, Run>::iterator();
+    if (minion && found != minion->runs.end() && found->second.run == order.run && found->second.unansweredStarts > 0)
+        --found->second.unansweredStarts;
+}
+
 void JobScheduler::startAnswered(const EventTime &now, const StartOrder &order, const OrderAnswer &answer)
 {
     now_ = now;
+    if (answer.outcome != OrderOutcome::Unanswered)
+        settleStart(order);
     const auto answered = recordAnswer(order, answer, RunPhase::Starting);
     if (!answered.run)
         return;
@@ -221,7 +233,7 @@
 void JobScheduler::throttleAnswered(const EventTime &now, const ThrottleOrder &order, const OrderAnswer &answer)
 {
     now_ = now;
-    auto *minion = isOrdered(order) ? fleet_.find(order.minion) : nullptr;
+    auto *minion = orderedMinion(order);
     const auto found = minion ? minion->runs.find(order.task) : std::map<TaskName, Run>::iterator();
     if (!minion || found == minion->runs.end() || found->second.run != order.run)
         return;
@@ -255,7 +267,7 @@
             continue;
         run.lastOrderAt = now_.time;
         run.orderOutstanding = true;
-        ports_.throttle({minion.report.incarnation, minion.report.address, task, run.run, wanted, fencingToken_});
+        ports_.throttle({minion.report.incarnation, minion.report.address, task, run.run, wanted, minion.fence});
     }
 }
 
--- a/tests/auto/jobnode/tst_ordercarrying.cpp
+++ b/tests/auto/jobnode/tst_ordercarrying.cpp
@@ -1,6 +1,9 @@
 #include "carriedcell.h"
 
 #include "jobnode/carriertable.h"
+#include "jobnode/orderwire.h"
+
+#include <jobs.pb.h>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -68,6 +71,7 @@
     CPPUNIT_TEST(twoLostCarriersLeaveTheRest);
     CPPUNIT_TEST(carrierDropsOrdersOfAnEarlierLeader);
     CPPUNIT_TEST(repeatedAndLostBatchesRunNothingTwice);
+    CPPUNIT_TEST(carriedOrderKeepsItsFence);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -220,6 +224,25 @@
             cell.lostPercent = 0;
         });
     }
+
+    // Guards against a carrier that sends an order under the fence of an earlier incarnation: the minion would refuse
+    // it.
+    void carriedOrderKeepsItsFence()
+    {
+        constexpr Jobs::MinionFence fence{5, 3};
+        const auto carried = [fence](auto order) {
+            order.fence = fence;
+            Wire::JobOrder message;
+            fill(message, order);
+            return message;
+        };
+        CPPUNIT_ASSERT(toStartOrder(carried(Jobs::StartOrder()), fence.term).fence == fence);
+        CPPUNIT_ASSERT(toStopOrder(carried(Jobs::StopOrder()), fence.term).fence == fence);
+        CPPUNIT_ASSERT(toThrottleOrder(carried(Jobs::ThrottleOrder()), fence.term).fence == fence);
+        CPPUNIT_ASSERT(toLeaseOrder(carried(Jobs::LeaseOrder()), fence.term).fence == fence);
+        CPPUNIT_ASSERT(Jobs::MinionFence::fromNumber(fence.number()) == fence);
+        CPPUNIT_ASSERT((Jobs::MinionFence{6, 0}.number() > Jobs::MinionFence{5, std::uint64_t{1} << 40}.number()));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OrderCarryingTest);
--- a/tests/auto/jobs/simulatedcell.cpp
+++ b/tests/auto/jobs/simulatedcell.cpp
@@ -269,11 +269,15 @@
 
 SimulatedMinion *SimulatedCell::reachableMinion(const std::string &address)
 {
-    for (const auto &[id, minion] : minions) {
-        if (minion->report.address == address && !minion->isCut)
-            return minion.get();
-    }
-    return nullptr;
+    auto *minion = minionAt(address);
+    return minion && !minion->isCut ? minion : nullptr;
+}
+
+SimulatedMinion *SimulatedCell::minionAt(const std::string &address)
+{
+    const auto found = std::ranges::find_if(
+        minions, [&address](const auto &entry) { return entry.second->report.address == address; });
+    return found == minions.end() ? nullptr : found->second.get();
 }
 
 bool SimulatedCell::chance(std::uint64_t percent)
@@ -322,14 +326,9 @@
     const bool lost = chance(lostAnswers);
     if (late || lost)
         scheduleForLeader(orderTimeout, [this, order] { scheduler_->startAnswered(now(), order, {}); });
-    // An order that is carried out late was read by the incarnation of now, and ends with it.
-    const auto *reader = reachableMinion(order.address);
-    const auto reads = reader ? reader->report.incarnation : MinionIncarnation();
     schedule(late ? Duration(2s + std::chrono::milliseconds(random_.below(10'000))) : networkDelay,
-             [this, order, late, lost, reads] {
-                 auto *minion = reachableMinion(order.address);
-                 if (minion && late && minion->report.incarnation != reads)
-                     return;
+             [this, order, late, lost] {
+                 auto *minion = late ? minionAt(order.address) : reachableMinion(order.address);
                  if (!minion) {
                      if (!late && !lost)
                          scheduleForLeader(orderTimeout,
@@ -377,8 +376,16 @@
     notSent.outcome = OrderOutcome::NotSent;
     if (!hasConnection([this, order, notSent] { scheduler_->leaseAnswered(now(), order, notSent); }))
         return;
-    const bool lost = chance(lostAnswers);
     const auto timeout = order.wait + orderTimeout;
+    if (const auto delay = renewalDelay ? renewalDelay(order) : std::nullopt) {
+        scheduleForLeader(timeout, [this, order] { scheduler_->leaseAnswered(now(), order, {}); });
+        schedule(*delay, [this, order] {
+            if (auto *minion = minionAt(order.address))
+                minion->renewLease(now_, order, [](const LeaseAnswer & /*answer*/) {});
+        });
+        return;
+    }
+    const bool lost = chance(lostAnswers);
     if (lost)
         scheduleForLeader(timeout, [this, order] { scheduler_->leaseAnswered(now(), order, {}); });
     schedule(networkDelay, [this, order, lost, timeout] {
--- a/tests/auto/jobs/simulatedcell.h
+++ b/tests/auto/jobs/simulatedcell.h
@@ -101,6 +101,8 @@
     std::vector<std::string> violations;
     std::uint64_t lostAnswers = 0; ///< percentage of answers that are lost
     std::uint64_t lateOrders = 0; ///< percentage of starts that stay unanswered and are executed 2 to 12 s later
+    /// \return how late a renewal is carried out that stays unanswered, or nothing.
+    std::function<std::optional<Duration>(const Pistachio::Jobs::LeaseOrder &order)> renewalDelay;
     std::uint64_t failedProposals = 0; ///< percentage of proposals that are not appended to the log
     /// \return the outcome of a start that the minion does not carry out, or nothing.
     std::function<std::optional<Pistachio::Jobs::OrderOutcome>(const Pistachio::Jobs::StartOrder &order)> startFault;
@@ -132,6 +134,8 @@
     void scheduleForLeader(Duration delay, std::function<void()> function);
     void schedule(Duration delay, std::function<void()> function);
     SimulatedMinion *reachableMinion(const std::string &address);
+    /// \return the minion that carries out what was sent to the address earlier, though it may be cut off by now.
+    SimulatedMinion *minionAt(const std::string &address);
     [[nodiscard]] bool chance(std::uint64_t percent);
     void commit(const Pistachio::Wire::JobCommand &command);
     void createScheduler();
--- a/tests/auto/jobs/tst_faults.cpp
+++ b/tests/auto/jobs/tst_faults.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
 #include <string>
 
 using namespace Pistachio;
@@ -29,9 +30,17 @@
             cell.addMinion(id, 4000, std::chrono::milliseconds(300 + random.below(2000)),
                            0.98 + 0.02 * random.fraction());
         std::uint64_t jobs = 0;
+        RandomSource delays(seed);
+        std::uint64_t lateRenewals = 0; // percentage
+        cell.renewalDelay = [&](const LeaseOrder & /*order*/) -> std::optional<Duration> {
+            if (delays.below(100) >= lateRenewals)
+                return std::nullopt;
+            return 2s + std::chrono::milliseconds(delays.below(10'000));
+        };
         for (int round = 0; round < 40; ++round) {
             cell.lostAnswers = random.below(3) == 0 ? 20 : 0;
             cell.lateOrders = random.below(3) == 0 ? 10 : 0;
+            lateRenewals = 2 * cell.lateOrders;
             const bool gang = random.below(4) == 0;
             cell.submit(jobId(++jobs), 1 + static_cast<std::uint32_t>(random.below(4)),
                         500 + 500 * static_cast<std::int64_t>(random.below(4)),
@@ -62,7 +71,7 @@
         for (const auto &[id, other] : cell.minions)
             other->isCut = false;
         cell.lostAnswers = 0;
-        cell.lateOrders = 0;
+        cell.lateOrders = lateRenewals = 0;
         cell.run(60s);
         const auto name = "seed " + std::to_string(seed) + ": ";
         CPPUNIT_ASSERT_MESSAGE(name + (cell.violations.empty() ? "" : cell.violations.front()),
--- a/tests/auto/jobs/tst_silentincarnation.cpp
+++ b/tests/auto/jobs/tst_silentincarnation.cpp
@@ -33,6 +33,10 @@
     CPPUNIT_TEST(newLeaderThatIsAnsweredWaitsForSuchALease);
     CPPUNIT_TEST(endInALaterIncarnationIsNotForgotten);
     CPPUNIT_TEST(answeredStartMayWorkInALaterIncarnation);
+    CPPUNIT_TEST(lateRenewalForTheEarlierIncarnationHasNoEffect);
+    CPPUNIT_TEST(renewalThatArrivesBeforeTheFirstAnswerIsWaitedFor);
+    CPPUNIT_TEST(lateStartInASilentIncarnationIsWaitedFor);
+    CPPUNIT_TEST(forgottenMinionObeysItsLeaderAgain);
     CPPUNIT_TEST_SUITE_END();
 
     const std::string job_ = "0000000000000001";
@@ -66,6 +70,20 @@
         return minion;
     }
 
+    /// Has renewals stay unanswered that are sent to the first incarnation of "a" in the second before it restarts.
+    /// \param delay after which they are carried out
+    /// \param answersFrom how long after the restart the next incarnation answers
+    static void delayLastRenewals(SimulatedCell &cell, Duration delay, Duration answersFrom)
+    {
+        const auto restart = cell.now().time + 10'600ms;
+        cell.renewalDelay = [&cell, restart, delay, answersFrom](const LeaseOrder &order) -> std::optional<Duration> {
+            const auto now = cell.now().time;
+            if (order.minion.id != "a" || now < restart - 1s || now >= restart + answersFrom)
+                return std::nullopt;
+            return now < restart ? delay : Duration(1h);
+        };
+    }
+
     /// Submits the job and waits until it runs on the only minion.
     void submitAndStart(SimulatedCell &cell, const SimulatedMinion &minion)
     {
@@ -230,6 +248,69 @@
         minion.isCut = true;
         assertRunsOnceElsewhere(cell);
     }
+
+    // Guards against a second run while the first has a lease that was prolonged by a renewal for the earlier
+    // incarnation, seconds after the later one was back.
+    void lateRenewalForTheEarlierIncarnationHasNoEffect()
+    {
+        SimulatedCell cell(1);
+        delayLastRenewals(cell, 3500ms, Duration::zero());
+        auto &minion = addRestartedMinion(cell);
+        cell.report(minion);
+        submitAndStart(cell, minion);
+        minion.isCut = true;
+        assertRunsOnceElsewhere(cell);
+    }
+
+    // Guards against counting the longest lease from the report of a later incarnation, which answers long after it.
+    void renewalThatArrivesBeforeTheFirstAnswerIsWaitedFor()
+    {
+        SimulatedCell cell(1);
+        delayLastRenewals(cell, 2500ms, 2500ms);
+        auto &minion = addRestartedMinion(cell);
+        cell.report(minion);
+        cell.run(2500ms);
+        submitAndStart(cell, minion);
+        minion.isCut = true;
+        assertRunsOnceElsewhere(cell);
+    }
+
+    // Guards against a second run while a start for the earlier incarnation may yet be carried out by a silent one.
+    void lateStartInASilentIncarnationIsWaitedFor()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            SimulatedCell cell(seed);
+            auto &minion = cell.addMinion("a", 4000, longRun);
+            cell.run(1s);
+            cell.lateOrders = 100;
+            cell.submit(job_, 1, 1000, longRunning);
+            cell.run(200ms);
+            minion.restart(cell.now().time);
+            minion.isCut = true;
+            cell.report(minion);
+            cell.run(500ms);
+            cell.lateOrders = 0;
+            cell.addMinion("b", 4000, longRun);
+            cell.run(25s);
+            CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(), cell.violations.empty());
+            CPPUNIT_ASSERT_EQUAL(std::string("b"), cell.firstMinionRunning(job_));
+        }
+    }
+
+    // Guards against orders that an incarnation refuses because it has seen higher ones before it was forgotten.
+    void forgottenMinionObeysItsLeaderAgain()
+    {
+        SimulatedCell cell(1);
+        auto &minion = cell.addMinion("a", 4000, longRun);
+        cell.addMinion("b", 100, longRun);
+        cell.run(1s);
+        cell.removeFromStore("a");
+        ++minion.report.sequence;
+        cell.report(minion);
+        cell.run(200ms);
+        submitAndStart(cell, minion);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), cell.firstMinionRunning(job_));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilentIncarnationTest);
--- a/tests/auto/jobs/tst_teamcaps.cpp
+++ b/tests/auto/jobs/tst_teamcaps.cpp
@@ -325,7 +325,7 @@
         stray.task = {{first, 0, 0}, 5};
         stray.run = 7;
         stray.leaseExpiresAtMs = minion.clock(cell.now().time) + 4000;
-        stray.fencingToken = 100;
+        stray.fence = {100, 0};
         CPPUNIT_ASSERT(minion.start(cell.now().time, stray).outcome == OrderOutcome::Done);
         for (int number = 0; number < 50 && cell.eventCounts["orphan-run"] == 0; ++number)
             cell.run(100ms);
--- a/tests/auto/platform/tst_configurationfaults.cpp
+++ b/tests/auto/platform/tst_configurationfaults.cpp
@@ -1,16 +1,12 @@
 #include "configurationtext.h"
-#include "jobnode/controlservice.h"
 #include "logging/logger.h"
 #include "platform/configurationformat.h"
 #include "platform/controlprotocol.h"
-
-#include <jobs.pb.h>
+#include "recordingservice.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <functional>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -23,38 +19,6 @@
 namespace
 {
 
-/// Holds the last configuration that was accepted.
-class StoringService : public Jobnode::ControlService
-{
-public:
-    [[nodiscard]] bool canAnswer() const override { return true; }
-    void forward(const Transport::Request & /*request*/, std::function<void(Transport::Response)> /*answered*/) override
-    {
-    }
-    void onForwarded(Transport::RequestHandler /*handler*/) override { }
-    void minionReported(const Jobs::MinionReport & /*report*/, std::function<void(bool stored)> /*stored*/) override { }
-    [[nodiscard]] std::string reportIp(const std::string & /*minion*/) const override { return {}; }
-    void minionLeft(const Jobs::MinionIncarnation & /*incarnation*/,
-                    std::function<void(bool confirmed)> /*confirmed*/) override
-    {
-    }
-    void configure(const Wire::JobConfiguration &configuration,
-                   std::function<void(const Wire::JobReply &)> answered) override
-    {
-        document_ = configuration.document();
-        Wire::JobReply reply;
-        reply.set_verdict(Wire::JOB_VERDICT_ACCEPTED);
-        answered(reply);
-    }
-    void readConfiguration(std::function<void(std::optional<std::string> document)> answered) override
-    {
-        answered(document_);
-    }
-
-private:
-    std::string document_;
-};
-
 /// \return where each value of the document stands, but for the document itself.
 std::vector<json::json_pointer> places(const json &document)
 {
@@ -105,7 +69,7 @@
     /// \param field is named by the refusal
     void assertRefused(const std::string &body, const std::string &field)
     {
-        StoringService service;
+        RecordingService service;
         Logging::Logger logger("test", "test", "error", "/dev/null");
         ControlProtocol protocol(service, logger, 1);
         const auto call = [&protocol](const std::string &method, const std::string &verb, const std::string &text) {
--- a/tests/auto/platform/tst_oddbodies.cpp
+++ b/tests/auto/platform/tst_oddbodies.cpp
@@ -1,17 +1,13 @@
 #include "configurationtext.h"
-#include "jobnode/controlservice.h"
 #include "logging/logger.h"
 #include "oddvalues.h"
 #include "platform/callerprotocol.h"
 #include "platform/configurationformat.h"
 #include "platform/controlprotocol.h"
-
-#include <jobs.pb.h>
+#include "recordingservice.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,42 +15,6 @@
 using namespace Pistachio;
 using namespace Pistachio::Platform;
 
-namespace
-{
-
-/// Records what reaches the instance.
-class RecordingService : public Jobnode::ControlService
-{
-public:
-    [[nodiscard]] bool canAnswer() const override { return true; }
-    void forward(const Transport::Request & /*request*/, std::function<void(Transport::Response)> /*answered*/) override
-    {
-    }
-    void onForwarded(Transport::RequestHandler /*handler*/) override { }
-    void minionReported(const Jobs::MinionReport & /*report*/, std::function<void(bool stored)> stored) override
-    {
-        ++calls;
-        stored(true);
-    }
-    [[nodiscard]] std::string reportIp(const std::string & /*minion*/) const override { return {}; }
-    void minionLeft(const Jobs::MinionIncarnation & /*incarnation*/,
-                    std::function<void(bool confirmed)> confirmed) override
-    {
-        ++calls;
-        confirmed(true);
-    }
-    void configure(const Wire::JobConfiguration & /*configuration*/,
-                   std::function<void(const Wire::JobReply &)> /*answered*/) override
-    {
-        ++calls;
-    }
-    void readConfiguration(std::function<void(std::optional<std::string> document)> /*answered*/) override { }
-
-    int calls = 0;
-};
-
-} // namespace
-
 /// Reports, jobs and configurations of another writer: each is refused as a whole.
 class OddBodiesTest : public CppUnit::TestFixture
 {
--- a/tests/auto/platform/tst_oddrows.cpp
+++ b/tests/auto/platform/tst_oddrows.cpp
@@ -49,7 +49,7 @@
 
     static Jobs::LeaseOrder order(const ScriptedMinion &minion)
     {
-        return {{"i-1", 1}, minion.address(), {}, 0, 0ms, 7};
+        return {{"i-1", 1}, minion.address(), {}, 0, 0ms, {7, 0}};
     }
 
     static Transport::Response reply(int status, const std::string &body)
@@ -199,7 +199,8 @@
         ScriptedMinion minion;
         for (const auto &odd : {std::string("1e999"), nested(100), std::string("18446744073709551615")}) {
             minion.answer = reply(409, R"({"clockMs":)" + odd + R"(,"reason":"fence"})");
-            const auto answer = minion.start({{"i-1", 1}, minion.address(), {{"a", 0, 0}, 0}, 1, "", "", "", 0, 7});
+            const auto answer
+                = minion.start({{"i-1", 1}, minion.address(), {{"a", 0, 0}, 0}, 1, "", "", "", 0, {7, 0}});
             CPPUNIT_ASSERT_MESSAGE(shorten(odd), answer.outcome == OrderOutcome::StaleFencingToken);
             CPPUNIT_ASSERT_MESSAGE(shorten(odd), !answer.clockMs);
         }
--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -37,6 +37,8 @@
     CPPUNIT_TEST(orderWithoutAConnectionIsNotSent);
     CPPUNIT_TEST_SUITE_END();
 
+    static constexpr Jobs::MinionFence fence_{7, 3};
+
     static Jobs::StartOrder order(const std::string &address)
     {
         Jobs::StartOrder result;
@@ -48,7 +50,7 @@
         result.checkpoint = "c";
         result.ticket = "t";
         result.leaseExpiresAtMs = 486'000;
-        result.fencingToken = 7;
+        result.fence = fence_;
         return result;
     }
 
@@ -68,7 +70,7 @@
                                 {"runId", 2},
                                 {"taskSpec", "text"},
                                 {"expiresAtMs", 486'000},
-                                {"fencingToken", 7},
+                                {"fencingToken", fence_.number()},
                                 {"checkpoint", "c"},
                                 {"ticket", "t"}}));
     }
@@ -103,14 +105,15 @@
                                {"born", 1700},
                                {"active", {{"5c0e7a21d94b36f8.0.1.17", 2, "cp", 41, 120}}},
                                {"endedRuns", {{58, "5c0e7a21d94b36f8.0.1.9", 1, "lapsed", "x"}}}});
-        const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 57, 500ms, 7});
+        const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 57, 500ms, fence_});
         CPPUNIT_ASSERT(answer.outcome == OrderOutcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1700}, answer.bornUnixMs);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{120}, answer.active.at(0).measurement);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, answer.ended.at(0).number);
         CPPUNIT_ASSERT(answer.ended.at(0).end == Jobs::RunEnd::LeaseExpired);
-        CPPUNIT_ASSERT(json::parse(minion.request.body)
-                       == json({{"expiresAtMs", 9000}, {"fencingToken", 7}, {"ackCursor", 57}, {"waitMs", 500}}));
+        CPPUNIT_ASSERT(
+            json::parse(minion.request.body)
+            == json({{"expiresAtMs", 9000}, {"fencingToken", fence_.number()}, {"ackCursor", 57}, {"waitMs", 500}}));
     }
 
     // A run whose end is in the next list was taken for one that had never started, and its task ran again.
@@ -123,13 +126,13 @@
                 ended.push_back({number, "5c0e7a21d94b36f8.0.1." + std::to_string(number), 1, "done", ""});
             minion.answer
                 = reply(200, {{"clockMs", 5}, {"born", 1700}, {"active", json::array()}, {"endedRuns", ended}});
-            const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, 7});
+            const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, fence_});
             CPPUNIT_ASSERT_EQUAL(count, answer.ended.size());
             CPPUNIT_ASSERT(answer.areEndsComplete);
             CPPUNIT_ASSERT_EQUAL(count == 500, answer.hasMoreEnds);
         }
         minion.answer = reply(200, {{"clockMs", 5}, {"born", 1700}, {"active", json::array()}, {"endedRuns", {7}}});
-        CPPUNIT_ASSERT(!minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, 7}).areEndsComplete);
+        CPPUNIT_ASSERT(!minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, fence_}).areEndsComplete);
     }
 
     // A later incarnation can get only what is written to a new connection, and may answer it; waiting for it each time
@@ -160,7 +163,7 @@
         for (const auto &body : {json({{"clockMs", 5}, {"active", 7}}), json({{"clockMs", 5}, {"endedRuns", 7}}),
                                  json({{"clockMs", 5}, {"born", "x"}})}) {
             minion.answer = reply(200, body);
-            CPPUNIT_ASSERT(minion.renewLease({{"i-1", 1}, minion.address(), {}, 0, 0ms, 7}).outcome
+            CPPUNIT_ASSERT(minion.renewLease({{"i-1", 1}, minion.address(), {}, 0, 0ms, fence_}).outcome
                            == OrderOutcome::Unanswered);
         }
     }
--- a/tests/standins/platform/minionserver.cpp
+++ b/tests/standins/platform/minionserver.cpp
@@ -19,6 +19,7 @@
 constexpr Duration tickInterval = 10ms;
 constexpr Duration reportInterval = 400ms;
 constexpr Duration reportTimeout = 1s;
+constexpr Duration lateOrderDelay = 2s; ///< of orders for the life before
 
 const char *reasonOf(OrderOutcome outcome)
 {
@@ -57,6 +58,11 @@
     return {status, {{"Content-Type", "application/json"}}, body.dump()};
 }
 
+MinionFence fenceOf(Platform::JsonFields &fields)
+{
+    return MinionFence::fromNumber(static_cast<std::uint64_t>(fields.integer("fencingToken")));
+}
+
 Transport::Response encode(const OrderAnswer &answer)
 {
     json body{{"clockMs", answer.clockMs.value_or(0)}};
@@ -111,8 +117,8 @@
 {
     isRunning_ = false;
     ticker_.cancel();
+    lateOrders_.cancel();
     server_.reset();
-    delayed_.clear();
     minion_.restart(EventLoop::now());
 }
 
@@ -120,13 +126,20 @@
 {
     minion_.report.draining = false;
     isSilent_ = false;
+    lateOrders_ = loop_.callAfter(lateOrderDelay, [this] { carryOutDelayed(); });
     return open();
 }
 
 void MinionServer::setSilent(bool isSilent)
 {
     isSilent_ = isSilent;
-    while (!isSilent_ && !delayed_.empty()) {
+    if (!isSilent_)
+        carryOutDelayed();
+}
+
+void MinionServer::carryOutDelayed()
+{
+    while (isRunning_ && !delayed_.empty()) {
         carryOut(delayed_.front().first, delayed_.front().second);
         delayed_.pop_front();
     }
@@ -164,7 +177,7 @@
     Platform::JsonFields fields(body.value());
     const auto task = Platform::parseTask(fields.text("task"));
     const auto run = static_cast<std::uint64_t>(fields.integer("runId"));
-    const auto fencingToken = static_cast<std::uint64_t>(fields.integer("fencingToken"));
+    const auto fence = fenceOf(fields);
     const auto now = EventLoop::now();
     if (!task || !fields.check()) {
         responder.respond(jsonResponse(400, json::object()));
@@ -173,14 +186,13 @@
             responder.respond(jsonResponse(409, json{{"clockMs", minion_.clock(now)}, {"reason", "ticket"}}));
             return;
         }
-        StartOrder order{
-            minion_.report.incarnation, minion_.report.address, *task, run,         fields.text("taskSpec"),
-            fields.text("checkpoint"),  fields.text("ticket"),  0,     fencingToken};
+        StartOrder order{minion_.report.incarnation, minion_.report.address, *task, run,  fields.text("taskSpec"),
+                         fields.text("checkpoint"),  fields.text("ticket"),  0,     fence};
         order.leaseExpiresAtMs = fields.integer("expiresAtMs");
         responder.respond(encode(minion_.start(now, order)));
     } else if (request.target == "/pistachioworks/run-stop") {
         responder.respond(
-            encode(minion_.stop(now, {minion_.report.incarnation, minion_.report.address, *task, run, fencingToken})));
+            encode(minion_.stop(now, {minion_.report.incarnation, minion_.report.address, *task, run, fence})));
     } else {
         responder.respond(jsonResponse(404, json::object()));
     }
@@ -196,7 +208,7 @@
     Platform::JsonFields fields(body.value());
     LeaseOrder order;
     order.minion = minion_.report.incarnation;
-    order.fencingToken = static_cast<std::uint64_t>(fields.integer("fencingToken"));
+    order.fence = fenceOf(fields);
     order.acknowledgedEnd = static_cast<std::uint64_t>(fields.integer("ackCursor"));
     order.wait = std::chrono::milliseconds(fields.integer("waitMs"));
     if (fields.has("expiresAtMs"))
--- a/tests/standins/platform/minionserver.h
+++ b/tests/standins/platform/minionserver.h
@@ -38,10 +38,11 @@
     /// Begins to listen and to report.
     Result<void> open();
 
-    /// Ends at once: connections break, runs and knowledge are gone.
+    /// Ends at once: connections break, runs and knowledge are gone. What has arrived while silent is kept for
+    /// restart().
     void crash();
 
-    /// Begins a new life under the same id after crash().
+    /// Begins a new life under the same id after crash(). Some time later it carries out, unanswered, what was kept.
     Result<void> restart();
 
     /// While silent nothing leaves it; what arrives is carried out, unanswered, once it is not silent any more.
@@ -57,6 +58,7 @@
     void hold(const Transport::Request &request, const Transport::Responder &responder);
     void tick();
     void sendReport();
+    void carryOutDelayed();
 
     Transport::EventLoop &loop_;
     SimulatedMinion minion_;
@@ -70,6 +72,7 @@
     std::deque<std::pair<Transport::Request, Transport::Responder>> delayed_;
     TimePoint nextReport_{};
     Transport::Timer ticker_;
+    Transport::Timer lateOrders_;
 };
 
 } // namespace Pistachio::Standin
--- a/tests/standins/platform/simulatedminion.cpp
+++ b/tests/standins/platform/simulatedminion.cpp
@@ -31,11 +31,11 @@
     leaseUntil_ = std::max(leaseUntil_, std::min(expiresAtMs, clock(now) + longestLease / 1ms));
 }
 
-bool SimulatedMinion::accepts(std::uint64_t fencingToken)
+bool SimulatedMinion::accepts(const MinionFence &fence)
 {
-    if (fencingToken < fencingToken_)
+    if (fence.number() < highestFence_)
         return false;
-    fencingToken_ = fencingToken;
+    highestFence_ = fence.number();
     return true;
 }
 
@@ -43,7 +43,7 @@
 {
     if (order.minion.id != report.incarnation.id)
         return {OrderOutcome::IncarnationMismatch, std::nullopt};
-    if (!accepts(order.fencingToken))
+    if (!accepts(order.fence))
         return {OrderOutcome::StaleFencingToken, clock(now)};
     const auto found = runs.find(order.task);
     if (found != runs.end() && found->second.run == order.run)
@@ -71,7 +71,7 @@
 {
     if (order.minion.id != report.incarnation.id)
         return {OrderOutcome::IncarnationMismatch, std::nullopt};
-    if (!accepts(order.fencingToken))
+    if (!accepts(order.fence))
         return {OrderOutcome::StaleFencingToken, clock(now)};
     const auto found = runs.find(order.task);
     if (found != runs.end() && found->second.run <= order.run) {
@@ -90,7 +90,7 @@
 {
     LeaseAnswer refused;
     refused.clockMs = clock(now);
-    if (order.minion.id != report.incarnation.id || !accepts(order.fencingToken)) {
+    if (order.minion.id != report.incarnation.id || !accepts(order.fence)) {
         refused.outcome = order.minion.id != report.incarnation.id ? OrderOutcome::IncarnationMismatch
                                                                    : OrderOutcome::StaleFencingToken;
         answer(refused);
@@ -179,7 +179,7 @@
     ended_.clear();
     waiting_.clear();
     highestEnded_.clear();
-    fencingToken_ = 0;
+    highestFence_ = 0;
     leaseUntil_ = 0;
     lastEnd_ = 0;
     born_ = now;
--- a/tests/standins/platform/simulatedminion.h
+++ b/tests/standins/platform/simulatedminion.h
@@ -73,12 +73,12 @@
     [[nodiscard]] Pistachio::Jobs::LeaseAnswer lists(TimePoint now) const;
     [[nodiscard]] std::uint32_t percent(TimePoint now, const Work &work) const;
     void extendLease(TimePoint now, std::int64_t expiresAtMs);
-    [[nodiscard]] bool accepts(std::uint64_t fencingToken);
+    [[nodiscard]] bool accepts(const Pistachio::Jobs::MinionFence &fence);
 
     Duration runTime_;
     double clockRate_;
     TimePoint born_{};
-    std::uint64_t fencingToken_ = 0;
+    std::uint64_t highestFence_ = 0; ///< of all orders so far
     std::int64_t leaseUntil_ = 0;
     std::uint64_t lastEnd_ = 0;
     std::map<Pistachio::Jobs::TaskName, std::uint64_t> highestEnded_;
