--- a/tests/auto/jobnode/tst_ordercarrying.cpp
+++ b/tests/auto/jobnode/tst_ordercarrying.cpp
@@ -225,8 +225,7 @@
         });
     }
 
-    // Guards against a carrier that sends an order under the fence of an earlier incarnation: the minion would refuse
-    // it.
+    // Guards against a carrier that sends an order under another fence, which the minion would refuse.
     void carriedOrderKeepsItsFence()
     {
         constexpr Jobs::MinionFence fence{5, 3};
--- a/tests/auto/jobs/tst_silentincarnation.cpp
+++ b/tests/auto/jobs/tst_silentincarnation.cpp
@@ -249,8 +249,7 @@
         assertRunsOnceElsewhere(cell);
     }
 
-    // Guards against a second run while the first has a lease that was prolonged by a renewal for the earlier
-    // incarnation, seconds after the later one was back.
+    // Guards against a second run while a late renewal for the earlier incarnation prolongs the lease of the first.
     void lateRenewalForTheEarlierIncarnationHasNoEffect()
     {
         SimulatedCell cell(1);
--- a/tests/auto/jobs/tst_unknownincarnation.cpp
+++ b/tests/auto/jobs/tst_unknownincarnation.cpp
@@ -16,8 +16,7 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Guards against a second run while a start that was left unanswered may be carried out by an incarnation of which
-    // the leader never hears.
+    // Guards against a second run while an incarnation that never reports may carry out an unanswered start.
     void lateStartInAnUnknownIncarnationIsWaitedFor()
     {
         const std::string job = "0000000000000001";
