--- a/tests/auto/platform/tst_platformclient.cpp
+++ b/tests/auto/platform/tst_platformclient.cpp
@@ -37,7 +37,7 @@
     CPPUNIT_TEST(orderWithoutAConnectionIsNotSent);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr Jobs::MinionFence fence_{7, 3};
+    static constexpr Jobs::MinionFence fence{7, 3};
 
     static Jobs::StartOrder order(const std::string &address)
     {
@@ -50,7 +50,7 @@
         result.checkpoint = "c";
         result.ticket = "t";
         result.leaseExpiresAtMs = 486'000;
-        result.fence = fence_;
+        result.fence = fence;
         return result;
     }
 
@@ -70,7 +70,7 @@
                                 {"runId", 2},
                                 {"taskSpec", "text"},
                                 {"expiresAtMs", 486'000},
-                                {"fencingToken", fence_.number()},
+                                {"fencingToken", fence.number()},
                                 {"checkpoint", "c"},
                                 {"ticket", "t"}}));
     }
@@ -105,7 +105,7 @@
                                {"born", 1700},
                                {"active", {{"5c0e7a21d94b36f8.0.1.17", 2, "cp", 41, 120}}},
                                {"endedRuns", {{58, "5c0e7a21d94b36f8.0.1.9", 1, "lapsed", "x"}}}});
-        const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 57, 500ms, fence_});
+        const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 57, 500ms, fence});
         CPPUNIT_ASSERT(answer.outcome == OrderOutcome::Done);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{1700}, answer.bornUnixMs);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{120}, answer.active.at(0).measurement);
@@ -113,7 +113,7 @@
         CPPUNIT_ASSERT(answer.ended.at(0).end == Jobs::RunEnd::LeaseExpired);
         CPPUNIT_ASSERT(
             json::parse(minion.request.body)
-            == json({{"expiresAtMs", 9000}, {"fencingToken", fence_.number()}, {"ackCursor", 57}, {"waitMs", 500}}));
+            == json({{"expiresAtMs", 9000}, {"fencingToken", fence.number()}, {"ackCursor", 57}, {"waitMs", 500}}));
     }
 
     // A run whose end is in the next list was taken for one that had never started, and its task ran again.
@@ -126,13 +126,13 @@
                 ended.push_back({number, "5c0e7a21d94b36f8.0.1." + std::to_string(number), 1, "done", ""});
             minion.answer
                 = reply(200, {{"clockMs", 5}, {"born", 1700}, {"active", json::array()}, {"endedRuns", ended}});
-            const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, fence_});
+            const auto answer = minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, fence});
             CPPUNIT_ASSERT_EQUAL(count, answer.ended.size());
             CPPUNIT_ASSERT(answer.areEndsComplete);
             CPPUNIT_ASSERT_EQUAL(count == 500, answer.hasMoreEnds);
         }
         minion.answer = reply(200, {{"clockMs", 5}, {"born", 1700}, {"active", json::array()}, {"endedRuns", {7}}});
-        CPPUNIT_ASSERT(!minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, fence_}).areEndsComplete);
+        CPPUNIT_ASSERT(!minion.renewLease({{"i-1", 1700}, minion.address(), 9000, 0, 0ms, fence}).areEndsComplete);
     }
 
     // A later incarnation can get only what is written to a new connection, and may answer it; waiting for it each time
@@ -163,7 +163,7 @@
         for (const auto &body : {json({{"clockMs", 5}, {"active", 7}}), json({{"clockMs", 5}, {"endedRuns", 7}}),
                                  json({{"clockMs", 5}, {"born", "x"}})}) {
             minion.answer = reply(200, body);
-            CPPUNIT_ASSERT(minion.renewLease({{"i-1", 1}, minion.address(), {}, 0, 0ms, fence_}).outcome
+            CPPUNIT_ASSERT(minion.renewLease({{"i-1", 1}, minion.address(), {}, 0, 0ms, fence}).outcome
                            == OrderOutcome::Unanswered);
         }
     }
